--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,190 @@
+// Package discovery asks for the list of cache nodes and watches its changes.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"wrenroute/internal/upstream"
+	"wrenroute/policy"
+)
+
+const (
+	maxList    = 8 << 20
+	firstWait  = 6 * time.Second         // a call may wait its turn
+	silentWait = 4500 * time.Millisecond // an idle watch writes a line every 2 s
+)
+
+// List is a list of nodes, or its changes, as discovery tells it.
+type List struct {
+	Index     uint64     `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is a node's entry.
+type Endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	Since   float64 `json:"since_ms"`
+}
+
+// Parse reads a list, and takes none that is partly wrong.
+func Parse(text []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return l, fmt.Errorf("list of nodes: %w", err)
+	}
+	return l, l.check()
+}
+
+func (l *List) check() error {
+	for _, e := range l.Endpoints {
+		if e.Name == "" {
+			return errors.New("list of nodes: entry without a name")
+		}
+		if _, ok := modes[e.Status]; !ok {
+			return fmt.Errorf("list of nodes: status of %s cannot be %q", e.Name, e.Status)
+		}
+		if _, _, err := net.SplitHostPort(e.Address); err != nil && e.Status != "removed" {
+			return fmt.Errorf("list of nodes: address of %s: %w", e.Name, err)
+		}
+		if e.Since < 0 || e.Since > math.MaxInt64/1e6 {
+			return fmt.Errorf("list of nodes: since_ms of %s is out of range", e.Name)
+		}
+	}
+	return nil
+}
+
+var modes = map[string]policy.Mode{"up": policy.Serving, "draining": policy.Draining, "removed": policy.Gone}
+
+// Update says a list in the decision module's terms. Names that the settings
+// do not know map behind the known ones.
+func (l *List) Update(set *policy.Settings) policy.ListUpdate {
+	u := policy.ListUpdate{Version: l.Index, Kind: policy.ListChanges}
+	if l.Snapshot {
+		u.Kind = policy.ListFull
+	}
+	for _, e := range l.Endpoints {
+		u.Members = append(u.Members, policy.Member{Server: e.Name, Zone: place(set.Zones, e.Zone),
+			Kind: place(set.Kinds, e.Type), Cell: e.Group, Mode: modes[e.Status], Weight: e.Weight,
+			Started: time.Duration(e.Since * float64(time.Millisecond))})
+	}
+	return u
+}
+
+// Nodes returns the nodes of a list that are there, and the names of the others.
+func (l *List) Nodes() (there []upstream.Node, gone []string) {
+	for _, e := range l.Endpoints {
+		if e.Status == "removed" {
+			gone = append(gone, e.Name)
+			continue
+		}
+		n := upstream.Node{Name: e.Name, Address: e.Address}
+		if e.Since > 0 {
+			n.Started = time.UnixMilli(int64(e.Since))
+		}
+		there = append(there, n)
+	}
+	return there, gone
+}
+
+func place(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
+
+// Client asks one discovery service.
+type Client struct {
+	base string
+	http http.Client
+}
+
+// New returns a Client of the service at address.
+func New(address string) *Client {
+	return &Client{base: "http://" + address + "/api/targets", http: http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 16 << 10,
+			DialContext: (&net.Dialer{Timeout: firstWait, KeepAlive: -1}).DialContext}}}
+}
+
+// Fetch asks for the whole list.
+func (c *Client) Fetch(ctx context.Context) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, firstWait)
+	defer cancel()
+	body, err := c.get(ctx, "")
+	if err != nil {
+		return List{}, err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxList))
+	if err != nil {
+		return List{}, fmt.Errorf("discovery: %w", err)
+	}
+	l, err := Parse(text)
+	l.Snapshot = true
+	return l, err
+}
+
+// Watch tells each change after version from, until the watch is lost: its end
+// always has an error. Silence is loss too, as a machine cut off says nothing;
+// with patient it is not, for an agent that has nothing to tell.
+func (c *Client) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(firstWait, func() { cancel(errors.New("no word in time")) })
+	defer silence.Stop()
+	body, err := c.get(ctx, "?watch=1&from="+strconv.FormatUint(from, 10))
+	if err != nil {
+		return errors.Join(err, context.Cause(ctx))
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 16<<10), maxList)
+	for lines.Scan() {
+		if silence.Reset(silentWait); patient {
+			silence.Stop()
+		}
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		l, err := Parse(lines.Bytes())
+		if err != nil {
+			return err
+		}
+		tell(l)
+	}
+	return fmt.Errorf("discovery: watch ended: %w", errors.Join(lines.Err(), context.Cause(ctx), io.EOF))
+}
+
+func (c *Client) get(ctx context.Context, query string) (io.ReadCloser, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+query, nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, fmt.Errorf("discovery: status %s", response.Status)
+	}
+	return response.Body, nil
+}
--- /dev/null
+++ b/internal/proxy/core.go
@@ -0,0 +1,548 @@
+// Package proxy is the proxy proper: it takes clients' commands, asks the
+// decision module what to do with each and does it.
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wrenroute/internal/discovery"
+	"wrenroute/internal/meta"
+	"wrenroute/internal/upstream"
+	"wrenroute/policy"
+)
+
+// request is a client's request that the proxy holds. It is guarded by Core.mu.
+type request struct {
+	id       uint64
+	command  meta.Command
+	body     []byte
+	deadline time.Duration
+	expires  time.Time // the same
+	reply    *reply
+	attempts []*attempt
+	open     int      // attempts that have not ended
+	streams  *attempt // the one whose value the client is getting
+	over     bool     // answered, or its client has left
+}
+
+type attempt struct {
+	upstream.Attempt
+	server string
+	sent   time.Duration
+	ended  bool
+}
+
+// Core holds the decision module and carries out what it decides. All events
+// reach the module through it, one at a time; its lock is never held during I/O.
+type Core struct {
+	set      policy.Settings
+	classes  map[string]int
+	tenants  map[string]int
+	mostHeld int
+	log      *slog.Logger
+	registry *discovery.Client
+	nodes    *upstream.Nodes
+	start    time.Time
+
+	mu        sync.Mutex
+	balancer  *policy.Balancer
+	actions   []policy.Action
+	events    []policy.Event // that carrying out actions has brought
+	handling  bool
+	requests  map[uint64]*request
+	last      uint64 // request's number
+	version   uint64 // of the list
+	timers    timers
+	wake      chan struct{}
+	subscribe chan struct{}
+	fetch     chan struct{}
+}
+
+// newCore returns a core that knows the nodes of the stored list.
+func newCore(config *Config, log *slog.Logger) (*Core, error) {
+	balancer, err := policy.New(config.Policy, config.Seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{set: config.Policy, classes: make(map[string]int), tenants: make(map[string]int),
+		mostHeld: config.MostHeld, log: log, registry: discovery.New(config.Discovery), start: time.Now(),
+		balancer: balancer, requests: make(map[uint64]*request), wake: make(chan struct{}, 1),
+		subscribe: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
+	for i, class := range c.set.Classes {
+		c.classes[class.Name] = i
+	}
+	for i, tenant := range c.set.Tenants {
+		c.tenants[tenant.Name] = i
+	}
+	c.nodes = upstream.New(config.Upstream, c, log)
+	c.learn(config.Known, policy.ListStored)
+	return c, nil
+}
+
+// now is the module's clock: Unix time, so that the list's start times need no
+// mapping, advanced by the monotonic clock.
+func (c *Core) now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
+
+// run keeps the timers and the watch until ctx ends.
+func (c *Core) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.nodes.Run(ctx) })
+	tasks.Go(func() { c.keepTime(ctx) })
+	tasks.Go(func() { c.watch(ctx) })
+	tasks.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.fetch:
+				c.fetched(c.registry.Fetch(ctx))
+			}
+		}
+	})
+	tasks.Wait()
+	c.nodes.Close()
+}
+
+// handle gives the module an event and does what it asks, then what that
+// brings in turn. c.mu is held.
+func (c *Core) handle(event policy.Event) {
+	c.events = append(c.events, event)
+	if c.handling {
+		return
+	}
+	c.handling = true
+	for i := 0; i < len(c.events); i++ {
+		c.actions = c.balancer.Handle(c.now(), c.events[i], c.actions[:0])
+		for j := range c.actions {
+			c.do(&c.actions[j])
+		}
+	}
+	clear(c.events)
+	c.events = c.events[:0]
+	c.handling = false
+}
+
+func (c *Core) do(a *policy.Action) {
+	switch a.Kind {
+	case policy.Send:
+		c.send(a)
+	case policy.Cancel:
+		if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+			c.giveUp(r, r.attempts[a.Attempt], policy.Cancelled)
+		}
+	case policy.Refuse:
+		if r := c.requests[a.ID]; r != nil {
+			c.answer(r, meta.AppendBusy(nil, a.After))
+		}
+	case policy.Fail:
+		if r := c.requests[a.ID]; r != nil {
+			c.answer(r, []byte("SERVER_ERROR failed\r\n"))
+		}
+	case policy.SetTimer:
+		c.setTimer(timer{at: c.now() + a.After, id: a.Token, attempt: moduleTimer})
+	case policy.Subscribe:
+		post(c.subscribe)
+	case policy.FetchList:
+		post(c.fetch)
+	case policy.CloseIdle:
+		c.nodes.CloseIdle(a.Server)
+	case policy.Probe: // the protocol has no room for it where probes are off
+	}
+}
+
+func post(to chan<- struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
+	}
+}
+
+// arrive takes a request whose last byte has come. The answer goes to reply.
+func (c *Core) arrive(command meta.Command, body []byte, reply *reply) *request {
+	class, known := c.classes[command.Class]
+	if !known {
+		reply.finish([]byte("CLIENT_ERROR unknown class\r\n"))
+		return nil
+	}
+	tenant := 0
+	if len(c.tenants) > 0 {
+		if tenant, known = c.tenants[command.Tenant]; !known {
+			reply.finish([]byte("CLIENT_ERROR unknown tenant\r\n"))
+			return nil
+		}
+	}
+	wait := command.Wait
+	if wait < 0 {
+		wait = c.set.Classes[class].Deadline
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.requests) >= c.mostHeld {
+		reply.finish(meta.AppendBusy(nil, 0))
+		return nil
+	}
+	c.last++
+	now := c.now()
+	r := &request{id: c.last, command: command, body: body, reply: reply, deadline: now + wait,
+		expires: time.Now().Add(wait)}
+	c.requests[r.id] = r
+	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
+	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: command.Key, Deadline: r.deadline,
+		Write: command.Verb == meta.Set, Repeat: command.Retry})
+	return r
+}
+
+// leave ends the requests of a client that has gone.
+func (c *Core) leave(unwritten []*reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, reply := range unwritten {
+		if r := reply.request; r != nil && !r.over {
+			r.over = true
+			c.handle(policy.Departure{ID: r.id})
+			c.drop(r)
+		}
+	}
+}
+
+// answer ends a request, once.
+func (c *Core) answer(r *request, text []byte) {
+	if r.over || r.streams != nil {
+		return
+	}
+	r.over = true
+	r.reply.finish(text)
+	c.drop(r)
+}
+
+// drop forgets a request that is over and has nothing out.
+func (c *Core) drop(r *request) {
+	if r.over && r.open == 0 {
+		delete(c.requests, r.id)
+		r.reply.client.server.bodies.give(len(r.body))
+		r.body = nil
+	}
+}
+
+func (c *Core) send(action *policy.Action) {
+	r := c.requests[action.ID]
+	if r == nil {
+		return
+	}
+	now := c.now()
+	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{Request: r.id,
+		Number: len(r.attempts), Command: &r.command, Body: r.body, Deadline: r.expires}}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	switch {
+	case r.over || r.streams != nil || now >= r.deadline || action.After < 0:
+		c.end(r, a, policy.NotSent, nil)
+		return
+	case action.After > 0 && now+action.After < r.deadline:
+		a.Deadline = a.Deadline.Add(now + action.After - r.deadline)
+		c.setTimer(timer{at: now + action.After, id: r.id, attempt: a.Number})
+	}
+	if !c.nodes.Send(a.server, &a.Attempt) {
+		c.end(r, a, policy.ConnectFailed, nil)
+	}
+}
+
+// giveUp stops waiting for an attempt. What was written stays on its
+// connection: its answer is dropped when it comes, since closing the
+// connection would reset its neighbours.
+func (c *Core) giveUp(r *request, a *attempt, as policy.Result) {
+	if a.ended || a == r.streams && !r.over {
+		return
+	}
+	if c.nodes.Withdraw(&a.Attempt) {
+		as = policy.NotSent
+	}
+	c.end(r, a, as, nil)
+}
+
+// end tells the module how an attempt ended, once.
+func (c *Core) end(r *request, a *attempt, result policy.Result, answer *meta.Answer) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r.open--
+	o := policy.Outcome{ID: r.id, Attempt: a.Number, Server: a.server, Result: result, Took: c.now() - a.sent,
+		Final: r.over}
+	if answer != nil {
+		switch {
+		case answer.Hit:
+			o.Note = policy.NoteHit
+		case answer.Miss && answer.Shared:
+			o.Note = policy.NoteMissShared
+		case answer.Miss:
+			o.Note = policy.NoteMiss
+		}
+		o.Report = c.parseReport(answer.Load)
+	}
+	c.handle(o)
+	c.drop(r)
+}
+
+// parseReport reads a load report; a malformed one is none.
+func (c *Core) parseReport(load []byte) *policy.Report {
+	if len(load) == 0 {
+		return nil
+	}
+	p := policy.Report{InFlight: -1, Queue: -1, Utilization: -1, Rate: -1, ErrorRate: -1, X0: -1, X1: -1, Latency: -1}
+	err := meta.EachLoad(load, func(name string, figure float64) {
+		switch name {
+		case "inflight", "active":
+			p.InFlight = figure
+		case "queue", "waiting":
+			p.Queue = figure
+		case "util", "cpu":
+			p.Utilization = figure
+		case "latency_ms", "avg_ms":
+			p.Latency = time.Duration(figure * float64(time.Millisecond))
+		case "qps", "rps":
+			p.Rate = figure
+		case "eps", "err_rps":
+			p.ErrorRate = figure
+		case "x0":
+			p.X0 = figure
+		case "x1":
+			p.X1 = figure
+		}
+	})
+	if err != nil {
+		return nil
+	}
+	return &p
+}
+
+// find returns an attempt that has not ended, and its request.
+func (c *Core) find(u *upstream.Attempt) (*request, *attempt) {
+	r := c.requests[u.Request]
+	if r == nil || r.attempts[u.Number].ended {
+		return nil, nil
+	}
+	return r, r.attempts[u.Number]
+}
+
+// Begin implements upstream.Handler. An attempt may have waited for its
+// connection, and what allowed it may be over.
+func (c *Core) Begin(batch []*upstream.Attempt) []*upstream.Attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := batch[:0]
+	for _, u := range batch {
+		r, a := c.find(u)
+		if r == nil {
+			continue
+		}
+		if r.over || !c.balancer.Allowed(c.now(), r.id, a.Number) {
+			c.end(r, a, policy.NotSent, nil)
+			continue
+		}
+		kept = append(kept, u)
+	}
+	return kept
+}
+
+// Answered implements upstream.Handler.
+func (c *Core) Answered(u *upstream.Attempt, answer *meta.Answer, text []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, a := c.find(u); r != nil {
+		c.answer(r, text)
+		c.end(r, a, policy.Served, answer)
+	}
+}
+
+// Streaming implements upstream.Handler: the first to come is the client's.
+func (c *Core) Streaming(u *upstream.Attempt, answer *meta.Answer) upstream.Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, a := c.find(u)
+	if r == nil || r.over || r.streams != nil {
+		return nil
+	}
+	r.streams = a
+	r.reply.begin(meta.AppendValue(nil, answer.Size, r.command.ID))
+	c.handle(policy.StreamStarted{ID: r.id, Attempt: a.Number, Server: a.server, Took: c.now() - a.sent})
+	return r.reply
+}
+
+// Ended implements upstream.Handler.
+func (c *Core) Ended(u *upstream.Attempt, answer *meta.Answer, result upstream.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, a := c.find(u)
+	if r == nil {
+		return
+	}
+	if r.streams == a {
+		r.over = true
+		r.reply.complete(result == upstream.Served)
+	}
+	c.end(r, a, results[result], answer)
+}
+
+var results = [...]policy.Result{upstream.Busy: policy.Full, upstream.Failed: policy.Errored,
+	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset, upstream.Served: policy.Served}
+
+// timer is due at a time: one of the module's, with its token as id, or the
+// end of the wait for attempts of a request.
+type timer struct {
+	at      time.Duration
+	id      uint64
+	attempt int
+}
+
+const (
+	moduleTimer = -1
+	allAttempts = -2
+	// Timers due within a few milliseconds are handled together: a wake-up each
+	// would cost more than they do.
+	timerGrain = 2 * time.Millisecond
+)
+
+func (c *Core) setTimer(t timer) {
+	if c.timers.push(t) {
+		post(c.wake)
+	}
+}
+
+func (c *Core) keepTime(ctx context.Context) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-alarm.C:
+		}
+		alarm.Reset(max(c.fire(), timerGrain))
+	}
+}
+
+// fire handles what is due and returns how long nothing else will be.
+func (c *Core) fire() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for now := c.now(); len(c.timers) > 0; {
+		if wait := c.timers[0].at - now; wait > 0 {
+			return wait
+		}
+		t := c.timers.pop()
+		if t.attempt == moduleTimer {
+			c.handle(policy.Timer{Token: t.id})
+			continue
+		}
+		r := c.requests[t.id]
+		for i := 0; r != nil && i < len(r.attempts); i++ {
+			if t.attempt == allAttempts || t.attempt == i {
+				c.giveUp(r, r.attempts[i], policy.TimedOut)
+			}
+		}
+	}
+	return time.Hour
+}
+
+// The wait before an agent that pushes lists is called again.
+const pushedPause = 500 * time.Millisecond
+
+// watch keeps the one subscription that the module asks for. A new one takes
+// the place of the old. Where lists are pushed none is asked for, and losing
+// one is not told.
+func (c *Core) watch(ctx context.Context) {
+	stop := func() {}
+	lost := make(chan struct{}, 1)
+	begin := func(after time.Duration) {
+		stop()
+		var watching context.Context
+		watching, stop = context.WithCancel(ctx)
+		go func() {
+			select {
+			case <-watching.Done():
+				return
+			case <-time.After(after):
+			}
+			err := c.registry.Watch(watching, c.known(), !c.set.AskList, func(l discovery.List) {
+				if watching.Err() == nil {
+					c.learn(l, policy.ListChanges)
+				}
+			})
+			if watching.Err() == nil {
+				c.log.Warn("watch lost", "error", err)
+				post(lost)
+			}
+		}()
+	}
+	if !c.set.AskList {
+		begin(0)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-c.subscribe:
+			begin(0)
+		case <-lost:
+			if c.set.AskList {
+				c.mu.Lock()
+				c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
+				c.mu.Unlock()
+			} else {
+				begin(pushedPause)
+			}
+		}
+	}
+}
+
+func (c *Core) known() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+func (c *Core) fetched(l discovery.List, err error) {
+	if err == nil {
+		c.learn(l, policy.ListFull)
+		return
+	}
+	c.log.Warn("list call failed", "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
+}
+
+// learn takes news of the list: the connections first, so that the module
+// never names a node that they don't know.
+func (c *Core) learn(l discovery.List, kind policy.ListKind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	there, gone := l.Nodes()
+	update := l.Update(&c.set)
+	if kind == policy.ListStored {
+		update.Kind = kind
+	}
+	if update.Kind != policy.ListChanges {
+		listed := make(map[string]bool, len(there))
+		for _, n := range there {
+			listed[n.Name] = true
+		}
+		for _, name := range c.nodes.Names() {
+			if !listed[name] {
+				gone = append(gone, name)
+			}
+		}
+	}
+	c.version = l.Index
+	c.nodes.Set(there)
+	c.handle(update)
+	c.nodes.Remove(gone)
+}
--- /dev/null
+++ b/internal/proxy/server.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// Connections go on coming for some tenths of a second after SIGTERM.
+	acceptTime = 500 * time.Millisecond
+	// Connections closed ahead of need: they count until the client closes too.
+	headroom = 16
+	// A client that has taken nothing of its answer for so long is given up.
+	stuckTime = 20 * time.Second
+)
+
+// Server is a proxy at work.
+type Server struct {
+	core    *Core
+	log     *slog.Logger
+	most    int     // clients
+	bodies  *budget // of writes being read or held
+	streams *budget // of long values that slow clients have yet to take
+
+	listener *net.TCPListener
+	longest  time.Duration // deadline
+
+	mu      sync.Mutex
+	changed sync.Cond
+	clients map[*client]struct{}
+}
+
+// Listen returns a Server that has its address; Serve puts it to work.
+func Listen(config *Config, log *slog.Logger) (*Server, error) {
+	core, err := newCore(config, log)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{core: core, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
+		streams: newBudget(config.StreamBytes), clients: make(map[*client]struct{})}
+	s.changed.L = &s.mu
+	for _, class := range config.Policy.Classes {
+		s.longest = max(s.longest, class.Deadline)
+	}
+	lc := net.ListenConfig{KeepAlive: -1}
+	listener, err := lc.Listen(context.Background(), "tcp", config.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s.listener = listener.(*net.TCPListener)
+	return s, nil
+}
+
+// Address returns the address that clients connect to.
+func (s *Server) Address() net.Addr { return s.listener.Addr() }
+
+// Serve works until ctx ends. Then it takes connections for a while yet,
+// closes each between requests, and returns when all that was taken is answered.
+func (s *Server) Serve(ctx context.Context) {
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.core.run(working) })
+	tasks.Go(func() { s.sweep(working) })
+	var accepting sync.WaitGroup
+	accepting.Go(func() { s.accept() })
+	<-ctx.Done()
+	// Accept returns what the backlog holds before it heeds a deadline to come.
+	s.listener.SetDeadline(time.Now().Add(acceptTime))
+	accepting.Wait()
+	s.listener.Close()
+	s.drain()
+	stop()
+	tasks.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		s.makeRoom()
+		socket, err := s.listener.AcceptTCP()
+		switch {
+		case err == nil:
+			c := newClient(s, socket)
+			s.mu.Lock()
+			s.clients[c] = struct{}{}
+			s.mu.Unlock()
+			go func() {
+				c.serve()
+				s.mu.Lock()
+				delete(s.clients, c)
+				s.changed.Broadcast()
+				s.mu.Unlock()
+			}()
+		case errors.Is(err, net.ErrClosed) || isTimeout(err):
+			return
+		default: // short of descriptors or buffers: what waits stays in the backlog
+			s.log.Warn("accept", "error", err)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// makeRoom closes the client that has idled longest when descriptors run
+// short, and waits while there are none left: whoever is in the backlog has
+// been taken, and must not be accepted only to be dropped.
+func (s *Server) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.clients) >= s.most-headroom {
+		var oldest *client
+		var since time.Time
+		for c := range s.clients {
+			if at, idle := c.isIdle(); idle && (oldest == nil || at.Before(since)) {
+				oldest, since = c, at
+			}
+		}
+		if oldest != nil {
+			oldest.end()
+		}
+		if len(s.clients) < s.most {
+			return
+		}
+		s.changed.Wait()
+	}
+}
+
+// sweep gives up clients that have long stopped reading.
+func (s *Server) sweep(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.mu.Lock()
+			for c := range s.clients {
+				if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > stuckTime {
+					c.socket.Close()
+				}
+			}
+			s.changed.Broadcast() // an idle client may have come up for closing
+			s.mu.Unlock()
+		}
+	}
+}
+
+// drain closes all clients between requests, and waits for those at work.
+func (s *Server) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		c.end()
+	}
+	late := time.AfterFunc(s.longest+lingerTime/2, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.clients {
+			c.socket.Close()
+		}
+	})
+	defer late.Stop()
+	for len(s.clients) > 0 {
+		s.changed.Wait()
+	}
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,303 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"wrenroute/internal/meta"
+)
+
+const (
+	readBuffer = 4 << 10
+	partSize   = 32 << 10
+	// Bodies up to this size are copied behind their line: one write less.
+	copiedBody = 8 << 10
+)
+
+// conn is one connection to a node. Its fields are guarded by Nodes.mu.
+type conn struct {
+	ns      *Nodes
+	node    *node
+	socket  net.Conn
+	opened  time.Time
+	active  time.Time // last sign of life, or start of waiting for one
+	wake    sync.Cond // for the writer
+	out     []*Attempt
+	sent    []*Attempt // written or being written, in order of their answers
+	writing bool       // the writer holds a batch
+	partly  int        // attempts at the end of sent that its write has not passed yet
+	retired bool
+	closed  bool
+}
+
+func newConn(ns *Nodes, n *node, socket net.Conn) *conn {
+	now := time.Now()
+	c := &conn{ns: ns, node: n, socket: socket, opened: now, active: now, wake: sync.Cond{L: &ns.mu}}
+	go c.write()
+	go c.read()
+	return c
+}
+
+func (c *conn) outstanding() int { return len(c.out) + len(c.sent) }
+
+func (c *conn) queue(a *Attempt) {
+	if c.outstanding() == 0 {
+		c.active = time.Now()
+	}
+	c.out = append(c.out, a)
+	c.wake.Signal()
+}
+
+// close ends the connection; reader and writer notice, and the last of them
+// ends its attempts.
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.ns.conns--
+	if i := slices.Index(c.node.conns, c); i >= 0 {
+		c.node.conns = slices.Delete(c.node.conns, i, i+1)
+	}
+	c.ns.forget(c.node)
+	c.socket.Close()
+	c.wake.Signal()
+}
+
+// write sends what is queued, as much as there is at a time.
+func (c *conn) write() {
+	var text []byte
+	ns := c.ns
+	ns.mu.Lock()
+	for {
+		for len(c.out) == 0 && !c.closed {
+			c.wake.Wait()
+		}
+		if c.closed {
+			break
+		}
+		batch := c.out
+		c.out, c.writing = nil, true
+		ns.mu.Unlock()
+		batch = ns.handler.Begin(batch)
+		var parts net.Buffers
+		parts, text = render(batch, text[:0])
+		ns.mu.Lock()
+		if c.closed {
+			c.out, c.writing = append(batch, c.out...), false
+			break
+		}
+		c.sent, c.partly = append(c.sent, batch...), len(batch)
+		if len(batch) > 0 {
+			ns.mu.Unlock()
+			n, err := parts.WriteTo(c.socket)
+			ns.mu.Lock()
+			c.partly = 0
+			for _, a := range batch {
+				if int64(a.end) > n {
+					c.partly++
+				}
+			}
+			if err != nil {
+				c.close()
+			}
+		}
+		c.writing = false
+		if len(c.sent)+len(c.out) == 0 && c.retired {
+			c.close()
+		}
+	}
+	c.finish()
+}
+
+// render lays a batch out as parts to write and notes where each command ends.
+func render(batch []*Attempt, text []byte) (net.Buffers, []byte) {
+	var parts net.Buffers
+	now, from, written := time.Now(), 0, 0
+	for _, a := range batch {
+		before := len(text)
+		text = a.Command.AppendForward(text, a.Deadline.Sub(now))
+		if len(a.Body) <= copiedBody {
+			text = append(text, a.Body...)
+			written += len(text) - before
+		} else {
+			written += len(text) - before + len(a.Body)
+			parts = append(parts, text[from:len(text):len(text)], a.Body)
+			from = len(text)
+		}
+		a.end = written
+	}
+	return append(parts, text[from:]), text
+}
+
+// read takes the answers. It ends the connection at the first byte that is
+// not what was asked for.
+func (c *conn) read() {
+	in := bufio.NewReaderSize(c.socket, readBuffer)
+	err := c.answers(in)
+	c.ns.mu.Lock()
+	if err != nil && !c.closed && !errors.Is(err, io.EOF) && !errors.As(err, new(*net.OpError)) {
+		c.ns.log.Warn("cache node's answer", "node", c.node.Name, "error", err)
+	}
+	c.close()
+	c.finish()
+}
+
+// finish ends the attempts of a closed connection, once no write can
+// change what is known of them. It is entered with ns.mu held and frees it.
+func (c *conn) finish() {
+	if c.writing { // the writer comes here itself
+		c.ns.mu.Unlock()
+		return
+	}
+	out, sent, partly := c.out, c.sent, min(c.partly, len(c.sent))
+	c.out, c.sent = nil, nil
+	c.ns.mu.Unlock()
+	for i, a := range sent {
+		result := Broken
+		if i >= len(sent)-partly {
+			result = NoConnect
+		}
+		c.ns.handler.Ended(a, nil, result)
+	}
+	for _, a := range out {
+		c.ns.handler.Ended(a, nil, NoConnect)
+	}
+}
+
+// head returns the attempt whose answer is next; none means that the node
+// speaks unasked.
+func (c *conn) head() (*Attempt, error) {
+	c.ns.mu.Lock()
+	defer c.ns.mu.Unlock()
+	if c.closed {
+		return nil, net.ErrClosed
+	}
+	if len(c.sent) == 0 {
+		return nil, errors.New("unasked answer")
+	}
+	c.active = time.Now()
+	return c.sent[0], nil
+}
+
+// next takes the attempt just answered off the queue.
+func (c *conn) next() {
+	c.ns.mu.Lock()
+	defer c.ns.mu.Unlock()
+	if len(c.sent) == 0 {
+		return // closed meanwhile, and its end was told as broken
+	}
+	c.sent[0] = nil
+	c.sent = c.sent[1:]
+	c.active = time.Now()
+	if c.outstanding() > 0 || c.writing {
+		return
+	}
+	if c.retired {
+		c.close()
+	} else {
+		c.node.take()
+	}
+}
+
+func (c *conn) answers(in *bufio.Reader) error {
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+		if !ok || len(line) > meta.MaxLine {
+			return meta.ErrAnswer
+		}
+		answer, err := meta.ParseAnswer(line)
+		if err != nil {
+			return err
+		}
+		a, err := c.head()
+		if err != nil {
+			return err
+		}
+		if err := c.answer(in, a, &answer); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) answer(in *bufio.Reader, a *Attempt, answer *meta.Answer) error {
+	served := answer.Kind == meta.Value || answer.Kind == meta.Stored
+	// Passing on another request's answer would be worse than losing the connection.
+	if served && string(answer.ID) != a.Command.ID || len(answer.ID) > 0 && string(answer.ID) != a.Command.ID {
+		return fmt.Errorf("answer to %q where %q is due", answer.ID, a.Command.ID)
+	}
+	if served && (answer.Kind == meta.Value) != (a.Command.Verb == meta.Get) {
+		return errors.New("answer to another kind of command")
+	}
+	switch {
+	case answer.Kind == meta.Stored:
+		text := meta.AppendStored(make([]byte, 0, len(a.Command.ID)+len(answer.Receipt)+8), a.Command.ID, answer.Receipt)
+		c.next()
+		c.ns.handler.Answered(a, answer, text)
+	case served && answer.Size <= c.ns.limits.Gathered:
+		// What the line says lies in the reader's buffer, which the value overwrites.
+		kept := *answer
+		kept.ID, kept.Load = nil, bytes.Clone(answer.Load)
+		text := meta.AppendValue(make([]byte, 0, answer.Size+len(a.Command.ID)+24), answer.Size, a.Command.ID)
+		from := len(text)
+		text = text[:from+answer.Size+2]
+		if _, err := io.ReadFull(in, text[from:]); err != nil {
+			return err
+		}
+		if !bytes.HasSuffix(text, []byte("\r\n")) {
+			return meta.ErrAnswer
+		}
+		c.next()
+		c.ns.handler.Answered(a, &kept, text)
+	case served:
+		return c.stream(in, a, answer)
+	default:
+		result := Failed
+		if answer.Kind == meta.Busy {
+			result = Busy
+		}
+		c.next()
+		c.ns.handler.Ended(a, answer, result)
+	}
+	return nil
+}
+
+// stream hands a long value on as it comes, so that no value is ever held whole.
+func (c *conn) stream(in *bufio.Reader, a *Attempt, answer *meta.Answer) error {
+	kept := *answer
+	kept.ID, kept.Load = nil, bytes.Clone(answer.Load)
+	to := c.ns.handler.Streaming(a, &kept)
+	var part []byte
+	for left := kept.Size + 2; left > 0; left -= len(part) {
+		if to != nil || part == nil {
+			part = make([]byte, min(left, partSize))
+		}
+		part = part[:min(left, len(part))]
+		if _, err := io.ReadFull(in, part); err != nil {
+			return err
+		}
+		if left == len(part) && !bytes.HasSuffix(part, []byte("\n")) {
+			return meta.ErrAnswer
+		}
+		c.ns.mu.Lock()
+		c.active = time.Now()
+		c.ns.mu.Unlock()
+		if to != nil {
+			to.Write(part)
+		}
+	}
+	c.next()
+	c.ns.handler.Ended(a, &kept, Served)
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,396 @@
+// Package upstream keeps the connections to cache nodes. It sends attempts over
+// them and tells how each ended; which node an attempt goes to, and whether
+// another follows, is decided elsewhere.
+package upstream
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"wrenroute/internal/meta"
+)
+
+// Result is how an attempt ended without a served answer.
+type Result uint8
+
+// The results.
+const (
+	Busy      Result = iota // turned away
+	Failed                  // an error, it may have run
+	NoConnect               // its last byte was never written
+	Broken                  // the connection ended after that
+	Served                  // of a stream: all of it came
+)
+
+// Attempt is one sending of a command. Each is written at most once and has
+// exactly one end, told to the Handler, unless it was withdrawn.
+type Attempt struct {
+	Request  uint64 // these two name it to the handler
+	Number   int
+	Command  *meta.Command
+	Body     []byte    // a Set's value with its CRLF
+	Deadline time.Time // when the proxy stops waiting
+
+	node string
+	end  int // its place in the batch in writing
+}
+
+// Handler is told what becomes of attempts. No lock of this package is held
+// during its calls.
+type Handler interface {
+	// Begin drops the attempts of a batch whose first byte must not be written
+	// any more, and returns the others. Those dropped have ended.
+	Begin(batch []*Attempt) []*Attempt
+	// Answered ends an attempt with a served answer, all of which is in text:
+	// the lines as a client gets them.
+	Answered(a *Attempt, answer *meta.Answer, text []byte)
+	// Streaming starts a value too long to be gathered; nil discards it.
+	Streaming(a *Attempt, answer *meta.Answer) Stream
+	// Ended ends an attempt.
+	Ended(a *Attempt, answer *meta.Answer, result Result)
+}
+
+// Stream takes a long value.
+type Stream interface {
+	// Write takes over a part, and waits while its reader is far behind.
+	Write(part []byte)
+}
+
+// Limits bound the connections.
+type Limits struct {
+	PerNode  int           // connections to one node
+	All      int           // connections to all nodes
+	Streams  int           // attempts out on one connection
+	Connect  time.Duration // how long one may take to come up
+	Idle     time.Duration // how long one may stand idle
+	Silent   time.Duration // how long one with attempts out may say nothing
+	Gathered int           // values up to this size are handed on whole
+}
+
+// Node is a cache node's place.
+type Node struct {
+	Name, Address string
+	Started       time.Time // of its last start, zero for long ago
+}
+
+// Nodes holds the connections to all cache nodes.
+type Nodes struct {
+	limits  Limits
+	handler Handler
+	log     *slog.Logger
+	dialer  net.Dialer
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	conns int // open or coming up, of all nodes
+}
+
+// The waits before a node that refused a connection is asked for a further one.
+const (
+	dialPauseFirst = 500 * time.Millisecond
+	dialPauseMost  = 8 * time.Second
+)
+
+type node struct {
+	Node
+	listed  bool
+	conns   []*conn // in order of opening
+	dialing int
+	waiting []*Attempt // for one of the connections coming up
+	pause   time.Duration
+	dialAt  time.Time // no further connection before
+}
+
+// New returns an empty Nodes. Run must be called too.
+func New(limits Limits, handler Handler, log *slog.Logger) *Nodes {
+	return &Nodes{limits: limits, handler: handler, log: log, nodes: make(map[string]*node),
+		dialer: net.Dialer{Timeout: limits.Connect, KeepAlive: -1}}
+}
+
+// Set adds nodes or changes what is known of them. Connections to an old
+// address or from before a restart lead nowhere: they get nothing new.
+func (ns *Nodes) Set(list []Node) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for _, in := range list {
+		n := ns.nodes[in.Name]
+		if n == nil {
+			n = &node{}
+			ns.nodes[in.Name] = n
+		}
+		moved := n.Address != in.Address
+		n.Node, n.listed = in, true
+		for _, c := range slices.Clone(n.conns) {
+			if moved || c.opened.Before(in.Started) {
+				ns.retire(c)
+			}
+		}
+	}
+}
+
+// Remove forgets nodes once nothing is out to them.
+func (ns *Nodes) Remove(names []string) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for _, name := range names {
+		if n := ns.nodes[name]; n != nil {
+			n.listed = false
+			for _, c := range slices.Clone(n.conns) {
+				ns.retire(c)
+			}
+			ns.forget(n)
+		}
+	}
+}
+
+// forget drops a node that is gone and has nothing left, or the map would grow
+// with each machine replaced.
+func (ns *Nodes) forget(n *node) {
+	if !n.listed && len(n.conns) == 0 && n.dialing == 0 {
+		delete(ns.nodes, n.Name)
+	}
+}
+
+// Names returns the names of all listed nodes.
+func (ns *Nodes) Names() []string {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	var names []string
+	for name, n := range ns.nodes {
+		if n.listed {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Send sets an attempt on its way. It returns false, and does nothing, where
+// the node is not known or no connection to it can be had.
+func (ns *Nodes) Send(name string, a *Attempt) bool {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	n := ns.nodes[name]
+	if n == nil {
+		return false
+	}
+	a.node = name
+	return ns.place(n, a)
+}
+
+// place prefers an idle connection, then a new one, since answers on one
+// connection come in order and a slow one holds up those behind it. A node's
+// table is small and shared with all proxies: where it has no room, attempts
+// are pipelined.
+func (ns *Nodes) place(n *node, a *Attempt) bool {
+	best := n.best(ns.limits.Streams)
+	// Nothing but a new connection can help a node without any.
+	more := n.open()+n.dialing < ns.limits.PerNode && (best == nil || !time.Now().Before(n.dialAt))
+	switch {
+	case best != nil && best.outstanding() == 0:
+		best.queue(a)
+	case more && ns.room():
+		n.waiting = append(n.waiting, a)
+		ns.dial(n)
+	case best != nil:
+		best.queue(a)
+	case n.dialing > 0 && len(n.waiting) < ns.limits.Streams:
+		n.waiting = append(n.waiting, a)
+	default:
+		return false
+	}
+	return true
+}
+
+// open counts the connections that take attempts.
+func (n *node) open() int {
+	open := 0
+	for _, c := range n.conns {
+		if !c.retired {
+			open++
+		}
+	}
+	return open
+}
+
+// room makes sure that a further connection is within the limit, if need be by
+// closing an idle one of another node.
+func (ns *Nodes) room() bool {
+	if ns.conns < ns.limits.All {
+		return true
+	}
+	var oldest *conn
+	for _, n := range ns.nodes {
+		for _, c := range n.conns {
+			if c.outstanding() == 0 && (oldest == nil || c.active.Before(oldest.active)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
+// best returns the connection with the least out, of those equal the one used
+// last, so that the others become idle and leave their place to other proxies.
+func (n *node) best(most int) *conn {
+	var best *conn
+	for _, c := range n.conns {
+		if c.retired || c.outstanding() >= most {
+			continue
+		}
+		if best == nil || c.outstanding() < best.outstanding() ||
+			c.outstanding() == best.outstanding() && c.active.After(best.active) {
+			best = c
+		}
+	}
+	return best
+}
+
+// dial opens one more connection to a node. ns.mu is held.
+func (ns *Nodes) dial(n *node) {
+	n.dialing++
+	ns.conns++
+	address := n.Address
+	go func() {
+		socket, err := ns.dialer.DialContext(context.Background(), "tcp", address)
+		ns.dialed(n, address, socket, err)
+	}()
+}
+
+func (ns *Nodes) dialed(n *node, address string, socket net.Conn, err error) {
+	ns.mu.Lock()
+	n.dialing--
+	switch {
+	case err != nil:
+		ns.conns--
+		n.pause = min(max(2*n.pause, dialPauseFirst), dialPauseMost)
+		n.dialAt = time.Now().Add(n.pause)
+	case address != n.Address || !n.listed: // the node has moved or is gone
+		ns.conns--
+		socket.Close()
+	default:
+		n.pause = 0
+		n.conns = append(n.conns, newConn(ns, n, socket))
+		n.take()
+	}
+	// What this one would have carried goes over another, if there is one.
+	var lost []*Attempt
+	for len(n.waiting) > n.dialing {
+		if best := n.best(ns.limits.Streams); best != nil {
+			best.queue(n.waiting[0])
+		} else if n.dialing == 0 {
+			lost = append(lost, n.waiting[0])
+		} else {
+			break // others still come up
+		}
+		n.waiting = n.waiting[1:]
+	}
+	ns.forget(n)
+	ns.mu.Unlock()
+	for _, a := range lost {
+		ns.handler.Ended(a, nil, NoConnect)
+	}
+}
+
+// take gives the first that waits to an idle connection.
+func (n *node) take() {
+	if len(n.waiting) == 0 {
+		return
+	}
+	if best := n.best(1); best != nil {
+		best.queue(n.waiting[0])
+		n.waiting = n.waiting[1:]
+	}
+}
+
+// Withdraw takes back an attempt of which no byte is written; false means that
+// it is under way, and what comes of it will still be told.
+func (ns *Nodes) Withdraw(a *Attempt) bool {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	n := ns.nodes[a.node]
+	if n == nil {
+		return false
+	}
+	if i := slices.Index(n.waiting, a); i >= 0 {
+		n.waiting = slices.Delete(n.waiting, i, i+1)
+		return true
+	}
+	for _, c := range n.conns {
+		if i := slices.Index(c.out, a); i >= 0 {
+			c.out = slices.Delete(c.out, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// CloseIdle closes the idle connections to a node.
+func (ns *Nodes) CloseIdle(name string) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	if n := ns.nodes[name]; n != nil {
+		for _, c := range slices.Clone(n.conns) {
+			if c.outstanding() == 0 {
+				c.close()
+			}
+		}
+	}
+}
+
+// retire lets a connection finish what it has. ns.mu is held.
+func (ns *Nodes) retire(c *conn) {
+	c.retired = true
+	if c.outstanding() == 0 {
+		c.close()
+	}
+}
+
+// Run closes connections that stood idle for long, before the node does it
+// in the middle of a request, and those whose node has fallen silent: a machine
+// that vanished says nothing at all. It ends with ctx.
+func (ns *Nodes) Run(ctx context.Context) {
+	tick := time.NewTicker(min(ns.limits.Idle, ns.limits.Silent) / 8)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			ns.sweep(now)
+		}
+	}
+}
+
+func (ns *Nodes) sweep(now time.Time) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for _, n := range ns.nodes {
+		for _, c := range slices.Clone(n.conns) {
+			limit := ns.limits.Silent
+			if c.outstanding() == 0 {
+				limit = ns.limits.Idle
+			}
+			if now.Sub(c.active) > limit {
+				c.close()
+			}
+		}
+	}
+}
+
+// Close closes all connections.
+func (ns *Nodes) Close() {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for _, n := range ns.nodes {
+		for _, c := range slices.Clone(n.conns) {
+			c.close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,126 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"wrenroute/policy"
+)
+
+const sample = "batch\t8412.25\t12\nabout\tproxy/3\ncensus\t0\t1\n" +
+	"row\t10.18.74.7:5003\t1\t2\t3\tin_service\t1.5\t6100.0\nupdate\t41\twarm_copy\t0\n" +
+	"demand\t1436517800776132\t0\t1\tu:kd6\t8652.25\t12.0\t-\t5\n" +
+	"result\t1436517800776132\t0\t10.18.74.7:5003\tS\t18.5\t1\t1\trps:140,waiting:3,x0:0.4\nend\n"
+
+func TestReadSample(t *testing.T) {
+	b, err := NewReader(strings.NewReader(sample)).Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.Seq != 12 || b.Now != 8412250*time.Microsecond || len(b.Items) != 3 {
+		t.Fatalf("batch %+v", b)
+	}
+	u := b.Items[0].Event.(policy.ListUpdate)
+	want := policy.Member{Server: "10.18.74.7:5003", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5, Started: 6100 * time.Millisecond}
+	if u.Kind != policy.ListStored || u.Members[0] != want {
+		t.Errorf("update %+v", u)
+	}
+	a := b.Items[1].Event.(policy.Arrival)
+	if !a.Write || a.Repeat || a.Key != "u:kd6" || a.Tenant != 1 {
+		t.Errorf("arrival %+v", a)
+	}
+	o := b.Items[2].Event.(policy.Outcome)
+	if o.Result != policy.Served || !o.Final || o.Note != policy.NoteHit || o.Report.Queue != 3 || o.Report.InFlight != -1 {
+		t.Errorf("outcome %+v %+v", o, o.Report)
+	}
+}
+
+func TestDefectsNameLineAndField(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"batch\tx\t1\nend\n", "line 1: batch SimTime"},
+		{"batch\t1\t1\nnews\t1\nend\n", "line 2: news message"},
+		{"batch\t1\t1\nabout\tp\nalarm\nend\n", "line 3: alarm KeyBack"},
+		{"batch\t1\t1\nabout\tp\nalarm\t1\t2\nend\n", "line 3: alarm line"},
+		{"batch\t1\t1\nalarm\t1\nend\n", "line 2: alarm message"},
+		{"batch\t1\t1\nabout\tp\nalarm\t1\n", "line 3: end"},
+		{"batch\t1\t1\nabout\tp\nalar", "line 3: line"},
+		{"batch\t1\t1\nabout\tp\nupdate\t1\ttotal\t4\nend\n", "line 3: update Page"},
+		{"batch\t1\t1\nabout\tp\nresult\t1\t0\ts\tQ\t1\t1\t-\t-\nend\n", "line 3: result StateCode"},
+		{"batch\t1\t1\nabout\tp\nresult\t1\t0\ts\tS\t1\t1\t-\trps:x\nend\n", "line 3: result Metrics"},
+	} {
+		_, err := NewReader(strings.NewReader(c.text)).Read()
+		var e *Error
+		if !errors.As(err, &e) || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+func TestPageIsReusedInOrder(t *testing.T) {
+	row := func(s string) string { return "row\t" + s + "\t0\t0\t0\tin_service\t1\t-\n" }
+	text := "batch\t1\t1\nabout\tp\ncensus\t0\t1\n" + row("a:1") + "update\t1\ttotal\t0\ncensus\t0\t1\n" + row("b:1") +
+		"update\t2\ttotal\t0\nend\n"
+	b, err := NewReader(strings.NewReader(text)).Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []string{"a:1", "b:1"} {
+		if got := b.Items[i].Event.(policy.ListUpdate).Members[0].Server; got != want {
+			t.Errorf("update %d names %s, want %s", i, got, want)
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings(`{"Unknown":{"x":1},"RegistryMode":"on_request","Services":[{"Effect":"keyed","DedupScope":"zone","Aim":600.5}]}`)
+	if err != nil || !s.AskList || s.Classes[0].Group != policy.GroupZone || s.Classes[0].Aim != 600500*time.Microsecond {
+		t.Errorf("%+v %v", s, err)
+	}
+	for _, text := range []string{"{", `{"Services":[{"Effect":"odd"}]}`, `{"Telemetry":{"How":"odd"}}`} {
+		if _, err := ParseSettings(text); err == nil {
+			t.Errorf("%s: no error", text)
+		}
+	}
+}
+
+func TestReply(t *testing.T) {
+	var r Reply
+	r.Reset()
+	r.Add("proxy/3", []policy.Action{
+		{Kind: policy.Send, ID: 7, Server: "a:1", After: 80 * time.Millisecond},
+		{Kind: policy.SetTimer, Token: 77, After: 500 * time.Millisecond}, {Kind: policy.Subscribe}})
+	r.Add("proxy/4", nil)
+	r.Fault("proxy/5", "bad\nsetting")
+	want := "context\tproxy/3\ndispatch\t7\ta:1\t80.000\nset_timer\t77\t500.000\nfollow\t1\n" +
+		"context\tproxy/5\ndie\tbad setting\nnext\t12\n"
+	if got := string(r.Finish(12)); got != want {
+		t.Errorf("have %q, want %q", got, want)
+	}
+}
+
+// FuzzRead holds that no input stops the reader but by an error that names a
+// line and a field.
+func FuzzRead(f *testing.F) {
+	f.Add(sample)
+	f.Add("batch\t1\t1\nend\n")
+	f.Add("batch\t1\t1\nabout\tp\nattach\t1\t{}\ndown\nend\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := NewReader(strings.NewReader(text))
+		for {
+			_, err := r.Read()
+			var e *Error
+			if err == io.EOF {
+				return
+			}
+			if err != nil {
+				if !errors.As(err, &e) || e.Line < 1 || e.Field == "" && e.Text == "" {
+					t.Fatalf("bare error %v", err)
+				}
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,35 @@
+package policy_test
+
+import (
+	"fmt"
+	"time"
+
+	"wrenroute/policy"
+)
+
+// One proxy routes one request to the only server of its list.
+func Example() {
+	b, err := policy.New(policy.Settings{
+		Classes: []policy.Class{{Name: "read", Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1}},
+		Proxies: 1,
+		Limits:  policy.Limits{MaxAttempts: 2},
+	}, 1)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	list := policy.ListUpdate{Kind: policy.ListStored, Members: []policy.Member{{Server: "cache-1"}}}
+	b.Handle(0, list, nil)
+	now := 5 * time.Millisecond
+	for _, a := range b.Handle(now, policy.Arrival{ID: 7, Key: "item-12", Deadline: now + time.Second}, nil) {
+		switch a.Kind {
+		case policy.SetTimer:
+			fmt.Println("wake after", a.After)
+		case policy.Send:
+			fmt.Println("send", a.ID, "to", a.Server)
+		}
+	}
+	// Output:
+	// wake after 1s
+	// send 7 to cache-1
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,605 @@
+// The interface of this package (settings, events, actions) is in api.go;
+// this file holds every decision.
+
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// A cache keeps an unused key for some seconds; a record that forgets in
+	// two periods names about what is still there.
+	recordPeriod = 6 * time.Second
+	// Servers considered for a key: the first by rendezvous hash, besides all
+	// that a record names. More scatter copies where many proxies see little each.
+	rendezvousDepth = 4
+	// Estimates fade into the fleet's mean in about this time without a sample.
+	estimateAge  = 8 * time.Second
+	sampleWeight = 0.2 // of a latency among the last ten or so
+	loadWeight   = 0.05
+	retryShare   = 0.1                   // retries a success earns: they multiply an overload
+	retryCap     = 10.0                  // retries saved up at most
+	coldMargin   = 0.8                   // of a cold server's due share, for chance and misses
+	coldSaved    = 2.0                   // sends that an unused cold allowance may grow to
+	holdPause    = 25 * time.Millisecond // well under any aim, well over a tick
+	gateMemory   = 2 * time.Second
+	gateKeep     = 0.95 // of it at each count: a fleet's gate sees twenty events, however few the requests
+	gatePrior    = 1    // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
+	serverPrior  = 5    // one server's counts are small, and chance must not shut it
+	gateSlack    = 1.3
+	gateHaste    = 6.0  // more of it when all comes in time: open again within seconds
+	gateLeast    = 0.03 // always passes, to see a recovery
+	backoffFirst = 250 * time.Millisecond
+	backoffMost  = 4 * time.Second
+)
+
+// server is what this balancer knows of one cache server.
+type server struct {
+	Member
+	hash     uint64
+	listed   bool
+	record   record
+	inFlight float64       // own attempts out
+	load     float64       // its smoothed value
+	fastest  float64       // RTT-SW: fastest recent answer, seconds
+	work     float64       // smoothed latency above that, seconds
+	worth    float64       // share of hits when the record promised one
+	sampled  time.Duration // time of the last sample
+	fails    int           // in a row
+	until    time.Duration // not to be chosen before, if others are left
+	credit   float64       // sends a cold server may get
+	gate     gate
+	used     time.Duration // last send over a connection that is still open
+}
+
+// gate counts what was asked, what ended and what came in time, all fading.
+type gate struct {
+	asked, ended, good float64
+	at                 time.Duration
+	keep               float64 // of the memory at least, at each count
+}
+
+func (g *gate) count(now time.Duration, asked, ended, good float64) {
+	fade := max(math.Exp(-float64(now-g.at)/float64(gateMemory)), g.keep)
+	g.asked, g.ended, g.good, g.at = g.asked*fade+asked, g.ended*fade+ended, g.good*fade+good, now
+}
+
+// open is the share to let pass: gateSlack times what comes in time, since
+// clients that ask again keep a queue full of work that nobody waits for; more
+// when nearly all that is sent comes in time, as the queue is empty again.
+func (g *gate) open(prior float64) float64 {
+	clear := max(0, 5*(g.good+prior)/(g.ended+prior)-4)
+	return max(gateLeast, min(1, gateSlack*(1+gateHaste*clear)*(g.good+prior)/(g.asked+prior)))
+}
+
+type attempt struct {
+	server  *server
+	sent    time.Duration
+	done    bool
+	mayRun  bool
+	promise bool // the server's record named the key
+}
+
+type request struct {
+	Arrival
+	arrived  time.Duration
+	class    *Class
+	hash     uint64
+	at       positions
+	keyed    bool // has a key whose copies count
+	ended    bool
+	stream   bool
+	open     int
+	attempts []attempt
+}
+
+// Balancer decides for one proxy. It is not safe for concurrent use.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	servers  map[string]*server
+	list     []*server // all listed, in order of name
+	requests map[uint64]*request
+	turned   time.Duration
+	begun    bool
+	lostN    int
+	asking   bool    // a list call is out or subscribed
+	origin   float64 // smoothed extra time of a miss, seconds
+	work     float64 // fleet means of server's fields
+	fastest  float64
+	retries  float64
+	kinds    []float64 // smoothed work by kind of machine
+	weights  []float64 // of each kind in the rendezvous
+	// The gates of sends that a record promises a hit, and of the others: a full
+	// origin must not close the way to what the caches hold.
+	gates map[bool]*gate
+}
+
+// The kinds of timers, in the low bits of a token; the rest is a request's ID.
+const (
+	timerList = iota
+	timerDeadline
+	timerWait
+)
+
+// New returns a Balancer for one proxy, or an error that names the setting
+// which cannot be meant.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	return &Balancer{set: set, kinds: slices.Repeat([]float64{0.05}, len(set.Kinds)),
+		weights: slices.Repeat([]float64{1}, len(set.Kinds)), rng: rand.New(rand.NewPCG(seed, 1)),
+		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
+		origin: 0.1, work: 0.05, fastest: 0.001,
+		gates: map[bool]*gate{true: {keep: gateKeep}, false: {keep: gateKeep}}}, nil
+}
+
+// Handle takes one event at time now and appends what is to be done to out.
+func (b *Balancer) Handle(now time.Duration, event Event, out []Action) []Action {
+	b.now, b.out = now, out
+	for b.now-b.turned >= recordPeriod {
+		b.turned = max(b.turned+recordPeriod, b.now-recordPeriod)
+		for _, s := range b.servers {
+			s.record.turn()
+		}
+		for i := range b.kinds { // seldom, as each change moves keys
+			b.weights[i] = b.work / max(b.kinds[i], b.work/8)
+		}
+		for _, s := range b.list { // connection tables are small: leave a seldom used place to others
+			if s.inFlight == 0 && s.used > 0 && b.now-s.used > recordPeriod/2 {
+				s.used = 0
+				b.do(Action{Kind: CloseIdle, Server: s.Server})
+			}
+		}
+	}
+	switch e := event.(type) {
+	case ListUpdate:
+		b.update(e)
+	case Arrival:
+		b.arrive(e)
+	case StreamStarted:
+		if r := b.requests[e.ID]; r != nil {
+			r.stream = true
+		}
+	case Outcome:
+		b.outcome(e)
+	case Departure:
+		if r := b.requests[e.ID]; r != nil {
+			b.end(r)
+		}
+	case Timer:
+		b.timer(e)
+	}
+	return b.out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+func (b *Balancer) wake(kind int, id uint64, after time.Duration) {
+	b.do(Action{Kind: SetTimer, Token: id<<2 | uint64(kind), After: after})
+}
+
+// update applies news of the list and keeps one subscription alive.
+func (b *Balancer) update(u ListUpdate) {
+	switch {
+	case !b.set.AskList:
+	case !b.begun: // all proxies start at once, and the registry is small
+		b.wake(timerList, 0, b.jitter(b.set.Rules.AskWithin/4))
+	case u.Kind == ListLost:
+		b.asking, b.lostN = false, min(b.lostN+1, 3)
+		b.wake(timerList, 0, b.jitter(b.set.Rules.AskWithin/8<<b.lostN))
+		return
+	default:
+		b.lostN = 0
+	}
+	b.begun = true
+	if u.Kind == ListFull || u.Kind == ListStored {
+		for _, s := range b.servers {
+			s.listed = false
+		}
+	}
+	for _, m := range u.Members {
+		b.member(m)
+	}
+	b.list = b.list[:0]
+	for _, s := range b.servers {
+		if s.listed && s.Mode == Serving {
+			b.list = append(b.list, s)
+		}
+	}
+	slices.SortFunc(b.list, func(x, y *server) int { return strings.Compare(x.Server, y.Server) })
+}
+
+func (b *Balancer) member(m Member) {
+	s := b.servers[m.Server]
+	fresh := s == nil
+	if fresh {
+		s = &server{hash: hash(m.Server)}
+		b.servers[m.Server] = s
+	} else if m.Mode != Serving {
+		m.Started = s.Started
+	}
+	fresh = fresh || m.Started != s.Started
+	s.Member, s.listed = m, m.Mode != Gone
+	if fresh {
+		b.forget(s)
+	}
+}
+
+// forget empties what a restart made void. The cold allowance starts below zero
+// by chance: the proxies must not all send their first at once.
+func (b *Balancer) forget(s *server) {
+	s.record = record{}
+	s.fastest, s.work, s.load, s.worth, s.fails, s.until, s.sampled = 0, 0, s.inFlight, 1, 0, 0, 0
+	s.credit, s.gate = -b.rng.Float64(), gate{}
+}
+
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(b.rng.Float64()*float64(d))
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (b *Balancer) warmth(s *server) float64 {
+	age, ramp := b.now-s.Started, b.set.Rules.ColdRamp
+	if s.Started <= 0 || age >= ramp {
+		return 1
+	}
+	share := b.set.Rules.ColdShare
+	return share + (1-share)*max(float64(age), 0)/float64(ramp)
+}
+
+func (b *Balancer) arrive(a Arrival) {
+	if b.requests[a.ID] != nil {
+		return
+	}
+	r := &request{Arrival: a, arrived: b.now, class: &b.set.Classes[min(a.Class, len(b.set.Classes)-1)]}
+	b.requests[a.ID] = r
+	// A write leaves no copy and needs none: it goes where it is soonest done.
+	if r.keyed = a.Key != "" && !a.Write; r.keyed {
+		r.hash = hash(a.Key)
+	} else {
+		r.hash = b.rng.Uint64()
+	}
+	r.at = places(r.hash)
+	b.grant()
+	b.wake(timerDeadline, a.ID, a.Deadline-b.now-2*b.set.Tick)
+	b.place(r)
+}
+
+// grant lets each cold server have its due share of a request: its warmth over
+// the fleet's. Every proxy doing so, no cold server gets more of its present
+// capacity than the fleet as a whole.
+func (b *Balancer) grant() {
+	sum, cold := 0.0, false
+	for _, s := range b.list {
+		w := b.warmth(s)
+		sum, cold = sum+w, cold || w < 1
+	}
+	for i := 0; cold && i < len(b.list); i++ {
+		s := b.list[i]
+		s.credit = min(s.credit+coldMargin*b.warmth(s)/sum, coldSaved)
+	}
+}
+
+// may is the one check of the rules before a send; s is nil for a refusal.
+func (b *Balancer) may(r *request, s *server) bool {
+	if r.ended || r.stream {
+		return false
+	}
+	if s != nil && (r.open > 0 && !b.set.Limits.Duplicates || len(r.attempts) >= b.set.Limits.MaxAttempts ||
+		b.now >= r.Deadline) {
+		return false
+	}
+	return b.repeats(r, s, -1)
+}
+
+// Allowed tells whether the first byte of an attempt may still be written at
+// time now: it may have waited for a connection since it was decided.
+func (b *Balancer) Allowed(now time.Duration, id uint64, number int) bool {
+	r := b.requests[id]
+	if r == nil || number < 0 || number >= len(r.attempts) {
+		return false
+	}
+	b.now = now
+	a := &r.attempts[number]
+	return !a.done && !r.ended && !r.stream && now < r.Deadline && a.server.listed && a.server.Mode == Serving &&
+		b.repeats(r, a.server, number)
+}
+
+// repeats tells whether a send to s, or with nil a refusal, is harmless after
+// the attempts but number skip.
+func (b *Balancer) repeats(r *request, s *server, skip int) bool {
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.mayRun || r.class.Effect == Safe || i == skip {
+			continue
+		}
+		switch {
+		case r.class.Effect == Unsafe:
+			return false
+		case s == nil:
+			return r.class.Group == GroupAll
+		case b.now >= a.sent+r.class.Window-b.set.Tick, r.class.Group == GroupZone && s.Zone != a.server.Zone,
+			r.class.Group == GroupCell && s.Cell != a.server.Cell:
+			return false
+		}
+	}
+	return true
+}
+
+// place sends a request to the server of least expected response time.
+func (b *Balancer) place(r *request) {
+	s, promise := b.choose(r)
+	if s == nil {
+		b.hold(r)
+		return
+	}
+	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
+	s.gate.count(b.now, 1, 0, 0) // what is shed counts as asked: sends then settle at gateSlack times the good
+	b.gates[promise].count(b.now, 1, 0, 0)
+	if b.may(r, nil) && b.rng.Float64() > open {
+		b.giveUp(r)
+		return
+	}
+	b.send(r, s, promise)
+}
+
+// hold keeps a request that has no server now until one may have come.
+func (b *Balancer) hold(r *request) {
+	if r.Deadline-b.now <= 3*holdPause {
+		b.giveUp(r)
+		return
+	}
+	b.wake(timerWait, r.ID, holdPause)
+}
+
+// giveUp is the one place that ends a request unserved.
+func (b *Balancer) giveUp(r *request) {
+	switch {
+	case r.ended || r.stream:
+		return
+	case b.may(r, nil):
+		b.do(Action{Kind: Refuse, ID: r.ID})
+	default:
+		b.do(Action{Kind: Fail, ID: r.ID})
+	}
+	b.end(r)
+}
+
+func (b *Balancer) send(r *request, s *server, promise bool) {
+	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, mayRun: true, promise: promise})
+	r.open++
+	s.inFlight++
+	s.used = b.now
+	if b.warmth(s) < 1 {
+		s.credit--
+	}
+	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server})
+}
+
+// choose ranks the servers for a request by expected response time.
+func (b *Balancer) choose(r *request) (*server, bool) {
+	for pass := range 2 { // suspicion must not empty the choice: the second pass passes over it
+		var top [rendezvousDepth]*server
+		var ranks [rendezvousDepth]float64
+		var best *server
+		var named bool
+		least := math.Inf(1)
+		score := func(s *server, miss float64) {
+			// A price is a share of the worth, which is lost with the aim's time.
+			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds())
+			if s.Zone != b.set.Zone {
+				t += b.set.Prices.CrossZone * r.class.Aim.Seconds()
+			}
+			if t < least {
+				best, least, named = s, t, r.keyed && miss < 1 && s.record.has(&r.at)
+			}
+		}
+		known := false
+		for _, s := range b.list {
+			if pass == 0 && s.until > b.now || b.warmth(s) < 1 && s.credit < 1 || tried(r, s) && pass == 0 ||
+				!b.may(r, s) {
+				continue
+			}
+			if r.keyed && s.record.has(&r.at) {
+				known = true
+				score(s, 1-(1-s.record.falseHit())*s.worth)
+				continue
+			}
+			rank := b.weight(s) / -math.Log(unit(mix(r.hash^s.hash)))
+			for i := range top {
+				if rank > ranks[i] {
+					s, top[i], rank, ranks[i] = top[i], s, ranks[i], rank
+				}
+			}
+		}
+		for i, s := range top {
+			if s == nil {
+				break
+			}
+			miss := 1.0
+			if i == 0 && r.keyed && !known {
+				miss = s.record.falseHit()
+			}
+			score(s, miss)
+		}
+		if best != nil {
+			return best, named
+		}
+	}
+	return nil, false
+}
+
+// weight is a server's part in the rendezvous: its registered size, or how
+// fast its kind of machine has been. Without it the slow kinds are always full,
+// and what overflows from them loads the origin.
+func (b *Balancer) weight(s *server) float64 {
+	if b.set.Weighted && s.Weight > 0 {
+		return s.Weight
+	}
+	if s.Kind < len(b.weights) {
+		return b.weights[s.Kind]
+	}
+	return 1
+}
+
+func tried(r *request, s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+}
+
+// hitTime is T-hit in seconds: the fastest answer, and the processing time
+// scaled by current over smoothed load. An old estimate fades into the fleet's.
+func (b *Balancer) hitTime(s *server) float64 {
+	fastest, work := b.fastest, b.work
+	if s.sampled > 0 {
+		trust := math.Exp(-float64(b.now-s.sampled) / float64(estimateAge))
+		work += (s.work - work) * trust
+		fastest = s.fastest
+	}
+	return fastest + work*(s.inFlight+1)/(s.load+1)
+}
+
+func (b *Balancer) outcome(e Outcome) {
+	r := b.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].done {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.done, a.mayRun = true, !provenNotRun[e.Result]
+	r.open--
+	b.learn(r, a, e)
+	if e.Final || r.ended {
+		b.end(r)
+	} else if r.open == 0 {
+		b.again(r, e)
+	}
+}
+
+// provenNotRun tells of each result whether the attempt surely had no effect.
+var provenNotRun = [...]bool{Full: true, ConnectFailed: true, NotSent: true, Missed: true}
+
+// again decides what follows an attempt that served nothing.
+func (b *Balancer) again(r *request, e Outcome) {
+	// For a key, full and error mostly mean that its fetch failed: another server
+	// would ask the same origin, and keep it from getting well.
+	origin := r.Key != "" && (e.Result == Full || e.Result == Errored)
+	if b.now < r.Deadline-4*b.set.Tick && b.retries >= 1 && !origin {
+		b.retries--
+		if s, promise := b.choose(r); s != nil {
+			b.send(r, s, promise)
+			return
+		}
+	}
+	b.giveUp(r)
+}
+
+// end drops a request once nothing of it is out.
+func (b *Balancer) end(r *request) {
+	if !r.ended && b.set.Limits.Cancel {
+		for i := range r.attempts {
+			if !r.attempts[i].done {
+				b.do(Action{Kind: Cancel, ID: r.ID, Attempt: i})
+			}
+		}
+	}
+	r.ended = true
+	if r.open == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// learn updates a server's estimates from an outcome.
+func (b *Balancer) learn(r *request, a *attempt, e Outcome) {
+	s := a.server
+	s.load += (s.inFlight - s.load) * loadWeight
+	s.inFlight--
+	if a.sent < s.Started {
+		return // sent before its restart
+	}
+	good := 0.0
+	switch e.Result {
+	case Served:
+		s.fails, s.until = 0, 0
+		if b.now-r.arrived <= r.class.Aim {
+			good = 1
+		}
+		b.retries = min(b.retries+retryShare, retryCap)
+		if r.keyed {
+			s.record.add(&r.at)
+		}
+		b.measure(s, a, e, r)
+	case TimedOut:
+		b.measure(s, a, e, r)
+		s.fails++
+	case ConnectFailed, Reset:
+		s.fails++
+		s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
+	}
+	if e.Result == ConnectFailed { // tells nothing of load
+		s.gate.count(b.now, -1, 0, 0)
+		b.gates[a.promise].count(b.now, -1, 0, 0)
+		return
+	}
+	s.gate.count(b.now, 0, 1, good)
+	b.gates[a.promise].count(b.now, 0, 1, good)
+}
+
+func (b *Balancer) measure(s *server, a *attempt, e Outcome, r *request) {
+	took := e.Took.Seconds()
+	miss := e.Note == NoteMiss || e.Note == NoteMissShared
+	if a.promise && e.Note != NoteNone {
+		hit := 0.0
+		if e.Note == NoteHit {
+			hit = 1
+		}
+		s.worth += (hit - s.worth) * loadWeight
+	}
+	if miss || r.Write {
+		if miss && s.sampled > 0 {
+			b.origin += (max(took-s.fastest-s.work, 0) - b.origin) * loadWeight
+		}
+		return
+	}
+	if s.sampled == 0 {
+		s.fastest, s.work = took, b.work
+	}
+	if took < s.fastest {
+		s.fastest = took
+	} else {
+		s.fastest += (took - s.fastest) * 0.002
+	}
+	s.work += (took - s.fastest - s.work) * sampleWeight
+	b.work += (took - s.fastest - b.work) * 0.01
+	if s.Kind < len(b.kinds) {
+		b.kinds[s.Kind] += (took - s.fastest - b.kinds[s.Kind]) * 0.02
+	}
+	b.fastest += (s.fastest - b.fastest) * 0.01
+	s.sampled = b.now
+}
+
+func (b *Balancer) timer(t Timer) {
+	if t.Token&3 == timerList {
+		if !b.asking {
+			b.asking = true
+			b.do(Action{Kind: Subscribe})
+		}
+		return
+	}
+	r := b.requests[t.Token>>2]
+	if r == nil || r.ended {
+		return
+	}
+	if t.Token&3 == timerDeadline {
+		b.giveUp(r)
+	} else if r.open == 0 {
+		b.place(r)
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,245 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestNewNamesTheWrongSetting(t *testing.T) {
+	good := Settings{Classes: []Class{{Aim: 1, Deadline: 1}}, Zones: []string{"a"}}
+	if _, err := New(good, 1); err != nil {
+		t.Fatal(err)
+	}
+	for field, spoil := range map[string]func(*Settings){
+		"Classes is": func(s *Settings) { s.Classes = nil },
+		"Zone 1":     func(s *Settings) { s.Zone = 1 },
+		"Rules":      func(s *Settings) { s.Rules.ColdRamp = -1 },
+		"Tick":       func(s *Settings) { s.Tick = -1 },
+		"Classes[0]": func(s *Settings) { s.Classes = []Class{{Aim: -time.Second}} },
+	} {
+		bad := good
+		spoil(&bad)
+		if _, err := New(bad, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+}
+
+// harness is a balancer with servers a to d, of which cold ones began at now.
+func harness(t *testing.T, cold ...string) (*Balancer, time.Duration) {
+	t.Helper()
+	now := time.Hour
+	b, err := New(Settings{Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second}}, Proxies: 1,
+		Limits: Limits{MaxAttempts: 3}, Rules: Rules{ColdShare: 0.1, ColdRamp: 20 * time.Second}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Member
+	for _, name := range []string{"a", "b", "c", "d"} {
+		m := Member{Server: name}
+		for _, c := range cold {
+			if c == name {
+				m.Started = now
+			}
+		}
+		list = append(list, m)
+	}
+	b.Handle(now, ListUpdate{Kind: ListStored, Members: list}, nil)
+	return b, now
+}
+
+// sent returns the servers that actions send to.
+func sent(actions []Action) (to []string) {
+	for _, a := range actions {
+		if a.Kind == Send {
+			to = append(to, a.Server)
+		}
+	}
+	return to
+}
+
+// TestColdServerGetsItsShare guards against a start's burst: a cold server
+// looks idle and fast, and would be sent everything.
+func TestColdServerGetsItsShare(t *testing.T) {
+	b, now := harness(t, "d")
+	cold, all := 0, 0
+	for i := range uint64(400) {
+		now += 5 * time.Millisecond
+		for _, s := range sent(b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i), Deadline: now + time.Second}, nil)) {
+			if all++; s == "d" {
+				cold++
+			}
+			b.Handle(now, Outcome{ID: i + 1, Server: s, Result: Served, Took: 20 * time.Millisecond, Final: true}, nil)
+		}
+	}
+	// 2 s at a tenth to a fifth of a warm server's hundred or so.
+	if all != 400 || cold > 25 || cold == 0 {
+		t.Errorf("cold server got %d of %d", cold, all)
+	}
+}
+
+// TestKeyStaysWithItsServer guards against scattered copies of a key.
+func TestKeyStaysWithItsServer(t *testing.T) {
+	b, now := harness(t)
+	seen := map[string]bool{}
+	for i := range uint64(100) {
+		now += 50 * time.Millisecond
+		for _, s := range sent(b.Handle(now, Arrival{ID: i + 1, Key: "k", Deadline: now + time.Second}, nil)) {
+			seen[s] = true
+			b.Handle(now, Outcome{ID: i + 1, Server: s, Result: Served, Took: 20 * time.Millisecond, Final: true,
+				Note: NoteHit}, nil)
+		}
+	}
+	if len(seen) != 1 {
+		t.Errorf("key went to %v", seen)
+	}
+}
+
+// TestGateClosesAndReopens guards against queues that repeats keep full, and
+// against refusals that outlast their cause.
+func TestGateClosesAndReopens(t *testing.T) {
+	b, now := harness(t)
+	id := uint64(0)
+	run := func(rounds int, took time.Duration) (share float64) {
+		n := 0
+		for range rounds {
+			now += 5 * time.Millisecond
+			id++
+			for _, s := range sent(b.Handle(now, Arrival{ID: id, Deadline: now + 3*time.Second}, nil)) {
+				n++
+				b.Handle(now+took, Outcome{ID: id, Server: s, Result: Served, Took: took, Final: true}, nil)
+			}
+		}
+		return float64(n) / float64(rounds)
+	}
+	run(400, 20*time.Millisecond)
+	run(1200, 1500*time.Millisecond)
+	if share := run(200, 1500*time.Millisecond); share > 0.3 {
+		t.Errorf("%.2f still sent when all comes late", share)
+	}
+	run(2000, 20*time.Millisecond)
+	if share := run(400, 20*time.Millisecond); share < 0.99 {
+		t.Errorf("%.2f sent ten seconds after all is well", share)
+	}
+}
+
+// TestDrainingServerGetsNothing guards the drain rule at the change itself.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	b, now := harness(t)
+	b.Handle(now, ListUpdate{Kind: ListChanges, Members: []Member{{Server: "a", Mode: Draining},
+		{Server: "b", Mode: Gone}, {Server: "c", Mode: Draining}}}, nil)
+	for i := range uint64(50) {
+		now += time.Millisecond
+		for _, s := range sent(b.Handle(now, Arrival{ID: i + 1, Deadline: now + time.Second}, nil)) {
+			if s != "d" {
+				t.Fatalf("sent to %s", s)
+			}
+		}
+	}
+}
+
+// TestRestartEmptiesTheRecord guards against hits promised by a cache that
+// has started anew.
+func TestRestartEmptiesTheRecord(t *testing.T) {
+	b, now := harness(t)
+	s := b.servers["a"]
+	p := places(hash("k"))
+	s.record.add(&p)
+	b.Handle(now, ListUpdate{Kind: ListChanges, Members: []Member{{Server: "a", Started: now}}}, nil)
+	if s.record.has(&p) {
+		t.Error("the record outlived a restart")
+	}
+}
+
+// TestNoServerIsRefusedInTime guards against a request lost while none is left.
+func TestNoServerIsRefusedInTime(t *testing.T) {
+	b, now := harness(t)
+	b.Handle(now, ListUpdate{Kind: ListFull}, nil)
+	var due []Action
+	due = b.Handle(now, Arrival{ID: 1, Deadline: now + 300*time.Millisecond}, due)
+	for range 100 {
+		now += 5 * time.Millisecond
+		for _, a := range due {
+			if a.Kind == SetTimer {
+				for _, x := range b.Handle(now, Timer{Token: a.Token}, nil) {
+					if x.Kind == Refuse {
+						return
+					}
+				}
+			}
+		}
+	}
+	t.Error("never refused")
+}
+
+// TestFailedFetchIsNotRetried guards against retries that load a full origin;
+// without a key, or with no connection, another server is tried.
+func TestFailedFetchIsNotRetried(t *testing.T) {
+	for _, c := range []struct {
+		key    string
+		result Result
+		want   int
+	}{{"k", Full, 0}, {"k", Errored, 0}, {"", Full, 1}, {"k", ConnectFailed, 1}, {"k", Reset, 1}} {
+		b, now := harness(t)
+		first := sent(b.Handle(now, Arrival{ID: 1, Key: c.key, Deadline: now + time.Second}, nil))
+		next := sent(b.Handle(now, Outcome{ID: 1, Server: first[0], Result: c.result}, nil))
+		if len(next) != c.want || c.want == 1 && next[0] == first[0] {
+			t.Errorf("%+v: sent to %v after %v", c, next, first)
+		}
+	}
+}
+
+// TestErrorKeepsKeysAtTheirServer guards against keys that a slow origin's
+// errors drive to servers which lack them.
+func TestErrorKeepsKeysAtTheirServer(t *testing.T) {
+	b, now := harness(t)
+	for i := range uint64(10) { // enough that one error does not shut a gate
+		for _, s := range sent(b.Handle(now, Arrival{ID: 10 + i, Key: "other", Deadline: now + time.Second}, nil)) {
+			b.Handle(now, Outcome{ID: 10 + i, Server: s, Result: Served, Final: true}, nil)
+		}
+	}
+	first := sent(b.Handle(now, Arrival{ID: 1, Key: "k", Deadline: now + time.Second}, nil))
+	b.Handle(now, Outcome{ID: 1, Server: first[0], Result: Errored}, nil)
+	if next := sent(b.Handle(now, Arrival{ID: 2, Key: "k", Deadline: now + time.Second}, nil)); next[0] != first[0] {
+		t.Errorf("key moved from %v to %v after an error", first, next)
+	}
+}
+
+// slowly lets each of n arrivals, two a second, end in result, and returns the
+// share of the last half that was sent.
+func slowly(b *Balancer, now time.Duration, n int, result Result) float64 {
+	late := 0
+	for i := range n {
+		now += 500 * time.Millisecond
+		id := uint64(i + 1)
+		to := sent(b.Handle(now, Arrival{ID: id, Key: fmt.Sprint(i), Deadline: now + time.Second}, nil))
+		for k := 0; len(to) > 0; k++ {
+			if i >= n/2 && k == 0 {
+				late++
+			}
+			to = sent(b.Handle(now, Outcome{ID: id, Attempt: k, Server: to[0], Result: result}, nil))
+		}
+		b.Handle(now, Departure{ID: id}, nil)
+	}
+	return float64(late) / float64((n+1)/2)
+}
+
+// TestGateOfFewRequestsCloses guards against many proxies of few requests each,
+// none of which sees enough in two seconds to shut its gate on a fallen origin.
+func TestGateOfFewRequestsCloses(t *testing.T) {
+	b, now := harness(t)
+	if share := slowly(b, now, 200, Errored); share > 0.25 {
+		t.Errorf("%.2f still sent when every fetch fails", share)
+	}
+}
+
+// TestFailedConnectionsKeepTheGateOpen guards against sites that are cut off: no
+// answer from there tells anything of the load elsewhere.
+func TestFailedConnectionsKeepTheGateOpen(t *testing.T) {
+	b, now := harness(t)
+	if share := slowly(b, now, 200, ConnectFailed); share < 0.9 {
+		t.Errorf("%.2f sent when connections fail", share)
+	}
+}
--- /dev/null
+++ b/policy/property_test.go
@@ -0,0 +1,340 @@
+package policy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"wrenroute/policy"
+)
+
+const ms = time.Millisecond
+
+// settings are those of a small deployment of all three effects.
+func settings() policy.Settings {
+	return policy.Settings{
+		Proxies: 3, Zones: []string{"a", "b"}, Kinds: []string{"k"}, Origin: -1, OverShare: 0.1, AskList: true,
+		Classes: []policy.Class{
+			{Name: "read", Effect: policy.Safe, Aim: 200 * ms, Deadline: 1000 * ms, Worth: 1},
+			{Name: "all", Effect: policy.Keyed, Group: policy.GroupAll, Window: 300 * ms, Aim: 200 * ms,
+				Deadline: 1000 * ms, Worth: 2},
+			{Name: "zone", Effect: policy.Keyed, Group: policy.GroupZone, Window: 300 * ms, Aim: 200 * ms,
+				Deadline: 1000 * ms, Worth: 2},
+			{Name: "cell", Effect: policy.Keyed, Group: policy.GroupCell, Window: 300 * ms, Aim: 200 * ms,
+				Deadline: 1000 * ms, Worth: 2},
+			{Name: "once", Effect: policy.Unsafe, Aim: 200 * ms, Deadline: 1000 * ms, Worth: 5},
+			{Name: "stream", Effect: policy.Safe, Aim: 200 * ms, Deadline: 1000 * ms, Worth: 1, Streamed: true},
+		},
+		Tenants: []policy.Tenant{{Name: "t", Quota: 50}, {Name: "u"}},
+		Limits:  policy.Limits{MaxAttempts: 4, Duplicates: true, Cancel: true, Probes: true},
+		Rules: policy.Rules{AnswerSlack: 20 * ms, AskWithin: 10 * time.Second, DrainGrace: 500 * ms,
+			ColdShare: 0.2, ColdRamp: 5 * time.Second, FallMultiple: 3, FallTime: time.Second},
+		Tick: 5 * ms,
+	}
+}
+
+type try struct {
+	server string
+	sent   time.Duration
+	out    bool
+	mayRun bool
+}
+
+type job struct {
+	policy.Arrival
+	tries  []try
+	ended  bool
+	stream bool
+}
+
+// world feeds a balancer legal events and checks each action against the
+// rules by its own books.
+type world struct {
+	t       testing.TB
+	set     policy.Settings
+	rng     *rand.Rand
+	b       *policy.Balancer
+	now     time.Duration
+	jobs    map[uint64]*job
+	ids     []uint64
+	nextID  uint64
+	members map[string]policy.Member
+	names   []string
+	told    map[string]bool // servers that may be sent to
+	timers  []struct {
+		at    time.Duration
+		token uint64
+	}
+	trace []policy.Action
+	cold  map[string]int // sends to a server while cold
+	sends int
+}
+
+func newWorld(t testing.TB, set policy.Settings, seed uint64) *world {
+	b, err := policy.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &world{t: t, set: set, rng: rand.New(rand.NewPCG(seed, 1)), b: b, now: time.Hour,
+		jobs: map[uint64]*job{}, members: map[string]policy.Member{}, told: map[string]bool{},
+		cold: map[string]int{}}
+}
+
+func (w *world) handle(e policy.Event) {
+	actions := w.b.Handle(w.now, e, nil)
+	w.trace = append(w.trace, actions...)
+	for _, a := range actions {
+		w.check(a)
+	}
+}
+
+func (w *world) check(a policy.Action) {
+	j := w.jobs[a.ID]
+	switch a.Kind {
+	case policy.Send, policy.Refuse, policy.Fail, policy.Cancel:
+		if j == nil {
+			w.t.Fatalf("action %+v for no request", a)
+		}
+	}
+	class := func() policy.Class { return w.set.Classes[j.Class] }
+	switch a.Kind {
+	case policy.Send:
+		if j.ended || j.stream || w.now >= j.Deadline || len(j.tries) >= w.set.Limits.MaxAttempts {
+			w.t.Fatalf("send %+v not allowed: %+v", a, j)
+		}
+		if !w.told[a.Server] {
+			w.t.Fatalf("send to %s, which drains, is gone or unknown", a.Server)
+		}
+		to := w.members[a.Server]
+		for _, y := range j.tries {
+			if y.out && !w.set.Limits.Duplicates {
+				w.t.Fatalf("second copy out: %+v", j)
+			}
+			if !y.out && !y.mayRun || class().Effect == policy.Safe {
+				continue
+			}
+			from := w.members[y.server]
+			ok := class().Effect == policy.Keyed && w.now-y.sent < class().Window
+			ok = ok && (class().Group == policy.GroupAll || class().Group == policy.GroupZone && from.Zone == to.Zone ||
+				class().Group == policy.GroupCell && from.Cell == to.Cell)
+			if !ok {
+				w.t.Fatalf("effect may happen twice: %+v sent to %s at %v", j, a.Server, w.now)
+			}
+		}
+		j.tries = append(j.tries, try{a.Server, w.now, true, true})
+		w.sends++
+		if to.Started > 0 && w.now-to.Started < w.set.Rules.ColdRamp {
+			w.cold[a.Server]++
+		}
+	case policy.Refuse, policy.Fail:
+		if j.ended || j.stream || w.now > j.Deadline+w.set.Rules.AnswerSlack {
+			w.t.Fatalf("answer %+v not allowed: %+v", a, j)
+		}
+		for _, y := range j.tries {
+			if a.Kind == policy.Refuse && (y.out || y.mayRun) && (class().Effect == policy.Unsafe ||
+				class().Effect == policy.Keyed && class().Group != policy.GroupAll) {
+				w.t.Fatalf("refused what may have run: %+v", j)
+			}
+		}
+		j.ended = true
+	case policy.Cancel:
+		if a.Attempt >= len(j.tries) {
+			w.t.Fatalf("cancel of an attempt never made: %+v", a)
+		}
+	case policy.SetTimer:
+		w.timers = append(w.timers, struct {
+			at    time.Duration
+			token uint64
+		}{w.now + max(a.After, w.set.Tick), a.Token})
+	}
+}
+
+func (w *world) arrive() {
+	w.nextID++
+	life := time.Duration(50+w.rng.IntN(900)) * ms
+	a := policy.Arrival{ID: w.nextID, Class: w.rng.IntN(len(w.set.Classes)), Tenant: w.rng.IntN(2),
+		Deadline: w.now + life, Write: w.rng.IntN(10) == 0}
+	if w.rng.IntN(8) > 0 {
+		a.Key = fmt.Sprint("k", w.rng.IntN(1+w.rng.IntN(60)))
+	}
+	w.jobs[a.ID] = &job{Arrival: a}
+	w.ids = append(w.ids, a.ID)
+	w.handle(a)
+}
+
+// resolve ends a random attempt that is out.
+func (w *world) resolve() {
+	if len(w.ids) == 0 {
+		return
+	}
+	j := w.jobs[w.ids[len(w.ids)-1-w.rng.IntN(min(len(w.ids), 40))]]
+	for i := range j.tries {
+		y := &j.tries[i]
+		if !y.out || w.rng.IntN(3) == 0 {
+			continue
+		}
+		if !j.stream && !j.ended && w.set.Classes[j.Class].Streamed && w.rng.IntN(3) == 0 {
+			j.stream = true
+			w.handle(policy.StreamStarted{ID: j.ID, Attempt: i, Server: y.server})
+			continue
+		}
+		o := policy.Outcome{ID: j.ID, Attempt: i, Server: y.server, Took: w.now - y.sent,
+			Result: policy.Result(w.rng.IntN(9)), Note: policy.Note(w.rng.IntN(3))}
+		if w.rng.IntN(4) > 0 {
+			o.Result = policy.Served
+		}
+		if w.rng.IntN(2) == 0 {
+			o.Report = &policy.Report{InFlight: float64(w.rng.IntN(50)), Queue: -1, X0: 0.5}
+		}
+		y.out = false
+		switch o.Result {
+		case policy.Full, policy.ConnectFailed, policy.NotSent, policy.Missed:
+			y.mayRun = false
+		}
+		j.ended = j.ended || o.Result == policy.Served || j.stream
+		o.Final = j.ended
+		w.handle(o)
+		if w.rng.IntN(20) == 0 {
+			w.handle(o) // an outcome told twice
+		}
+		return
+	}
+}
+
+// relist changes the list at random and tells of it.
+func (w *world) relist() {
+	kind := policy.ListKind(w.rng.IntN(4))
+	if len(w.names) == 0 {
+		kind = policy.ListStored
+	}
+	var changed []policy.Member
+	for range 1 + w.rng.IntN(3) {
+		name := fmt.Sprint("s", w.rng.IntN(9))
+		m := policy.Member{Server: name, Zone: w.rng.IntN(2), Cell: w.rng.IntN(3), Weight: 1}
+		if old, ok := w.members[name]; ok {
+			m = old
+			m.Mode = policy.Mode(w.rng.IntN(3))
+			if w.rng.IntN(2) == 0 {
+				m.Mode, m.Started = policy.Serving, w.now-time.Duration(w.rng.IntN(3000))*ms
+			}
+		} else {
+			if len(w.names) > 4 {
+				m.Started = w.now
+			}
+		}
+		changed = append(changed, m)
+	}
+	if kind == policy.ListLost {
+		w.handle(policy.ListUpdate{Kind: kind})
+		return
+	}
+	for _, m := range changed {
+		if _, ok := w.members[m.Server]; !ok {
+			w.names = append(w.names, m.Server)
+		}
+		w.members[m.Server] = m
+		w.told[m.Server] = m.Mode == policy.Serving
+	}
+	list := changed
+	if kind != policy.ListChanges {
+		list = nil
+		for _, name := range w.names {
+			m := w.members[name]
+			if w.rng.IntN(12) == 0 {
+				w.told[name] = false
+				continue
+			}
+			w.told[name] = m.Mode == policy.Serving
+			list = append(list, m, m)
+		}
+	}
+	w.handle(policy.ListUpdate{Kind: kind, Members: list})
+}
+
+func (w *world) alarms() {
+	due := w.timers
+	w.timers = nil
+	for _, t := range due {
+		if t.at <= w.now {
+			w.handle(policy.Timer{Token: t.token})
+		} else {
+			w.timers = append(w.timers, t)
+		}
+	}
+}
+
+// overdue ends what the client's deadline has passed over: nothing may have
+// been left unanswered.
+func (w *world) overdue() {
+	for _, id := range w.ids {
+		j := w.jobs[id]
+		if !j.ended && !j.stream && w.now > j.Deadline+w.set.Rules.AnswerSlack {
+			w.t.Fatalf("request lost: %+v at %v", j, w.now)
+		}
+	}
+	if len(w.ids) > 400 {
+		w.ids = w.ids[len(w.ids)-400:]
+	}
+}
+
+func (w *world) step() {
+	if w.rng.IntN(4) > 0 { // some clocks do not advance
+		w.now += time.Duration(1+w.rng.IntN(3)) * 5 * ms
+	}
+	w.alarms()
+	switch k := w.rng.IntN(100); {
+	case k < 40:
+		w.arrive()
+	case k < 92:
+		w.resolve()
+	case k < 94:
+		w.relist()
+	case k < 96 && len(w.ids) > 0:
+		j := w.jobs[w.ids[w.rng.IntN(len(w.ids))]]
+		j.ended = true
+		w.handle(policy.Departure{ID: j.ID})
+	case k < 97:
+		w.handle(policy.Timer{Token: w.rng.Uint64() >> 1})
+		w.handle(policy.Outcome{ID: 1 << 40, Server: "nobody"})
+		w.handle(policy.ProbeResult{Server: "nobody", Result: policy.TimedOut})
+		w.handle(policy.PeerMessage{From: 1, Data: []byte("x")})
+	}
+	w.overdue()
+}
+
+func TestRulesHoldOnRandomHistories(t *testing.T) {
+	for seed := range uint64(60) {
+		set := settings()
+		set.Limits.Duplicates = seed%2 == 0
+		set.AskList = seed%3 == 0
+		set.Limits.Cancel = seed%5 != 0
+		if seed%4 == 1 {
+			set.Tenants = nil
+		}
+		w := newWorld(t, set, seed)
+		w.relist()
+		for range 3000 {
+			w.step()
+		}
+		if w.sends < 40 {
+			t.Errorf("seed %d: only %d sends seen", seed, w.sends)
+		}
+	}
+}
+
+func TestSameEventsGiveSameActions(t *testing.T) {
+	a, b := newWorld(t, settings(), 9), newWorld(t, settings(), 9)
+	for range 2000 { // stepped in turn, so that anything shared would show
+		a.step()
+		b.step()
+	}
+	c := newWorld(t, settings(), 9)
+	for range 2000 {
+		c.step()
+	}
+	if !reflect.DeepEqual(a.trace, b.trace) || !reflect.DeepEqual(a.trace, c.trace) {
+		t.Error("the same events gave other actions")
+	}
+}
