Reload on SIGHUP: follow discovery to a new address without a gap

Cause: only SIGTERM and SIGINT were caught (cmd/yarrowspan/main.go), so a SIGHUP ended the program; and the one list subscription was bound to the address of the start (proxy.Core.watch). GW_DISCOVERY also hid what the file says. Seen: without the change the test's program ends at the first SIGHUP. Now the file is read again; a bad one is logged and the old stays. The old subscription lives until the new one has told something, as a call waits its turn for seconds. Ruled out: letting the module ask again after the loss, as its first pause alone is 1.2 to 3.8 s of the 4 s allowed. Also: watch goroutines now end with the core; SIGPIPE on the log is ignored.

--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"wrenroute/internal/proxy"
@@ -24,6 +25,13 @@
 }
 
 func run() error {
+	// First of all: until they are caught, signals end the program, and so does
+	// a reader of the log that goes away.
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	config, err := proxy.ReadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -33,14 +41,41 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(config.Memory) / 10 * 6)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", config.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	server, err := proxy.Listen(config, log)
 	if err != nil {
 		return err
 	}
 	log.Info("listening", "address", server.Address().String())
+	serving, done := context.WithCancel(context.Background())
+	var reloads sync.WaitGroup
+	reloads.Go(func() { reload(serving, hangups, server, log) })
 	server.Serve(ctx)
+	done()
+	reloads.Wait()
 	log.Info("all answered")
 	return nil
 }
+
+// reload reads the configuration anew at each hangup, until ctx ends. A bad one
+// is logged, and the old stays in force. The environment is that of the
+// start and can't have changed, so the file alone counts.
+func reload(ctx context.Context, hangups <-chan os.Signal, server *proxy.Server, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		config, err := proxy.ReadConfig(func(name string) string {
+			if name == "GW_CONFIG" {
+				return os.Getenv(name)
+			}
+			return ""
+		})
+		if err != nil {
+			log.Error("reload failed, the old configuration stays", "error", err)
+			continue
+		}
+		server.Reload(config)
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -7,6 +7,8 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +44,7 @@
 )
 
 // ReadConfig reads the file named by the variable GW_CONFIG; GW_LISTEN and
-// GW_DISCOVERY go before what it says.
+// GW_DISCOVERY, if getenv knows them, go before what it says.
 func ReadConfig(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -98,6 +100,22 @@
 	return c, nil
 }
 
+// fixed names what differs in next and can't be changed in service.
+func (c *Config) fixed(next *Config) (changed []string) {
+	for name, differs := range map[string]bool{
+		"name":     c.Name != next.Name,
+		"listen":   c.Listen != next.Listen,
+		"limits":   c.Cores != next.Cores || c.Memory != next.Memory || c.Clients != next.Clients,
+		"settings": c.MostHeld != next.MostHeld || !reflect.DeepEqual(c.Policy, next.Policy),
+	} {
+		if differs {
+			changed = append(changed, name)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
 // limits shares out descriptors and memory.
 func (c *Config) limits(settings json.RawMessage, sockets int) error {
 	var in struct {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -43,11 +43,11 @@
 	tenants  map[string]int
 	mostHeld int
 	log      *slog.Logger
-	registry *discovery.Client
 	nodes    *upstream.Nodes
 	start    time.Time
 
 	mu        sync.Mutex
+	registry  *discovery.Client
 	balancer  *policy.Balancer
 	actions   []policy.Action
 	events    []policy.Event // that carrying out actions has brought
@@ -58,6 +58,7 @@
 	timers    timers
 	wake      chan struct{}
 	subscribe chan struct{}
+	moved     chan struct{}
 	fetch     chan struct{}
 }
 
@@ -70,7 +71,7 @@
 	c := &Core{set: config.Policy, classes: make(map[string]int), tenants: make(map[string]int),
 		mostHeld: config.MostHeld, log: log, registry: discovery.New(config.Discovery), start: time.Now(),
 		balancer: balancer, requests: make(map[uint64]*request), wake: make(chan struct{}, 1),
-		subscribe: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
+		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
 	for i, class := range c.set.Classes {
 		c.classes[class.Name] = i
 	}
@@ -78,7 +79,7 @@
 		c.tenants[tenant.Name] = i
 	}
 	c.nodes = upstream.New(config.Upstream, c, log)
-	c.learn(config.Known, policy.ListStored)
+	c.learn(c.registry, config.Known, policy.ListStored)
 	return c, nil
 }
 
@@ -100,7 +101,9 @@
 			case <-ctx.Done():
 				return
 			case <-c.fetch:
-				c.fetched(c.registry.Fetch(ctx))
+				registry, _ := c.place()
+				l, err := registry.Fetch(ctx)
+				c.fetched(registry, l, err)
 			}
 		}
 	})
@@ -451,67 +454,114 @@
 	return time.Hour
 }
 
-// The wait before an agent that pushes lists is called again.
-const pushedPause = 500 * time.Millisecond
+// The wait before a lost watch is begun again by the core itself: where lists
+// are pushed, and after discovery has moved.
+const watchPause = 500 * time.Millisecond
+
+// watching is one subscription of the list.
+type watching struct {
+	cancel context.CancelFunc
+	news   chan struct{} // it has told something
+	lost   chan struct{} // it has ended
+}
+
+// startWatch begins a subscription after a while; it ends with ctx or by its cancel.
+func (c *Core) startWatch(ctx context.Context, tasks *sync.WaitGroup, after time.Duration) *watching {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watching{cancel: cancel, news: make(chan struct{}, 1), lost: make(chan struct{})}
+	tasks.Go(func() {
+		defer close(w.lost)
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(after):
+		}
+		registry, from := c.place()
+		err := registry.Watch(ctx, from, !c.set.AskList, func(l discovery.List) {
+			if ctx.Err() == nil {
+				c.learn(registry, l, policy.ListChanges)
+				post(w.news)
+			}
+		})
+		if ctx.Err() == nil {
+			c.log.Warn("watch lost", "error", err)
+		}
+	})
+	return w
+}
 
 // watch keeps the one subscription that the module asks for. A new one takes
 // the place of the old. Where lists are pushed none is asked for, and losing
 // one is not told.
+//
+// When discovery moves, the old subscription is kept until the new one has told
+// something: a call may wait its turn for seconds, and a drain that is announced
+// meanwhile must not be missed. This should also cover a new address that
+// is slow or not there yet. It costs one connection more for that time.
 func (c *Core) watch(ctx context.Context) {
-	stop := func() {}
-	lost := make(chan struct{}, 1)
-	begin := func(after time.Duration) {
-		stop()
-		var watching context.Context
-		watching, stop = context.WithCancel(ctx)
-		go func() {
-			select {
-			case <-watching.Done():
-				return
-			case <-time.After(after):
-			}
-			err := c.registry.Watch(watching, c.known(), !c.set.AskList, func(l discovery.List) {
-				if watching.Err() == nil {
-					c.learn(l, policy.ListChanges)
-				}
-			})
-			if watching.Err() == nil {
-				c.log.Warn("watch lost", "error", err)
-				post(lost)
-			}
-		}()
-	}
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	none := &watching{cancel: func() {}} // its nil channels never speak
+	now, before := none, none
+	end := func(w **watching) {
+		(*w).cancel()
+		*w = none
+	}
+	moved := false
 	if !c.set.AskList {
-		begin(0)
+		now = c.startWatch(ctx, &tasks, 0)
 	}
 	for {
 		select {
 		case <-ctx.Done():
-			stop()
+			end(&now)
+			end(&before)
 			return
 		case <-c.subscribe:
-			begin(0)
-		case <-lost:
-			if c.set.AskList {
-				c.mu.Lock()
-				c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
-				c.mu.Unlock()
-			} else {
-				begin(pushedPause)
+			end(&now)
+			now = c.startWatch(ctx, &tasks, 0)
+		case <-c.moved:
+			end(&before)
+			before, now = now, c.startWatch(ctx, &tasks, 0)
+			moved = true
+		case <-now.news:
+			end(&before)
+			moved = false
+		case <-before.lost:
+			before = none
+		case <-now.lost:
+			now = none
+			if moved || !c.set.AskList {
+				now = c.startWatch(ctx, &tasks, watchPause)
+				continue
 			}
+			c.mu.Lock()
+			c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
+			c.mu.Unlock()
 		}
 	}
 }
 
-func (c *Core) known() uint64 {
+// place returns the discovery service and the version of its list that is
+// known: none right after a move, as another service may count otherwise.
+func (c *Core) place() (*discovery.Client, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.version
+	return c.registry, c.version
 }
 
-func (c *Core) fetched(l discovery.List, err error) {
+// move makes address the one of discovery.
+func (c *Core) move(address string) {
+	c.mu.Lock()
+	c.registry, c.version = discovery.New(address), 0
+	c.mu.Unlock()
+	post(c.moved)
+}
+
+func (c *Core) fetched(from *discovery.Client, l discovery.List, err error) {
 	if err == nil {
-		c.learn(l, policy.ListFull)
+		c.learn(from, l, policy.ListFull)
 		return
 	}
 	c.log.Warn("list call failed", "error", err)
@@ -522,7 +572,7 @@
 
 // learn takes news of the list: the connections first, so that the module
 // never names a node that they don't know.
-func (c *Core) learn(l discovery.List, kind policy.ListKind) {
+func (c *Core) learn(from *discovery.Client, l discovery.List, kind policy.ListKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	there, gone := l.Nodes()
@@ -541,7 +591,9 @@
 			}
 		}
 	}
-	c.version = l.Index
+	if from == c.registry {
+		c.version = l.Index
+	}
 	c.nodes.Set(there)
 	c.handle(update)
 	c.nodes.Remove(gone)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -22,6 +22,7 @@
 // Server is a proxy at work.
 type Server struct {
 	core    *Core
+	config  *Config // in force; written by Reload only
 	log     *slog.Logger
 	most    int     // clients
 	bodies  *budget // of writes being read or held
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{core: core, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
+	s := &Server{core: core, config: config, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
 		streams: newBudget(config.StreamBytes), clients: make(map[*client]struct{})}
 	s.changed.L = &s.mu
 	for _, class := range config.Policy.Classes {
@@ -59,6 +60,22 @@
 // Address returns the address that clients connect to.
 func (s *Server) Address() net.Addr { return s.listener.Addr() }
 
+// Reload puts a new configuration into force as far as that goes in service:
+// discovery's address. What else differs is named in the log and waits for a
+// restart. Calls must not overlap.
+func (s *Server) Reload(next *Config) {
+	if changed := s.config.fixed(next); len(changed) > 0 {
+		s.log.Warn("reload: these wait for a restart", "changed", changed)
+	}
+	s.log.Info("reloaded", "discovery", next.Discovery)
+	if next.Discovery != s.config.Discovery {
+		in := *s.config
+		in.Discovery = next.Discovery
+		s.config = &in
+		s.core.move(in.Discovery)
+	}
+}
+
 // Serve works until ctx ends. Then it takes connections for a while yet,
 // closes each between requests, and returns when all that was taken is answered.
 func (s *Server) Serve(ctx context.Context) {
