Tell sick servers from an overload; send a second copy past silent ones

Cause: the gates (policy.gate.open) settle at 1.3 times what comes in time over what is asked, so a server that fails more than a quarter of all attempts for reasons of its own (errors at once, lost answers) shut them for all; and nothing ranked such a server lower, since it looks idle. Now: the share of failures by server and class, beyond that of the other servers, is priced like any other loss in the expected response time; errors and broken connections of a sick server do not shut the gates; reads get a second copy, paid for like a retry, where a record names the key and the first server is silent or sick. One broken connection is one failure, however many waited on it. Servers that are gone leave the map.

--- a/policy/api.go
+++ b/policy/api.go
@@ -179,6 +179,7 @@
 	Cancelled
 	NotSent
 	Missed // no value is stored there
+	Spoilt // what came can't be read; it may have run
 )
 
 // Note is what a server told of an answer.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,8 +32,12 @@
 	gatePrior    = 1    // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
 	serverPrior  = 5    // one server's counts are small, and chance must not shut it
 	gateSlack    = 1.3
-	gateHaste    = 6.0  // more of it when all comes in time: open again within seconds
-	gateLeast    = 0.03 // always passes, to see a recovery
+	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
+	gateLeast    = 0.03            // always passes, to see a recovery
+	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
+	healthPrior  = 4.0             // attempts assumed to fail as often as elsewhere, besides those seen
+	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
+	hedgeShare   = 0.6             // of the aim without an answer, then a second copy goes elsewhere
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
 )
@@ -51,7 +55,11 @@
 	worth    float64       // share of hits when the record promised one
 	sampled  time.Duration // time of the last sample
 	fails    int           // in a row
+	failed   time.Duration // time of the last of them
 	until    time.Duration // not to be chosen before, if others are left
+	health   []health      // by class
+	heard    time.Duration // time of the last answer of any kind
+	unlisted time.Duration // time at which the list dropped it
 	credit   float64       // sends a cold server may get
 	gate     gate
 	used     time.Duration // last send over a connection that is still open
@@ -77,6 +85,33 @@
 	return max(gateLeast, min(1, gateSlack*(1+gateHaste*clear)*(g.good+prior)/(g.asked+prior)))
 }
 
+// health counts attempts that ended and those of them that failed, both fading.
+type health struct {
+	ended, failed float64
+	at            time.Duration
+}
+
+func (h *health) count(now time.Duration, ended, failed float64) {
+	fade := math.Exp(-float64(now-h.at) / float64(healthMemory))
+	h.ended, h.failed, h.at = h.ended*fade+ended, h.failed*fade+failed, now
+}
+
+// excess is how much larger a share of a class fails at a server than at the
+// others. What an overload or a fallen origin makes fail, fails everywhere and
+// is no excess. It should cover any server that answers, but not with what it
+// is asked for: errors, silence, noise, for all or for one class. It might hurt
+// where the misses of a cold server fail before those of others do.
+func (b *Balancer) excess(s *server, class int) float64 {
+	own, all := &s.health[class], &b.health[class]
+	if own.failed == 0 {
+		return 0
+	}
+	own.count(b.now, 0, 0)
+	all.count(b.now, 0, 0)
+	rest := max(all.failed-own.failed, 0) / (max(all.ended-own.ended, 0) + 1)
+	return max((own.failed+healthPrior*rest)/(own.ended+healthPrior)-rest, 0)
+}
+
 type attempt struct {
 	server  *server
 	sent    time.Duration
@@ -94,6 +129,7 @@
 	keyed    bool // has a key whose copies count
 	ended    bool
 	stream   bool
+	served   bool
 	open     int
 	attempts []attempt
 }
@@ -119,7 +155,8 @@
 	weights  []float64 // of each kind in the rendezvous
 	// The gates of sends that a record promises a hit, and of the others: a full
 	// origin must not close the way to what the caches hold.
-	gates map[bool]*gate
+	gates  map[bool]*gate
+	health []health // of all servers, by class
 }
 
 // The kinds of timers, in the low bits of a token; the rest is a request's ID.
@@ -127,6 +164,7 @@
 	timerList = iota
 	timerDeadline
 	timerWait
+	timerHedge
 )
 
 // New returns a Balancer for one proxy, or an error that names the setting
@@ -138,7 +176,7 @@
 	return &Balancer{set: set, kinds: slices.Repeat([]float64{0.05}, len(set.Kinds)),
 		weights: slices.Repeat([]float64{1}, len(set.Kinds)), rng: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
-		origin: 0.1, work: 0.05, fastest: 0.001,
+		origin: 0.1, work: 0.05, fastest: 0.001, health: make([]health, len(set.Classes)),
 		gates: map[bool]*gate{true: {keep: gateKeep}, false: {keep: gateKeep}}}, nil
 }
 
@@ -147,8 +185,12 @@
 	b.now, b.out = now, out
 	for b.now-b.turned >= recordPeriod {
 		b.turned = max(b.turned+recordPeriod, b.now-recordPeriod)
-		for _, s := range b.servers {
+		for name, s := range b.servers {
 			s.record.turn()
+			// Where ids are ever new, the map would grow with each server replaced.
+			if !s.listed && s.inFlight == 0 && b.now-s.unlisted > recordPeriod {
+				delete(b.servers, name)
+			}
 		}
 		for i := range b.kinds { // seldom, as each change moves keys
 			b.weights[i] = b.work / max(b.kinds[i], b.work/8)
@@ -209,10 +251,16 @@
 	for _, m := range u.Members {
 		b.member(m)
 	}
+	clear(b.list)
 	b.list = b.list[:0]
 	for _, s := range b.servers {
-		if s.listed && s.Mode == Serving {
+		switch {
+		case s.listed && s.Mode == Serving:
 			b.list = append(b.list, s)
+		case s.listed:
+			s.unlisted = 0
+		case s.unlisted == 0:
+			s.unlisted = b.now
 		}
 	}
 	slices.SortFunc(b.list, func(x, y *server) int { return strings.Compare(x.Server, y.Server) })
@@ -240,6 +288,7 @@
 	s.record = record{}
 	s.fastest, s.work, s.load, s.worth, s.fails, s.until, s.sampled = 0, 0, s.inFlight, 1, 0, 0, 0
 	s.credit, s.gate = -b.rng.Float64(), gate{}
+	s.health = make([]health, len(b.set.Classes))
 }
 
 func (b *Balancer) jitter(d time.Duration) time.Duration {
@@ -260,7 +309,8 @@
 	if b.requests[a.ID] != nil {
 		return
 	}
-	r := &request{Arrival: a, arrived: b.now, class: &b.set.Classes[min(a.Class, len(b.set.Classes)-1)]}
+	a.Class = max(min(a.Class, len(b.set.Classes)-1), 0)
+	r := &request{Arrival: a, arrived: b.now, class: &b.set.Classes[a.Class]}
 	b.requests[a.ID] = r
 	// A write leaves no copy and needs none: it goes where it is soonest done.
 	if r.keyed = a.Key != "" && !a.Write; r.keyed {
@@ -350,6 +400,28 @@
 		return
 	}
 	b.send(r, s, promise)
+	if hedge := time.Duration(hedgeShare * float64(r.class.Aim)); b.set.Limits.Duplicates && r.class.Effect == Safe &&
+		b.now-r.arrived < hedge && b.now+hedge < r.Deadline {
+		b.wake(timerHedge, r.ID, hedge)
+	}
+}
+
+// hedge sends a second copy of a read that has long had no answer. It meets
+// answers that are lost and servers that have stalled or vanished, before the
+// client's time is up. It might hurt under overload, when all is slow: so it
+// is paid for like a retry and left where the gates shed.
+func (b *Balancer) hedge(r *request) {
+	a := &r.attempts[len(r.attempts)-1]
+	if a.server.heard > a.sent && b.excess(a.server, r.Class) < sickExcess {
+		return
+	}
+	if r.open != 1 || b.retries < 1 || b.gates[true].open(gatePrior) < 1 || b.gates[false].open(gatePrior) < 1 {
+		return
+	}
+	if s, promise := b.choose(r); promise && !tried(r, s) {
+		b.retries--
+		b.send(r, s, promise)
+	}
 }
 
 // hold keeps a request that has no server now until one may have come.
@@ -395,7 +467,8 @@
 		least := math.Inf(1)
 		score := func(s *server, miss float64) {
 			// A price is a share of the worth, which is lost with the aim's time.
-			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds())
+			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds()) +
+				max(b.excess(s, r.Class)-sickExcess, 0)*r.class.Aim.Seconds()
 			if s.Zone != b.set.Zone {
 				t += b.set.Prices.CrossZone * r.class.Aim.Seconds()
 			}
@@ -490,7 +563,9 @@
 func (b *Balancer) again(r *request, e Outcome) {
 	// For a key, full and error mostly mean that its fetch failed: another server
 	// would ask the same origin, and keep it from getting well.
-	origin := r.Key != "" && (e.Result == Full || e.Result == Errored)
+	a := &r.attempts[e.Attempt]
+	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
+		b.excess(a.server, r.Class) < sickExcess
 	if b.now < r.Deadline-4*b.set.Tick && b.retries >= 1 && !origin {
 		b.retries--
 		if s, promise := b.choose(r); s != nil {
@@ -524,7 +599,10 @@
 	if a.sent < s.Started {
 		return // sent before its restart
 	}
-	good := 0.0
+	if e.Result != Cancelled && e.Result != TimedOut && e.Result != ConnectFailed {
+		s.heard = b.now
+	}
+	good, failed, sick := 0.0, 0.0, false
 	switch e.Result {
 	case Served:
 		s.fails, s.until = 0, 0
@@ -532,6 +610,7 @@
 			good = 1
 		}
 		b.retries = min(b.retries+retryShare, retryCap)
+		r.served = true
 		if r.keyed {
 			s.record.add(&r.at)
 		}
@@ -539,17 +618,38 @@
 	case TimedOut:
 		b.measure(s, a, e, r)
 		s.fails++
+		failed = 1
+	case Errored, Spoilt:
+		failed, sick = 1, true
+	case Cancelled: // its time was up, or a second copy was faster
+		if s.heard < a.sent && e.Took.Seconds() >= hedgeShare*r.class.Aim.Seconds() {
+			failed = 1
+		}
 	case ConnectFailed, Reset:
-		s.fails++
-		s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
+		// One connection's end is one failure, whatever waited on it.
+		if a.sent >= s.failed {
+			s.fails++
+			s.failed = b.now
+			s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
+		}
+		failed, sick = 1, true
 	}
 	if e.Result == ConnectFailed { // tells nothing of load
 		s.gate.count(b.now, -1, 0, 0)
 		b.gates[a.promise].count(b.now, -1, 0, 0)
 		return
 	}
-	s.gate.count(b.now, 0, 1, good)
-	b.gates[a.promise].count(b.now, 0, 1, good)
+	s.health[r.Class].count(b.now, 1, failed)
+	b.health[r.Class].count(b.now, 1, failed)
+	switch {
+	case e.Result == Cancelled && r.served: // the other copy has been counted
+	case sick && b.excess(s, r.Class) >= sickExcess: // tells of the server, not of load
+		s.gate.count(b.now, -1, 0, 0)
+		b.gates[a.promise].count(b.now, -1, 0, 0)
+	default:
+		s.gate.count(b.now, 0, 1, good)
+		b.gates[a.promise].count(b.now, 0, 1, good)
+	}
 }
 
 func (b *Balancer) measure(s *server, a *attempt, e Outcome, r *request) {
@@ -597,9 +697,14 @@
 	if r == nil || r.ended {
 		return
 	}
-	if t.Token&3 == timerDeadline {
+	switch t.Token & 3 {
+	case timerDeadline:
 		b.giveUp(r)
-	} else if r.open == 0 {
-		b.place(r)
+	case timerHedge:
+		b.hedge(r)
+	default:
+		if r.open == 0 {
+			b.place(r)
+		}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -243,3 +243,94 @@
 		t.Errorf("%.2f sent when connections fail", share)
 	}
 }
+
+// TestFailingServerIsLeftAlone guards against a server that answers errors at
+// once, looks idle by it, and makes the gates shed what the others could serve.
+func TestFailingServerIsLeftAlone(t *testing.T) {
+	b, now := harness(t)
+	failed, refused := 0, 0
+	for i := range uint64(1000) {
+		now += 5 * time.Millisecond
+		out := b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i % 50), Deadline: now + time.Second}, nil)
+		for number := 0; ; number++ {
+			to := sent(out)
+			if len(to) == 0 {
+				break
+			}
+			result, took := Served, 40*time.Millisecond
+			if to[0] == "a" {
+				result, took = Errored, time.Millisecond
+				failed++
+			}
+			now += took
+			out = b.Handle(now, Outcome{ID: i + 1, Attempt: number, Server: to[0], Result: result, Took: took,
+				Final: result == Served}, nil)
+		}
+		for _, a := range out {
+			if a.Kind == Refuse || a.Kind == Fail {
+				refused++
+			}
+		}
+	}
+	if failed > 150 || refused > 60 {
+		t.Errorf("of 1000 requests %d failed at the server, %d were given up", failed, refused)
+	}
+}
+
+// TestSilentServerGetsASecondCopySentElsewhere guards against lost answers: the
+// client's time would run out with the attempt's.
+func TestSilentServerGetsASecondCopySentElsewhere(t *testing.T) {
+	b, now := harness(t)
+	b.set.Limits.Duplicates = true
+	aim := b.set.Classes[0].Aim
+	for _, name := range []string{"a", "b"} { // both hold the key
+		at := places(hash("k"))
+		b.servers[name].record.add(&at)
+	}
+	out := b.Handle(now, Arrival{ID: 1, Key: "k", Deadline: now + 4*aim}, nil)
+	first := sent(out)
+	for _, a := range out {
+		if a.Kind == SetTimer && a.Token&3 == timerHedge {
+			second := sent(b.Handle(now+a.After, Timer{Token: a.Token}, nil))
+			if len(second) != 1 || second[0] == first[0] {
+				t.Errorf("sent to %v, after %v without a word to %v", first, a.After, second)
+			}
+			return
+		}
+	}
+	t.Error("no timer for a second copy")
+}
+
+// TestBrokenConnectionIsOneFailure guards against a server put aside for long
+// because many attempts waited on the one connection that broke.
+func TestBrokenConnectionIsOneFailure(t *testing.T) {
+	b, now := harness(t)
+	at := map[uint64]string{}
+	for i := range uint64(60) {
+		for _, s := range sent(b.Handle(now, Arrival{ID: i + 1, Deadline: now + time.Second}, nil)) {
+			at[i+1] = s
+		}
+	}
+	for id, s := range at {
+		if s == "a" {
+			b.Handle(now+time.Millisecond, Outcome{ID: id, Server: s, Result: Reset, Took: time.Millisecond}, nil)
+		}
+	}
+	if s := b.servers["a"]; s.fails != 1 || s.until > now+time.Second {
+		t.Errorf("%d failures, put aside for %v", s.fails, s.until-now)
+	}
+}
+
+// TestServersThatAreGoneAreForgotten guards against a map that grows with each
+// server replaced, where ids are ever new.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	b, now := harness(t)
+	for i := range 200 {
+		now += time.Second
+		b.Handle(now, ListUpdate{Version: uint64(i + 2), Members: []Member{
+			{Server: fmt.Sprint("n", i)}, {Server: fmt.Sprint("n", i-1), Mode: Gone}}}, nil)
+	}
+	if len(b.servers) > 30 {
+		t.Errorf("%d servers known where 4 are listed", len(b.servers))
+	}
+}
