Bound what clients can hold: time, bytes, connections, ids

Cause, by lines: a command could take 10 s and got no answer then (client.read); idle connections closed only when descriptors ran out, and then each held its place through a linger of 1 s (Server.makeRoom); values up to 4 MiB where the protocol says 64 KiB, streamed through two more budgets; a wait for body memory without bound (budget.take); d up to an hour held requests and timers as long (Core.arrive); two open requests could have one id; endless noise was answered for good; a client that took nothing was kept for 20 s. Now: 2.5 s for a command, 2.1 s idle, 8 bad commands in a row, 256 KiB of linger, d at most the class's deadline, held answers from one budget. With values of 64 KiB at most nothing is streamed, so that code is gone and no spoilt value is ever passed on. A fresh connection must not be closed to make room before its request was read: a test found that.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -9,11 +9,12 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // The bounds of what is accepted.
 const (
-	MaxValue = 4 << 20 // bytes of a value
+	MaxValue = 64 << 10 // bytes of a value
 	MaxKey   = 250
 	MaxID    = 128
 	MaxLine  = 2048 // bytes of a line, its end included
@@ -40,6 +41,7 @@
 	Tenant string
 	Wait   time.Duration // how long the client waits; negative if it did not say
 	Retry  bool
+	Keyed  bool // it has an idempotency key
 
 	line       string
 	from, to   int  // place of d's figure in line, or where it would go
@@ -62,6 +64,9 @@
 // ParseCommand reads a command's line.
 func ParseCommand(line string) (Command, error) {
 	c := Command{line: line, Wait: -1}
+	if !utf8.ValidString(line) {
+		return c, ErrUnknown
+	}
 	verb, rest := word(line)
 	switch verb {
 	case "mn":
@@ -149,9 +154,11 @@
 			c.Tenant = figure
 		case "r":
 			c.Retry = figure == "1"
+		case "k":
+			c.Keyed = true
 		case "d":
 			ms, err := strconv.ParseFloat(figure, 64)
-			if err != nil || !(ms >= 0) || ms > float64(maxWait/time.Millisecond) {
+			if err != nil || strings.Trim(figure, "0123456789.") != "" || ms > float64(maxWait/time.Millisecond) {
 				return "bad d"
 			}
 			c.Wait = time.Duration(ms * float64(time.Millisecond))
@@ -298,7 +305,7 @@
 
 // length reads a value's length without taking a sign, a plus or what no value may be.
 func length(s string) (int, bool) {
-	if s == "" || len(s) > len("4194304") {
+	if s == "" || len(s) > len("65536") {
 		return 0, false
 	}
 	n := 0
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -1,47 +1,23 @@
 package proxy
 
-import "sync"
+import "sync/atomic"
 
 // budget bounds the bytes of one kind that are held at a time.
-type budget struct {
-	mu   sync.Mutex
-	more sync.Cond
-	free int
-}
+type budget struct{ free atomic.Int64 }
 
 func newBudget(bytes int) *budget {
-	b := &budget{free: bytes}
-	b.more.L = &b.mu
+	b := new(budget)
+	b.free.Store(int64(bytes))
 	return b
 }
 
-// take waits until n bytes are free.
-func (b *budget) take(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for b.free < n {
-		b.more.Wait()
-	}
-	b.free -= n
-}
-
 // try takes n bytes if they are free.
 func (b *budget) try(n int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.free < n {
-		return false
+	if b.free.Add(-int64(n)) >= 0 {
+		return true
 	}
-	b.free -= n
-	return true
+	b.give(n)
+	return false
 }
 
-func (b *budget) give(n int) {
-	if n == 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.free += n
-	b.more.Broadcast()
-}
+func (b *budget) give(n int) { b.free.Add(int64(n)) }
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -16,16 +16,25 @@
 const (
 	clientBuffer = 4 << 10
 	// Commands of one connection that are at work; further ones wait unread.
-	pipelined = 64
-	// A client may take 2 s to write a command.
-	commandTime = 10 * time.Second
+	pipelined = 32
+	// A client has so long to write a command, from its first byte: one that
+	// stops half way must not hold a place, and is told so within 3 s.
+	commandTime = 2500 * time.Millisecond
+	// A connection without a request is closed after so long. It meets clients
+	// that connect and say nothing, or ask once and stay; whoever comes back
+	// later pays for a new connection.
+	idleTime = 2100 * time.Millisecond
 	// What a client may still send after its connection was half closed is
-	// read for so long: closing with unread bytes would reset the connection,
-	// and the reset can overtake the last answer.
-	lingerTime = time.Second
-	// A stream's part that waits for no budget, so that each goes on.
-	streamWindow = 64 << 10
-	writeMost    = 64 << 10 // bytes in one write of a stream
+	// read for so long, and so much of it: closing with unread bytes would reset
+	// the connection, and the reset can overtake the last answer. An endless
+	// sender is reset all the same, after it was told.
+	lingerTime  = 300 * time.Millisecond
+	lingerBytes = 256 << 10
+	// A connection that sends so many commands in a row that can't be meant is
+	// noise: it is told so and closed.
+	badCommands = 8
+	writeMost   = 64 << 10 // bytes in one write
+	smallAnswer = 512      // an answer up to this size is not budgeted
 )
 
 // client is a client's connection.
@@ -33,6 +42,7 @@
 	server *Server
 	socket *net.TCPConn
 	in     *bufio.Reader
+	bad    int // commands in a row that can't be meant
 
 	mu       sync.Mutex
 	changed  sync.Cond // of what follows
@@ -48,13 +58,9 @@
 // reply is the place of one command's answer among those of its connection.
 // It is guarded by client.mu.
 type reply struct {
-	client   *client
-	request  *request // of a command that became one
-	parts    [][]byte
-	size     int  // bytes in parts
-	budgeted int  // of them from the server's budget for streams
-	done     bool // no further parts come
-	broken   bool // and the last is missing
+	client  *client
+	request *request // of a command that became one
+	text    []byte   // nil until it is answered
 }
 
 func newClient(s *Server, socket *net.TCPConn) *client {
@@ -95,78 +101,98 @@
 				return false
 			}
 		}
-		whole, _ := c.in.Peek(c.in.Buffered())
-		if bytes.IndexByte(whole, '\n') < 0 {
-			c.socket.SetReadDeadline(time.Now().Add(commandTime))
-		}
-		text, err := c.in.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) || err == nil && len(text) > meta.MaxLine {
-			c.add().finish([]byte("CLIENT_ERROR line too long\r\n"))
-			return true
-		}
-		if err != nil {
-			return false
-		}
-		line, ok := strings.CutSuffix(string(text), "\r\n")
-		if !ok {
-			c.add().finish([]byte("CLIENT_ERROR line does not end in CRLF\r\n"))
-			return true
-		}
-		if lost, err := c.command(line); lost || err != nil {
+		c.socket.SetReadDeadline(time.Now().Add(commandTime))
+		if lost, err := c.readCommand(); isTimeout(err) {
+			return c.refuse("CLIENT_ERROR command took too long\r\n")
+		} else if lost || err != nil {
 			return lost
 		}
-		c.socket.SetReadDeadline(time.Time{})
+		if c.bad >= badCommands {
+			return c.refuse("CLIENT_ERROR too many bad commands\r\n")
+		}
+		c.clearDeadline()
 	}
 }
 
-// command carries out one command, of which the line has been read.
-func (c *client) command(line string) (lost bool, err error) {
+// refuse answers what can't be read on from. It returns true.
+func (c *client) refuse(text string) bool {
+	c.add().finish([]byte(text))
+	return true
+}
+
+// readCommand carries out one command. It returns true when framing is lost.
+func (c *client) readCommand() (lost bool, err error) {
+	text, err := c.in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || err == nil && len(text) > meta.MaxLine {
+		return c.refuse("CLIENT_ERROR line too long\r\n"), nil
+	}
+	if err != nil {
+		return false, err
+	}
+	line, ok := strings.CutSuffix(string(text), "\r\n")
+	if !ok {
+		return c.refuse("CLIENT_ERROR line does not end in CRLF\r\n"), nil
+	}
 	command, err := meta.ParseCommand(line)
 	var bad *meta.ClientError
 	switch {
 	case errors.As(err, &bad):
 		if bad.Skip > 0 {
-			c.socket.SetReadDeadline(time.Now().Add(commandTime))
 			if _, err := c.in.Discard(bad.Skip); err != nil {
 				return false, err
 			}
 		}
-		c.add().finish([]byte("CLIENT_ERROR " + bad.Reason + "\r\n"))
+		c.bad++
+		c.refuse("CLIENT_ERROR " + bad.Reason + "\r\n")
 		return bad.Skip < 0, nil
 	case err != nil:
-		c.add().finish([]byte("ERROR\r\n"))
+		c.bad++
+		c.refuse("ERROR\r\n")
 		return false, nil
 	case command.Verb == meta.Noop:
+		c.bad = 0
 		c.add().finish([]byte("MN\r\n"))
 		return false, nil
 	}
 	var body []byte
 	if command.Verb == meta.Set {
-		if c.in.Buffered() < command.Size+2 {
-			c.socket.SetReadDeadline(time.Now().Add(commandTime))
+		size := command.Size + 2
+		if !c.server.bodies.try(size) {
+			if _, err := c.in.Discard(size); err != nil {
+				return false, err
+			}
+			c.add().finish(meta.AppendBusy(nil, 0))
+			return false, nil
 		}
-		c.server.bodies.take(command.Size + 2)
-		body = make([]byte, command.Size+2)
+		body = make([]byte, size)
 		if _, err := io.ReadFull(c.in, body); err != nil {
-			c.server.bodies.give(len(body))
+			c.server.bodies.give(size)
 			return false, err
 		}
 		if !bytes.HasSuffix(body, []byte("\r\n")) {
-			c.server.bodies.give(len(body))
-			c.add().finish([]byte("CLIENT_ERROR bad data chunk\r\n"))
-			return true, nil
+			c.server.bodies.give(size)
+			return c.refuse("CLIENT_ERROR bad data chunk\r\n"), nil
 		}
 	}
 	reply := c.add()
-	r := c.server.core.arrive(command, body, reply)
-	if r == nil {
+	if reply.request = c.server.core.arrive(command, body, reply); reply.request == nil {
 		c.server.bodies.give(len(body))
-		return false, nil
+		c.bad++
+	} else {
+		c.bad = 0
 	}
-	reply.request = r
 	return false, nil
 }
 
+// clearDeadline lifts a command's time limit, unless the connection is closing.
+func (c *client) clearDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.finished {
+		c.socket.SetReadDeadline(time.Time{})
+	}
+}
+
 // add makes a place for the next answer, and waits while there are too many.
 func (c *client) add() *reply {
 	r := &reply{client: c}
@@ -223,70 +249,60 @@
 	}
 	c.mu.Unlock()
 	c.socket.SetReadDeadline(time.Now().Add(lingerTime))
-	io.Copy(io.Discard, c.in)
+	io.CopyN(io.Discard, c.in, lingerBytes)
 }
 
-// isIdle tells whether the connection may be closed, and since when it has idled.
-func (c *client) isIdle() (time.Time, bool) {
+// idleSince tells whether the connection may be closed, and since when it has idled.
+func (c *client) idleSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.since, !c.busy && len(c.replies) == 0 && !c.ending
 }
 
-// stuckSince tells since when the client has taken nothing of what is being written.
-func (c *client) stuckSince() time.Time {
+// closeIdle closes a connection that idles, if it still does. Its last answer
+// has long been taken, so there is nothing to linger for; a request
+// that crosses is unread and sent again.
+func (c *client) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writing
+	if !c.busy && len(c.replies) == 0 && !c.ending {
+		c.ending, c.finished = true, true
+		c.socket.Close()
+	}
 }
 
-// finish sets the answer of a command.
-func (r *reply) finish(text []byte) {
-	c := r.client
+// stuckSince tells since when the client has taken nothing of what is being written.
+func (c *client) stuckSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.parts, r.done = append(r.parts, text), true
-	c.changed.Broadcast()
+	return c.writing
 }
 
-// begin starts an answer that comes in parts.
-func (r *reply) begin(text []byte) {
+// finish sets the answer of a command. One that finds no room among those held
+// for clients slow to take theirs becomes a failure.
+func (r *reply) finish(text []byte) {
 	c := r.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.parts = append(r.parts, text)
+	if c.gone {
+		return
+	}
+	if len(text) > smallAnswer && !c.server.answers.try(len(text)) {
+		text = []byte("SERVER_ERROR out of memory\r\n")
+	}
+	r.text = text
 	c.changed.Broadcast()
 }
 
-// Write implements upstream.Stream. It waits for a slow client once the budget
-// for streams is used up, so that until then others on the node's connection
-// are not held up.
-func (r *reply) Write(part []byte) {
-	c := r.client
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.gone {
-		if r.size < streamWindow || c.server.streams.try(len(part)) {
-			if r.size >= streamWindow {
-				r.budgeted += len(part)
-			}
-			r.parts = append(r.parts, part)
-			r.size += len(part)
-			c.changed.Broadcast()
-			return
+// release gives back what held answers took of the budget.
+func (s *Server) release(texts net.Buffers) {
+	held := 0
+	for _, text := range texts {
+		if len(text) > smallAnswer {
+			held += len(text)
 		}
-		c.changed.Wait()
 	}
-}
-
-// complete ends an answer in parts; if it is not whole, the client can tell by
-// the end of its connection only.
-func (r *reply) complete(whole bool) {
-	c := r.client
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r.done, r.broken = true, !whole
-	c.changed.Broadcast()
+	s.answers.give(held)
 }
 
 // write sends answers in the order of the commands.
@@ -294,25 +310,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
-		parts, broken := c.ready()
+		texts := c.ready()
 		switch {
 		case c.gone:
-			c.abandon()
+			c.server.release(texts)
+			for _, r := range c.replies {
+				c.server.release(net.Buffers{r.text})
+			}
 			return
-		case broken:
-			c.gone = true
-			c.socket.Close() // wakes the reader
-		case len(parts) == 0:
+		case len(texts) == 0:
 			c.changed.Wait()
 		default:
 			c.writing = time.Now()
 			c.mu.Unlock()
-			_, err := parts.WriteTo(c.socket)
+			left := append(net.Buffers(nil), texts...) // WriteTo eats its receiver
+			_, err := left.WriteTo(c.socket)
+			c.server.release(texts)
 			c.mu.Lock()
 			c.since, c.writing = time.Now(), time.Time{}
 			if err != nil {
 				c.gone = true
-				c.socket.Close()
+				c.socket.Close() // wakes the reader
 			}
 			c.maybeFinish()
 			c.changed.Broadcast()
@@ -320,39 +338,13 @@
 	}
 }
 
-// ready takes what can be written now off the replies.
-func (c *client) ready() (parts net.Buffers, broken bool) {
-	size := 0
-	for len(c.replies) > 0 && size < writeMost {
-		r := c.replies[0]
-		for len(r.parts) > 0 && size < writeMost {
-			part := r.parts[0]
-			r.parts[0] = nil
-			r.parts = r.parts[1:]
-			parts = append(parts, part)
-			size += len(part)
-			r.size = max(r.size-len(part), 0)
-			if spare := r.budgeted - r.size; spare > 0 {
-				r.budgeted -= spare
-				c.server.streams.give(spare)
-			}
-		}
-		if !r.done || len(r.parts) > 0 {
-			break
-		}
-		if r.broken {
-			return parts, len(parts) == 0
-		}
+// ready takes the answers that can be written now off the replies.
+func (c *client) ready() (texts net.Buffers) {
+	for size := 0; len(c.replies) > 0 && c.replies[0].text != nil && size < writeMost; {
+		text := c.replies[0].text
+		texts, size = append(texts, text), size+len(text)
 		c.replies[0] = nil
 		c.replies = c.replies[1:]
 	}
-	return parts, false
-}
-
-// abandon gives back what the replies of a client that has gone held.
-func (c *client) abandon() {
-	for _, r := range c.replies {
-		c.server.streams.give(r.budgeted)
-		r.budgeted, r.parts = 0, nil
-	}
+	return texts
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -31,7 +31,7 @@
 	MostHeld    int
 	Clients     int // connections at most
 	BodyBytes   int
-	StreamBytes int
+	AnswerBytes int
 }
 
 const (
@@ -40,7 +40,8 @@
 	// A node takes thirty and some connections from all proxies together, which
 	// it tells nobody; each proxy keeps to its part of so many.
 	nodeTable = 30
-	gathered  = 64 << 10
+	// Memory set aside for each request that may be held.
+	requestBytes = 16 << 10
 )
 
 // ReadConfig reads the file named by the variable GW_CONFIG; GW_LISTEN and
@@ -138,10 +139,10 @@
 	case l.ConnectTimeout <= 0 || l.ConnIdle <= 0 || l.StreamsPerConn < 1 || l.MostHeld < 1:
 		return errors.New("settings: Limits has no positive ConnectTimeout, ConnIdle, StreamsPerConn and MostHeld")
 	}
-	c.MostHeld = l.MostHeld
+	c.MostHeld = min(l.MostHeld, c.Memory/requestBytes)
 	toNodes := (sockets - ownDescriptors) / 3
 	c.Clients = sockets - ownDescriptors - toNodes
-	c.BodyBytes, c.StreamBytes = max(c.Memory/6, 8<<20), max(c.Memory/6, 8<<20)
+	c.BodyBytes, c.AnswerBytes = c.Memory/8, c.Memory/8
 	longest := time.Second
 	for _, class := range c.Policy.Classes {
 		longest = max(longest, class.Deadline)
@@ -149,6 +150,6 @@
 	idle := time.Duration(l.ConnIdle * float64(time.Millisecond))
 	c.Upstream = upstream.Limits{PerNode: max(nodeTable/max(c.Policy.Proxies, 1), 1), All: toNodes,
 		Streams: l.StreamsPerConn, Connect: time.Duration(l.ConnectTimeout * float64(time.Millisecond)),
-		Idle: idle / 2, Silent: longest + longest/2, Gathered: gathered}
+		Idle: idle / 2, Silent: longest + longest/2}
 	return nil
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -23,9 +23,8 @@
 	expires  time.Time // the same
 	reply    *reply
 	attempts []*attempt
-	open     int      // attempts that have not ended
-	streams  *attempt // the one whose value the client is getting
-	over     bool     // answered, or its client has left
+	open     int  // attempts that have not ended
+	over     bool // answered, or its client has left
 }
 
 type attempt struct {
@@ -53,8 +52,9 @@
 	events    []policy.Event // that carrying out actions has brought
 	handling  bool
 	requests  map[uint64]*request
-	last      uint64 // request's number
-	version   uint64 // of the list
+	open      map[string]struct{} // the clients' ids of requests
+	last      uint64              // request's number
+	version   uint64              // of the list
 	timers    timers
 	wake      chan struct{}
 	subscribe chan struct{}
@@ -70,7 +70,7 @@
 	}
 	c := &Core{set: config.Policy, classes: make(map[string]int), tenants: make(map[string]int),
 		mostHeld: config.MostHeld, log: log, registry: discovery.New(config.Discovery), start: time.Now(),
-		balancer: balancer, requests: make(map[uint64]*request), wake: make(chan struct{}, 1),
+		balancer: balancer, requests: make(map[uint64]*request), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
 	for i, class := range c.set.Classes {
 		c.classes[class.Name] = i
@@ -179,12 +179,23 @@
 			return nil
 		}
 	}
-	wait := command.Wait
-	if wait < 0 {
-		wait = c.set.Classes[class].Deadline
+	if c.set.Classes[class].Effect == policy.Keyed && !command.Keyed {
+		reply.finish([]byte("CLIENT_ERROR missing k\r\n")) // nothing could drop its repeats
+		return nil
+	}
+	// Nobody waits longer than the class allows; a request that claims to would
+	// hold its place and its timers for as long.
+	wait := c.set.Classes[class].Deadline
+	if command.Wait >= 0 {
+		wait = min(wait, command.Wait)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Answers are told apart by the id alone, and so are copies.
+	if _, taken := c.open[command.ID]; taken {
+		reply.finish([]byte("CLIENT_ERROR id in use\r\n"))
+		return nil
+	}
 	if len(c.requests) >= c.mostHeld {
 		reply.finish(meta.AppendBusy(nil, 0))
 		return nil
@@ -194,6 +205,7 @@
 	r := &request{id: c.last, command: command, body: body, reply: reply, deadline: now + wait,
 		expires: time.Now().Add(wait)}
 	c.requests[r.id] = r
+	c.open[command.ID] = struct{}{}
 	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
 	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: command.Key, Deadline: r.deadline,
 		Write: command.Verb == meta.Set, Repeat: command.Retry})
@@ -215,7 +227,7 @@
 
 // answer ends a request, once.
 func (c *Core) answer(r *request, text []byte) {
-	if r.over || r.streams != nil {
+	if r.over {
 		return
 	}
 	r.over = true
@@ -227,6 +239,7 @@
 func (c *Core) drop(r *request) {
 	if r.over && r.open == 0 {
 		delete(c.requests, r.id)
+		delete(c.open, r.command.ID)
 		r.reply.client.server.bodies.give(len(r.body))
 		r.body = nil
 	}
@@ -243,7 +256,7 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	switch {
-	case r.over || r.streams != nil || now >= r.deadline || action.After < 0:
+	case r.over || now >= r.deadline || action.After < 0:
 		c.end(r, a, policy.NotSent, nil)
 		return
 	case action.After > 0 && now+action.After < r.deadline:
@@ -259,7 +272,7 @@
 // connection: its answer is dropped when it comes, since closing the
 // connection would reset its neighbours.
 func (c *Core) giveUp(r *request, a *attempt, as policy.Result) {
-	if a.ended || a == r.streams && !r.over {
+	if a.ended {
 		return
 	}
 	if c.nodes.Withdraw(&a.Attempt) {
@@ -363,20 +376,6 @@
 	}
 }
 
-// Streaming implements upstream.Handler: the first to come is the client's.
-func (c *Core) Streaming(u *upstream.Attempt, answer *meta.Answer) upstream.Stream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r, a := c.find(u)
-	if r == nil || r.over || r.streams != nil {
-		return nil
-	}
-	r.streams = a
-	r.reply.begin(meta.AppendValue(nil, answer.Size, r.command.ID))
-	c.handle(policy.StreamStarted{ID: r.id, Attempt: a.Number, Server: a.server, Took: c.now() - a.sent})
-	return r.reply
-}
-
 // Ended implements upstream.Handler.
 func (c *Core) Ended(u *upstream.Attempt, answer *meta.Answer, result upstream.Result) {
 	c.mu.Lock()
@@ -385,15 +384,11 @@
 	if r == nil {
 		return
 	}
-	if r.streams == a {
-		r.over = true
-		r.reply.complete(result == upstream.Served)
-	}
 	c.end(r, a, results[result], answer)
 }
 
 var results = [...]policy.Result{upstream.Busy: policy.Full, upstream.Failed: policy.Errored,
-	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset, upstream.Served: policy.Served}
+	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset}
 
 // timer is due at a time: one of the module's, with its token as id, or the
 // end of the wait for attempts of a request.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -15,8 +15,10 @@
 	acceptTime = 500 * time.Millisecond
 	// Connections closed ahead of need: they count until the client closes too.
 	headroom = 16
-	// A client that has taken nothing of its answer for so long is given up.
-	stuckTime = 20 * time.Second
+	// Idle and stuck clients are looked for so often.
+	sweepTime = 100 * time.Millisecond
+	// A connection that has idled for less is not closed to make room.
+	idleLeast = 100 * time.Millisecond
 )
 
 // Server is a proxy at work.
@@ -26,7 +28,7 @@
 	log     *slog.Logger
 	most    int     // clients
 	bodies  *budget // of writes being read or held
-	streams *budget // of long values that slow clients have yet to take
+	answers *budget // of values that clients have yet to take
 
 	listener *net.TCPListener
 	longest  time.Duration // deadline
@@ -43,7 +45,7 @@
 		return nil, err
 	}
 	s := &Server{core: core, config: config, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
-		streams: newBudget(config.StreamBytes), clients: make(map[*client]struct{})}
+		answers: newBudget(config.AnswerBytes), clients: make(map[*client]struct{})}
 	s.changed.L = &s.mu
 	for _, class := range config.Policy.Classes {
 		s.longest = max(s.longest, class.Deadline)
@@ -128,20 +130,21 @@
 
 // makeRoom closes the client that has idled longest when descriptors run
 // short, and waits while there are none left: whoever is in the backlog has
-// been taken, and must not be accepted only to be dropped.
+// been taken, and must not be accepted only to be dropped. Nor must one that was
+// just accepted, whose request may not have been read yet.
 func (s *Server) makeRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.clients) >= s.most-headroom {
 		var oldest *client
-		var since time.Time
+		since := time.Now().Add(-idleLeast)
 		for c := range s.clients {
-			if at, idle := c.isIdle(); idle && (oldest == nil || at.Before(since)) {
+			if at, idle := c.idleSince(); idle && at.Before(since) {
 				oldest, since = c, at
 			}
 		}
 		if oldest != nil {
-			oldest.end()
+			oldest.closeIdle()
 		}
 		if len(s.clients) < s.most {
 			return
@@ -150,9 +153,10 @@
 	}
 }
 
-// sweep gives up clients that have long stopped reading.
+// sweep closes clients that have idled for long, and gives up those that have
+// taken nothing of an answer for longer than any may be waited for.
 func (s *Server) sweep(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(sweepTime)
 	defer tick.Stop()
 	for {
 		select {
@@ -161,8 +165,10 @@
 		case now := <-tick.C:
 			s.mu.Lock()
 			for c := range s.clients {
-				if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > stuckTime {
+				if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
 					c.socket.Close()
+				} else if at, idle := c.idleSince(); idle && now.Sub(at) > idleTime {
+					c.closeIdle()
 				}
 			}
 			s.changed.Broadcast() // an idle client may have come up for closing
@@ -178,7 +184,7 @@
 	for c := range s.clients {
 		c.end()
 	}
-	late := time.AfterFunc(s.longest+lingerTime/2, func() {
+	late := time.AfterFunc(s.longest+lingerTime/3, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.clients {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,7 +16,6 @@
 
 const (
 	readBuffer = 4 << 10
-	partSize   = 32 << 10
 	// Bodies up to this size are copied behind their line: one write less.
 	copiedBody = 8 << 10
 )
@@ -245,7 +244,7 @@
 		text := meta.AppendStored(make([]byte, 0, len(a.Command.ID)+len(answer.Receipt)+8), a.Command.ID, answer.Receipt)
 		c.next()
 		c.ns.handler.Answered(a, answer, text)
-	case served && answer.Size <= c.ns.limits.Gathered:
+	case served:
 		// What the line says lies in the reader's buffer, which the value overwrites.
 		kept := *answer
 		kept.ID, kept.Load = nil, bytes.Clone(answer.Load)
@@ -260,8 +259,6 @@
 		}
 		c.next()
 		c.ns.handler.Answered(a, &kept, text)
-	case served:
-		return c.stream(in, a, answer)
 	default:
 		result := Failed
 		if answer.Kind == meta.Busy {
@@ -272,32 +269,3 @@
 	}
 	return nil
 }
-
-// stream hands a long value on as it comes, so that no value is ever held whole.
-func (c *conn) stream(in *bufio.Reader, a *Attempt, answer *meta.Answer) error {
-	kept := *answer
-	kept.ID, kept.Load = nil, bytes.Clone(answer.Load)
-	to := c.ns.handler.Streaming(a, &kept)
-	var part []byte
-	for left := kept.Size + 2; left > 0; left -= len(part) {
-		if to != nil || part == nil {
-			part = make([]byte, min(left, partSize))
-		}
-		part = part[:min(left, len(part))]
-		if _, err := io.ReadFull(in, part); err != nil {
-			return err
-		}
-		if left == len(part) && !bytes.HasSuffix(part, []byte("\n")) {
-			return meta.ErrAnswer
-		}
-		c.ns.mu.Lock()
-		c.active = time.Now()
-		c.ns.mu.Unlock()
-		if to != nil {
-			to.Write(part)
-		}
-	}
-	c.next()
-	c.ns.handler.Ended(a, &kept, Served)
-	return nil
-}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,7 +23,6 @@
 	Failed                  // an error, it may have run
 	NoConnect               // its last byte was never written
 	Broken                  // the connection ended after that
-	Served                  // of a stream: all of it came
 )
 
 // Attempt is one sending of a command. Each is written at most once and has
@@ -48,27 +47,18 @@
 	// Answered ends an attempt with a served answer, all of which is in text:
 	// the lines as a client gets them.
 	Answered(a *Attempt, answer *meta.Answer, text []byte)
-	// Streaming starts a value too long to be gathered; nil discards it.
-	Streaming(a *Attempt, answer *meta.Answer) Stream
 	// Ended ends an attempt.
 	Ended(a *Attempt, answer *meta.Answer, result Result)
 }
 
-// Stream takes a long value.
-type Stream interface {
-	// Write takes over a part, and waits while its reader is far behind.
-	Write(part []byte)
-}
-
 // Limits bound the connections.
 type Limits struct {
-	PerNode  int           // connections to one node
-	All      int           // connections to all nodes
-	Streams  int           // attempts out on one connection
-	Connect  time.Duration // how long one may take to come up
-	Idle     time.Duration // how long one may stand idle
-	Silent   time.Duration // how long one with attempts out may say nothing
-	Gathered int           // values up to this size are handed on whole
+	PerNode int           // connections to one node
+	All     int           // connections to all nodes
+	Streams int           // attempts out on one connection
+	Connect time.Duration // how long one may take to come up
+	Idle    time.Duration // how long one may stand idle
+	Silent  time.Duration // how long one with attempts out may say nothing
 }
 
 // Node is a cache node's place.
