Free connections of what nobody waits for; tell spoilt answers apart

Cause: an attempt given up stayed in its connection's pipeline (Core.giveUp, conn.sent), so a lost answer jammed its connection for 3.75 s and everything written behind it was lost too; with all places to a node used up new attempts were queued right there (Nodes.place). Every broken connection also put its node aside for up to 0.75 s (policy.learn), and so did attempts that had only been queued on it. Spoilt answers passed for broken connections. Nothing bounded how long an answer could trickle (conn.answers), bytes behind a good answer could pass for the next one's, and an ERROR line cost all neighbours. Ruled out: too few descriptors alone (148 of 148 to nodes were in use, and the stuck ones among them are the cause); they are now shared out by halves. Also: dials, readers and writers have an owner that waits for them; log lines on bad answers are one a second.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -189,7 +189,7 @@
 	Value  AnswerKind = iota // VA
 	Stored                   // HD
 	Busy                     // SERVER_ERROR busy
-	Failed                   // any other SERVER_ERROR
+	Failed                   // any other error
 )
 
 // Answer is the first line of a cache node's answer. Its texts are parts of
@@ -229,6 +229,9 @@
 		if what, rest = cut(rest); string(what) == "busy" {
 			a.Kind = Busy
 		}
+	case "CLIENT_ERROR", "ERROR": // no use, but whole: nothing behind it is lost
+		a.Kind = Failed
+		return a, nil
 	default:
 		return a, ErrAnswer
 	}
@@ -250,6 +253,9 @@
 		case 'Z':
 			a.Shared = len(text) == 0
 		default: // an error's words, or what a later node may tell
+			if a.Kind == Busy { // it promises that nothing ran, so it must be that and no other
+				a.Kind = Failed
+			}
 		}
 	}
 	return a, nil
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -140,7 +140,7 @@
 		return errors.New("settings: Limits has no positive ConnectTimeout, ConnIdle, StreamsPerConn and MostHeld")
 	}
 	c.MostHeld = min(l.MostHeld, c.Memory/requestBytes)
-	toNodes := (sockets - ownDescriptors) / 3
+	toNodes := (sockets - ownDescriptors) / 2
 	c.Clients = sockets - ownDescriptors - toNodes
 	c.BodyBytes, c.AnswerBytes = c.Memory/8, c.Memory/8
 	longest := time.Second
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -108,7 +108,6 @@
 		}
 	})
 	tasks.Wait()
-	c.nodes.Close()
 }
 
 // handle gives the module an event and does what it asks, then what that
@@ -268,14 +267,12 @@
 	}
 }
 
-// giveUp stops waiting for an attempt. What was written stays on its
-// connection: its answer is dropped when it comes, since closing the
-// connection would reset its neighbours.
+// giveUp stops waiting for an attempt.
 func (c *Core) giveUp(r *request, a *attempt, as policy.Result) {
 	if a.ended {
 		return
 	}
-	if c.nodes.Withdraw(&a.Attempt) {
+	if c.nodes.Abandon(&a.Attempt) {
 		as = policy.NotSent
 	}
 	c.end(r, a, as, nil)
@@ -388,7 +385,7 @@
 }
 
 var results = [...]policy.Result{upstream.Busy: policy.Full, upstream.Failed: policy.Errored,
-	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset}
+	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset, upstream.Spoilt: policy.Spoilt}
 
 // timer is due at a time: one of the module's, with its token as id, or the
 // end of the wait for attempts of a request.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"wrenroute/internal/meta"
@@ -16,6 +17,10 @@
 
 const (
 	readBuffer = 4 << 10
+	// An answer that has begun is all there within so long: nodes write it at
+	// once, and stand still for 0.4 s at most. It meets lengths and lines that
+	// promise more than comes, and values that never end.
+	answerTime = 500 * time.Millisecond
 	// Bodies up to this size are copied behind their line: one write less.
 	copiedBody = 8 << 10
 )
@@ -24,7 +29,7 @@
 type conn struct {
 	ns      *Nodes
 	node    *node
-	socket  net.Conn
+	socket  *net.TCPConn
 	opened  time.Time
 	active  time.Time // last sign of life, or start of waiting for one
 	wake    sync.Cond // for the writer
@@ -33,19 +38,26 @@
 	writing bool       // the writer holds a batch
 	partly  int        // attempts at the end of sent that its write has not passed yet
 	retired bool
+	spoilt  bool // what came for the first of sent can't be read
 	closed  bool
 }
 
-func newConn(ns *Nodes, n *node, socket net.Conn) *conn {
+func newConn(ns *Nodes, n *node, socket *net.TCPConn) *conn {
 	now := time.Now()
 	c := &conn{ns: ns, node: n, socket: socket, opened: now, active: now, wake: sync.Cond{L: &ns.mu}}
-	go c.write()
-	go c.read()
+	ns.tasks.Go(c.write)
+	ns.tasks.Go(c.read)
 	return c
 }
 
 func (c *conn) outstanding() int { return len(c.out) + len(c.sent) }
 
+// awaited tells whether anybody waits for something on the connection.
+func (c *conn) awaited() bool {
+	live := func(a *Attempt) bool { return !a.abandoned }
+	return c.writing || len(c.out) > 0 || slices.ContainsFunc(c.sent, live)
+}
+
 func (c *conn) queue(a *Attempt) {
 	if c.outstanding() == 0 {
 		c.active = time.Now()
@@ -109,7 +121,10 @@
 			}
 		}
 		c.writing = false
-		if len(c.sent)+len(c.out) == 0 && c.retired {
+		if slices.ContainsFunc(batch, func(a *Attempt) bool { return a.abandoned }) {
+			c.retired = true // given up while it was being written
+		}
+		if c.retired && !c.awaited() {
 			c.close()
 		}
 	}
@@ -137,13 +152,15 @@
 }
 
 // read takes the answers. It ends the connection at the first byte that is
-// not what was asked for.
+// not what was asked for: where the next answer begins can't be known then.
 func (c *conn) read() {
-	in := bufio.NewReaderSize(c.socket, readBuffer)
-	err := c.answers(in)
+	err := c.answers(bufio.NewReaderSize(c.socket, readBuffer))
 	c.ns.mu.Lock()
-	if err != nil && !c.closed && !errors.Is(err, io.EOF) && !errors.As(err, new(*net.OpError)) {
-		c.ns.log.Warn("cache node's answer", "node", c.node.Name, "error", err)
+	if err != nil && !c.closed && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		var broken *net.OpError
+		if c.spoilt = !errors.As(err, &broken) || broken.Timeout(); c.spoilt {
+			c.ns.warn(c.node.Name, err)
+		}
 	}
 	c.close()
 	c.finish()
@@ -151,22 +168,35 @@
 
 // finish ends the attempts of a closed connection, once no write can
 // change what is known of them. It is entered with ns.mu held and frees it.
+// What was not written goes over another connection, once: a connection's
+// end tells little of the node, and a node that accepts and resets must not
+// keep an attempt going round.
 func (c *conn) finish() {
 	if c.writing { // the writer comes here itself
 		c.ns.mu.Unlock()
 		return
 	}
-	out, sent, partly := c.out, c.sent, min(c.partly, len(c.sent))
+	sent, partly := c.sent, min(c.partly, len(c.sent))
+	var lost []*Attempt
+	for _, a := range c.out {
+		again := !a.moved && c.node.listed
+		if a.moved = true; !again || !c.ns.place(c.node, a) {
+			lost = append(lost, a)
+		}
+	}
 	c.out, c.sent = nil, nil
 	c.ns.mu.Unlock()
 	for i, a := range sent {
 		result := Broken
-		if i >= len(sent)-partly {
+		switch {
+		case i >= len(sent)-partly:
 			result = NoConnect
+		case i == 0 && c.spoilt:
+			result = Spoilt
 		}
 		c.ns.handler.Ended(a, nil, result)
 	}
-	for _, a := range out {
+	for _, a := range lost {
 		c.ns.handler.Ended(a, nil, NoConnect)
 	}
 }
@@ -186,8 +216,12 @@
 	return c.sent[0], nil
 }
 
-// next takes the attempt just answered off the queue.
-func (c *conn) next() {
+// next takes the attempt just answered off the queue. If more has come than
+// belongs to it and nothing else is out, the connection gets nothing new: what
+// is there could pass for the answer of whatever is sent next.
+func (c *conn) next(in *bufio.Reader) {
+	c.socket.SetReadDeadline(time.Time{})
+	more := in.Buffered() > 0 || c.pending()
 	c.ns.mu.Lock()
 	defer c.ns.mu.Unlock()
 	if len(c.sent) == 0 {
@@ -196,18 +230,42 @@
 	c.sent[0] = nil
 	c.sent = c.sent[1:]
 	c.active = time.Now()
-	if c.outstanding() > 0 || c.writing {
-		return
+	if more && len(c.sent) == 0 && !c.writing {
+		c.retired = true
 	}
-	if c.retired {
+	switch {
+	case c.retired && !c.awaited():
 		c.close()
-	} else {
+	case !c.retired && c.outstanding() == 0 && !c.writing:
 		c.node.take()
 	}
 }
 
+// pending tells whether unread bytes, or the connection's end, wait in the kernel.
+func (c *conn) pending() bool {
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err == nil
+		return true
+	})
+	return waiting
+}
+
 func (c *conn) answers(in *bufio.Reader) error {
 	for {
+		if _, err := in.Peek(1); err != nil {
+			return err
+		}
+		c.socket.SetReadDeadline(time.Now().Add(answerTime))
+		a, err := c.head()
+		if err != nil {
+			return err
+		}
 		line, err := in.ReadSlice('\n')
 		if err != nil {
 			return err
@@ -220,10 +278,6 @@
 		if err != nil {
 			return err
 		}
-		a, err := c.head()
-		if err != nil {
-			return err
-		}
 		if err := c.answer(in, a, &answer); err != nil {
 			return err
 		}
@@ -242,7 +296,7 @@
 	switch {
 	case answer.Kind == meta.Stored:
 		text := meta.AppendStored(make([]byte, 0, len(a.Command.ID)+len(answer.Receipt)+8), a.Command.ID, answer.Receipt)
-		c.next()
+		c.next(in)
 		c.ns.handler.Answered(a, answer, text)
 	case served:
 		// What the line says lies in the reader's buffer, which the value overwrites.
@@ -257,14 +311,14 @@
 		if !bytes.HasSuffix(text, []byte("\r\n")) {
 			return meta.ErrAnswer
 		}
-		c.next()
+		c.next(in)
 		c.ns.handler.Answered(a, &kept, text)
 	default:
 		result := Failed
 		if answer.Kind == meta.Busy {
 			result = Busy
 		}
-		c.next()
+		c.next(in)
 		c.ns.handler.Ended(a, answer, result)
 	}
 	return nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,7 @@
 	Failed                  // an error, it may have run
 	NoConnect               // its last byte was never written
 	Broken                  // the connection ended after that
+	Spoilt                  // what came instead of its answer can't be read
 )
 
 // Attempt is one sending of a command. Each is written at most once and has
@@ -34,8 +35,10 @@
 	Body     []byte    // a Set's value with its CRLF
 	Deadline time.Time // when the proxy stops waiting
 
-	node string
-	end  int // its place in the batch in writing
+	node      string
+	end       int  // its place in the batch in writing
+	moved     bool // it has been taken over from a connection that ended
+	abandoned bool // nobody waits for its answer
 }
 
 // Handler is told what becomes of attempts. No lock of this package is held
@@ -74,9 +77,14 @@
 	log     *slog.Logger
 	dialer  net.Dialer
 
-	mu    sync.Mutex
-	nodes map[string]*node
-	conns int // open or coming up, of all nodes
+	tasks sync.WaitGroup // dials, readers and writers
+
+	mu     sync.Mutex
+	nodes  map[string]*node
+	conns  int  // open or coming up, of all nodes
+	closed bool // Run has ended
+	warned time.Time
+	hushed int // warnings left out since
 }
 
 // The waits before a node that refused a connection is asked for a further one.
@@ -163,12 +171,8 @@
 func (ns *Nodes) Send(name string, a *Attempt) bool {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
-	n := ns.nodes[name]
-	if n == nil {
-		return false
-	}
 	a.node = name
-	return ns.place(n, a)
+	return ns.place(ns.nodes[name], a)
 }
 
 // place prefers an idle connection, then a new one, since answers on one
@@ -176,6 +180,9 @@
 // table is small and shared with all proxies: where it has no room, attempts
 // are pipelined.
 func (ns *Nodes) place(n *node, a *Attempt) bool {
+	if n == nil || ns.closed {
+		return false
+	}
 	best := n.best(ns.limits.Streams)
 	// Nothing but a new connection can help a node without any.
 	more := n.open()+n.dialing < ns.limits.PerNode && (best == nil || !time.Now().Before(n.dialAt))
@@ -247,10 +254,10 @@
 	n.dialing++
 	ns.conns++
 	address := n.Address
-	go func() {
-		socket, err := ns.dialer.DialContext(context.Background(), "tcp", address)
+	ns.tasks.Go(func() {
+		socket, err := ns.dialer.Dial("tcp", address) // bounded by the dialer's timeout
 		ns.dialed(n, address, socket, err)
-	}()
+	})
 }
 
 func (ns *Nodes) dialed(n *node, address string, socket net.Conn, err error) {
@@ -261,12 +268,12 @@
 		ns.conns--
 		n.pause = min(max(2*n.pause, dialPauseFirst), dialPauseMost)
 		n.dialAt = time.Now().Add(n.pause)
-	case address != n.Address || !n.listed: // the node has moved or is gone
+	case address != n.Address || !n.listed || ns.closed: // the node has moved or is gone
 		ns.conns--
 		socket.Close()
 	default:
 		n.pause = 0
-		n.conns = append(n.conns, newConn(ns, n, socket))
+		n.conns = append(n.conns, newConn(ns, n, socket.(*net.TCPConn)))
 		n.take()
 	}
 	// What this one would have carried goes over another, if there is one.
@@ -299,11 +306,18 @@
 	}
 }
 
-// Withdraw takes back an attempt of which no byte is written; false means that
-// it is under way, and what comes of it will still be told.
-func (ns *Nodes) Withdraw(a *Attempt) bool {
+// Abandon tells that nobody waits for an attempt any more. It returns true if
+// no byte of it is written, and none will be.
+//
+// One that is under way holds up all that follow it on its connection, for good
+// where its answer is lost, the node has stalled or the machine has vanished. So
+// the connection gets nothing new, and is closed once nobody waits for anything
+// on it. Under overload, when much is given up, this costs the nodes handshakes,
+// a fraction of the work given up.
+func (ns *Nodes) Abandon(a *Attempt) bool {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
+	a.abandoned = true
 	n := ns.nodes[a.node]
 	if n == nil {
 		return false
@@ -317,6 +331,10 @@
 			c.out = slices.Delete(c.out, i, i+1)
 			return true
 		}
+		if slices.Contains(c.sent, a) {
+			ns.retire(c)
+			return false
+		}
 	}
 	return false
 }
@@ -334,23 +352,37 @@
 	}
 }
 
-// retire lets a connection finish what it has. ns.mu is held.
+// retire lets a connection finish what is waited for. ns.mu is held.
 func (ns *Nodes) retire(c *conn) {
 	c.retired = true
-	if c.outstanding() == 0 {
+	if !c.awaited() {
 		c.close()
 	}
 }
 
+// warn logs what is wrong with a node's answers, once a second at most: a node
+// that answers noise must not flood the log. ns.mu is held.
+func (ns *Nodes) warn(name string, err error) {
+	if now := time.Now(); now.Sub(ns.warned) < time.Second {
+		ns.hushed++
+	} else {
+		ns.log.Warn("cache node's answer", "node", name, "error", err, "others", ns.hushed)
+		ns.warned, ns.hushed = now, 0
+	}
+}
+
 // Run closes connections that stood idle for long, before the node does it
 // in the middle of a request, and those whose node has fallen silent: a machine
-// that vanished says nothing at all. It ends with ctx.
+// that vanished says nothing at all. When ctx ends it closes all and waits for the
+// end of what this package has started.
 func (ns *Nodes) Run(ctx context.Context) {
 	tick := time.NewTicker(min(ns.limits.Idle, ns.limits.Silent) / 8)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			ns.close()
+			ns.tasks.Wait()
 			return
 		case now := <-tick.C:
 			ns.sweep(now)
@@ -374,10 +406,11 @@
 	}
 }
 
-// Close closes all connections.
-func (ns *Nodes) Close() {
+// close closes all connections, for good.
+func (ns *Nodes) close() {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
+	ns.closed = true
 	for _, n := range ns.nodes {
 		for _, c := range slices.Clone(n.conns) {
 			c.close()
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,228 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"wrenroute/internal/meta"
+)
+
+// patience bounds each wait of these tests; none of them depends on its length.
+const patience = 30 * time.Second
+
+// end is how an attempt ended, with what came for it if it was served.
+type end struct {
+	attempt *Attempt
+	text    string
+	result  Result
+}
+
+// ends is a Handler that lets all begin and passes on how they ended.
+type ends chan end
+
+func (e ends) Begin(batch []*Attempt) []*Attempt { return batch }
+
+func (e ends) Answered(a *Attempt, _ *meta.Answer, text []byte) {
+	e <- end{attempt: a, text: string(text)}
+}
+
+func (e ends) Ended(a *Attempt, _ *meta.Answer, result Result) { e <- end{attempt: a, result: result} }
+
+// startNodes returns connections, one at most, to a node that runs script on
+// each connection it accepts.
+func startNodes(t *testing.T, script func(id string, socket net.Conn)) (*Nodes, ends) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				for in := bufio.NewScanner(socket); in.Scan(); {
+					_, rest, _ := strings.Cut(in.Text(), " O")
+					id, _, _ := strings.Cut(rest, " ")
+					script(id, socket)
+				}
+			}()
+		}
+	}()
+	handler := make(ends, 100)
+	nodes := New(Limits{PerNode: 1, All: 4, Streams: 128, Connect: patience, Idle: time.Hour, Silent: time.Hour},
+		handler, slog.New(slog.DiscardHandler))
+	nodes.Set([]Node{{Name: "n", Address: listener.Addr().String()}})
+	ctx, stop := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() {
+		defer close(ran)
+		nodes.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ran
+	})
+	return nodes, handler
+}
+
+func get(t *testing.T, nodes *Nodes, id string) *Attempt {
+	t.Helper()
+	command, err := meta.ParseCommand("mg k v O" + id + " Pc=read")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &Attempt{Command: &command, Deadline: time.Now().Add(patience)}
+	if !nodes.Send("n", a) {
+		t.Fatalf("no connection for %s", id)
+	}
+	return a
+}
+
+func (e ends) expectServed(t *testing.T, a *Attempt) {
+	t.Helper()
+	want := "VA 2 O" + a.Command.ID + "\r\nhi\r\n"
+	if got := e.next(t); got.attempt != a || got.text != want {
+		t.Errorf("%s ended with result %d and %q, want %q for %s", got.attempt.Command.ID, got.result, got.text, want,
+			a.Command.ID)
+	}
+}
+
+func (e ends) next(t *testing.T) end {
+	t.Helper()
+	select {
+	case got := <-e:
+		return got
+	case <-time.After(patience):
+		t.Fatal("no attempt ended")
+		return end{}
+	}
+}
+
+func serve(id string, socket net.Conn) { fmt.Fprintf(socket, "VA 2 O%s h1\r\nhi\r\n", id) }
+
+// TestAbandonedAttemptHoldsUpNobody guards against lost answers and stalled
+// nodes: what is sent later must not wait behind an attempt given up.
+func TestAbandonedAttemptHoldsUpNobody(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+		if id == "lost" {
+			arrived <- struct{}{}
+			return
+		}
+		serve(id, socket)
+	})
+	lost := get(t, nodes, "lost")
+	<-arrived
+	if nodes.Abandon(lost) {
+		t.Fatal("an attempt that has arrived passed for one not written")
+	}
+	if got := handler.next(t); got.attempt != lost || got.result != Broken {
+		t.Errorf("%s ended with result %d, want the lost one with %d", got.attempt.Command.ID, got.result, Broken)
+	}
+	handler.expectServed(t, get(t, nodes, "next"))
+	nodes.mu.Lock()
+	defer nodes.mu.Unlock()
+	if nodes.conns != 1 {
+		t.Errorf("%d connections open, want the one of the attempt served", nodes.conns)
+	}
+}
+
+// TestSpoiltAnswerCostsOneAttempt guards against answers that can't be read: the
+// attempt may have run, and the next one goes over a clean connection.
+func TestSpoiltAnswerCostsOneAttempt(t *testing.T) {
+	for name, answer := range map[string]string{
+		"noise":           "\x00\x17\xff\r\n",
+		"endless line":    strings.Repeat("x", 10000),
+		"line of no end":  "VA 2",
+		"other id":        "VA 2 Oother h1\r\nhi\r\n",
+		"no id":           "VA 2 h1\r\nhi\r\n",
+		"two ids":         "VA 2 Obad Obad2\r\nhi\r\n",
+		"3 GB":            "VA 3000000000 Obad h1\r\n" + strings.Repeat("v", 10000),
+		"negative length": "VA -2 Obad h1\r\nhi\r\n",
+		"length too long": "VA 200 Obad h1\r\nhi\r\n",
+		"length short":    "VA 1 Obad h1\r\nhi\r\n",
+		"a receipt":       "HD Obad c7\r\n",
+		"bare newline":    "VA 2 Obad h1\nhi\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+				if id == "bad" {
+					fmt.Fprint(socket, answer)
+					return
+				}
+				serve(id, socket)
+			})
+			bad := get(t, nodes, "bad")
+			if got := handler.next(t); got.attempt != bad || got.text != "" || got.result != Spoilt {
+				t.Errorf("ended with result %d and %q, want %d", got.result, got.text, Spoilt)
+			}
+			handler.expectServed(t, get(t, nodes, "next"))
+		})
+	}
+}
+
+// TestMoreThanBelongsToAnAnswer guards against a second copy or noise behind a
+// good answer, and against a load report that can't be read: the answer counts,
+// and what is sent next does not get the rest for its own.
+func TestMoreThanBelongsToAnAnswer(t *testing.T) {
+	for name, more := range map[string]string{
+		"second copy": "VA 2 Ogood h1\r\nhi\r\n",
+		"noise":       "\x00\x17\xff",
+		"refusal":     "SERVER_ERROR busy\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+				if id == "good" {
+					fmt.Fprintf(socket, "VA 2 Ogood h1 Linflight=\x01,=,\r\nhi\r\n%s", more)
+					return
+				}
+				serve(id, socket)
+			})
+			handler.expectServed(t, get(t, nodes, "good"))
+			handler.expectServed(t, get(t, nodes, "next"))
+		})
+	}
+}
+
+// TestErrorLineKeepsTheConnection guards against an error in other words, which
+// is whole, taking its neighbours with it; and against a refusal that is none.
+func TestErrorLineKeepsTheConnection(t *testing.T) {
+	for line, want := range map[string]Result{
+		"CLIENT_ERROR Odd thing": Failed, "ERROR": Failed, "SERVER_ERROR failed": Failed, "SERVER_ERROR busy x": Failed,
+		"SERVER_ERROR busy Linflight=3": Busy,
+	} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			accepted := map[net.Conn]bool{}
+			nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+				accepted[socket] = true // the one connection's goroutine alone comes here
+				if id == "bad" {
+					fmt.Fprintf(socket, "%s\r\n", line)
+					return
+				}
+				serve(id, socket)
+			})
+			bad := get(t, nodes, "bad")
+			if got := handler.next(t); got.attempt != bad || got.result != want {
+				t.Errorf("ended with result %d, want %d", got.result, want)
+			}
+			handler.expectServed(t, get(t, nodes, "next"))
+			if len(accepted) != 1 {
+				t.Errorf("%d connections, want 1", len(accepted))
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -630,7 +630,10 @@
 		if a.sent >= s.failed {
 			s.fails++
 			s.failed = b.now
-			s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
+			// Nor does it tell that the server has gone, as long as others come up.
+			if e.Result == ConnectFailed || s.fails > 1 {
+				s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
+			}
 		}
 		failed, sick = 1, true
 	}
