Tell lost answers from late ones by what is expected of the server

Now: an answer that is out five times the expected time is lost. It counts against its server, not against the gates, and calls for a second copy.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,9 @@
 	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
 	healthPrior  = 4.0             // attempts assumed to fail as often as elsewhere, besides those seen
 	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
-	hedgeShare   = 0.6             // of the aim without an answer, then a second copy goes elsewhere
+	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
+	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
+	overdueMost  = 0.6             // of the aim: anything later is too late for a second copy
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
 )
@@ -117,7 +119,8 @@
 	sent    time.Duration
 	done    bool
 	mayRun  bool
-	promise bool // the server's record named the key
+	promise bool          // the server's record named the key
+	overdue time.Duration // without an answer until then, it is lost rather than late
 }
 
 type request struct {
@@ -400,9 +403,8 @@
 		return
 	}
 	b.send(r, s, promise)
-	if hedge := time.Duration(hedgeShare * float64(r.class.Aim)); b.set.Limits.Duplicates && r.class.Effect == Safe &&
-		b.now-r.arrived < hedge && b.now+hedge < r.Deadline {
-		b.wake(timerHedge, r.ID, hedge)
+	if at := r.attempts[len(r.attempts)-1].overdue; b.set.Limits.Duplicates && r.class.Effect == Safe && at < r.Deadline {
+		b.wake(timerHedge, r.ID, at-b.now)
 	}
 }
 
@@ -447,7 +449,13 @@
 }
 
 func (b *Balancer) send(r *request, s *server, promise bool) {
-	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, mayRun: true, promise: promise})
+	expected, aim := b.hitTime(s), r.class.Aim.Seconds()
+	if !promise {
+		expected += b.origin
+	}
+	overdue := min(max(overdueTimes*expected, overdueLeast*aim), overdueMost*aim)
+	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, mayRun: true, promise: promise,
+		overdue: b.now + time.Duration(overdue*float64(time.Second))})
 	r.open++
 	s.inFlight++
 	s.used = b.now
@@ -622,8 +630,8 @@
 	case Errored, Spoilt:
 		failed, sick = 1, true
 	case Cancelled: // its time was up, or a second copy was faster
-		if s.heard < a.sent && e.Took.Seconds() >= hedgeShare*r.class.Aim.Seconds() {
-			failed = 1
+		if b.now >= a.overdue {
+			failed, sick = 1, true
 		}
 	case ConnectFailed, Reset:
 		// One connection's end is one failure, whatever waited on it.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -334,3 +334,29 @@
 		t.Errorf("%d servers known where 4 are listed", len(b.servers))
 	}
 }
+
+// TestLostAnswersAreNoOverload guards against a server that takes requests and
+// never answers: the gates would shut for all, though nothing is busy.
+func TestLostAnswersAreNoOverload(t *testing.T) {
+	b, now := harness(t)
+	lost, shed := 0, 0
+	for i := range uint64(600) {
+		now += 5 * time.Millisecond
+		out := b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i % 50), Deadline: now + 400*time.Millisecond}, nil)
+		switch to := sent(out); {
+		case len(to) == 0:
+			shed++
+		case to[0] == "a":
+			lost++
+			now += 395 * time.Millisecond
+			b.Handle(now, Timer{Token: (i+1)<<2 | timerDeadline}, nil)
+			b.Handle(now, Outcome{ID: i + 1, Server: "a", Result: Cancelled, Took: 395 * time.Millisecond, Final: true}, nil)
+		default:
+			now += 20 * time.Millisecond
+			b.Handle(now, Outcome{ID: i + 1, Server: to[0], Result: Served, Took: 20 * time.Millisecond, Final: true}, nil)
+		}
+	}
+	if lost > 60 || shed > 30 {
+		t.Errorf("of 600 requests %d were lost and %d shed", lost, shed)
+	}
+}
