Mend a crash on spoilt answers, and test them end to end

Cause: policy.provenNotRun was a table that ends at its last true entry, and the new result Spoilt lies past it: the first spoilt answer ended the proxy with a panic (policy.outcome). Now a function whose answer for any other result is the careful one; the histories draw every result, and a test goes from a node's socket to the client.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -330,3 +330,16 @@
 		t.Errorf("%d bytes of 150000 free when all is written", free)
 	}
 }
+
+// TestSpoiltAnswerIsMadeUpFor guards against spoilt answers all the way from a
+// node's socket to the client: a read is asked for again elsewhere, and none of
+// what came spoilt is passed on.
+func TestSpoiltAnswerIsMadeUpFor(t *testing.T) {
+	spoil := func(c command) { c.answer("VA 3000000000 O%s h1\r\nnoise", c.id) }
+	f := startFleet(t, 256, startNode(t, spoil), startNode(t, command.serve))
+	for i := range 20 {
+		u := f.connect()
+		u.read(fmt.Sprint(i))
+		u.expectValue(fmt.Sprint(i))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -554,7 +554,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.done, a.mayRun = true, !provenNotRun[e.Result]
+	a.done, a.mayRun = true, !provenNotRun(e.Result)
 	r.open--
 	b.learn(r, a, e)
 	if e.Final || r.ended {
@@ -564,8 +564,11 @@
 	}
 }
 
-// provenNotRun tells of each result whether the attempt surely had no effect.
-var provenNotRun = [...]bool{Full: true, ConnectFailed: true, NotSent: true, Missed: true}
+// provenNotRun tells whether an attempt that ended so surely had no effect. A
+// result not known here may have had one.
+func provenNotRun(r Result) bool {
+	return r == Full || r == ConnectFailed || r == NotSent || r == Missed
+}
 
 // again decides what follows an attempt that served nothing.
 func (b *Balancer) again(r *request, e Outcome) {
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		o := policy.Outcome{ID: j.ID, Attempt: i, Server: y.server, Took: w.now - y.sent,
-			Result: policy.Result(w.rng.IntN(9)), Note: policy.Note(w.rng.IntN(3))}
+			Result: policy.Result(w.rng.IntN(int(policy.Spoilt) + 1)), Note: policy.Note(w.rng.IntN(3))}
 		if w.rng.IntN(4) > 0 {
 			o.Result = policy.Served
 		}
