Keep what tells nothing of load out of the gates

Cause: broken connections and spoilt answers counted as ends without success (policy.learn), so at 15% of them the gates neither held nor reopened: clear in gate.open is 0 below 80% good. Retries were not counted as asked, so that taking back a count would have gone below what was asked; now each attempt counts once.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -396,9 +396,10 @@
 		return
 	}
 	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
-	s.gate.count(b.now, 1, 0, 0) // what is shed counts as asked: sends then settle at gateSlack times the good
-	b.gates[promise].count(b.now, 1, 0, 0)
 	if b.may(r, nil) && b.rng.Float64() > open {
+		// What is shed counts as asked: sends then settle at gateSlack times the good.
+		s.gate.count(b.now, 1, 0, 0)
+		b.gates[promise].count(b.now, 1, 0, 0)
 		b.giveUp(r)
 		return
 	}
@@ -456,6 +457,8 @@
 	overdue := min(max(overdueTimes*expected, overdueLeast*aim), overdueMost*aim)
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, mayRun: true, promise: promise,
 		overdue: b.now + time.Duration(overdue*float64(time.Second))})
+	s.gate.count(b.now, 1, 0, 0)
+	b.gates[promise].count(b.now, 1, 0, 0)
 	r.open++
 	s.inFlight++
 	s.used = b.now
@@ -630,8 +633,10 @@
 		b.measure(s, a, e, r)
 		s.fails++
 		failed = 1
-	case Errored, Spoilt:
+	case Errored:
 		failed, sick = 1, true
+	case Spoilt:
+		failed = 1
 	case Cancelled: // its time was up, or a second copy was faster
 		if b.now >= a.overdue {
 			failed, sick = 1, true
@@ -646,24 +651,20 @@
 				s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
 			}
 		}
-		failed, sick = 1, true
+		failed = 1
 	}
-	if e.Result == ConnectFailed { // tells nothing of load
-		s.gate.count(b.now, -1, 0, 0)
-		b.gates[a.promise].count(b.now, -1, 0, 0)
-		return
+	if e.Result != ConnectFailed {
+		s.health[r.Class].count(b.now, 1, failed)
+		b.health[r.Class].count(b.now, 1, failed)
 	}
-	s.health[r.Class].count(b.now, 1, failed)
-	b.health[r.Class].count(b.now, 1, failed)
-	switch {
-	case e.Result == Cancelled && r.served: // the other copy has been counted
-	case sick && b.excess(s, r.Class) >= sickExcess: // tells of the server, not of load
-		s.gate.count(b.now, -1, 0, 0)
-		b.gates[a.promise].count(b.now, -1, 0, 0)
-	default:
-		s.gate.count(b.now, 0, 1, good)
-		b.gates[a.promise].count(b.now, 0, 1, good)
+	asked, ended := 0.0, 1.0
+	if e.Result == ConnectFailed || e.Result == Reset || e.Result == Spoilt || // tell nothing of load
+		e.Result == Cancelled && r.served || // the other copy counts
+		sick && b.excess(s, r.Class) >= sickExcess { // tells of the server alone
+		asked, ended = -1, 0
 	}
+	s.gate.count(b.now, asked, ended, good)
+	b.gates[a.promise].count(b.now, asked, ended, good)
 }
 
 func (b *Balancer) measure(s *server, a *attempt, e Outcome, r *request) {
