Count refusals as failures by server and class

Cause: a refusal (Full) counted as load only (policy.learn), never against the server that gives it; refusing at once it looks idle and is chosen again. Now they count like errors.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
 	gateLeast    = 0.03            // always passes, to see a recovery
 	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
-	healthPrior  = 4.0             // attempts assumed to fail as often as elsewhere, besides those seen
+	healthPrior  = 12.0            // attempts assumed to fail as often as elsewhere: a few seen at a small proxy must move no keys
 	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
 	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
 	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
@@ -633,7 +633,7 @@
 		b.measure(s, a, e, r)
 		s.fails++
 		failed = 1
-	case Errored:
+	case Errored, Full:
 		failed, sick = 1, true
 	case Spoilt:
 		failed = 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -339,24 +339,48 @@
 // never answers: the gates would shut for all, though nothing is busy.
 func TestLostAnswersAreNoOverload(t *testing.T) {
 	b, now := harness(t)
-	lost, shed := 0, 0
-	for i := range uint64(600) {
+	const life = 700 * time.Millisecond
+	lost, shed := map[uint64]bool{}, 0
+	for i := range uint64(2000) {
 		now += 5 * time.Millisecond
-		out := b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i % 50), Deadline: now + 700*time.Millisecond}, nil)
+		if id := i + 1 - uint64(life/(5*time.Millisecond)); lost[id] {
+			b.Handle(now, Timer{Token: id<<2 | timerDeadline}, nil)
+			b.Handle(now, Outcome{ID: id, Server: "a", Result: Cancelled, Took: life, Final: true}, nil)
+		}
+		out := b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i % 50), Deadline: now + life + time.Millisecond}, nil)
+		switch to := sent(out); {
+		case len(to) == 0:
+			shed++
+		case to[0] == "a":
+			lost[i+1] = true
+		default:
+			b.Handle(now, Outcome{ID: i + 1, Server: to[0], Result: Served, Took: 20 * time.Millisecond, Final: true}, nil)
+		}
+	}
+	if len(lost) > 16 || shed > 8 {
+		t.Errorf("of 2000 requests %d were lost and %d shed", len(lost), shed)
+	}
+}
+
+// TestRefusingServerIsLeftAlone guards against a server that refuses one class
+// at once, and so looks idle to it, while it serves the other.
+func TestRefusingServerIsLeftAlone(t *testing.T) {
+	b, now := harness(t)
+	refused, shed := 0, 0
+	for i := range uint64(2000) {
+		now += 5 * time.Millisecond
+		out := b.Handle(now, Arrival{ID: i + 1, Key: fmt.Sprint(i % 50), Deadline: now + time.Second}, nil)
 		switch to := sent(out); {
 		case len(to) == 0:
 			shed++
 		case to[0] == "a":
-			lost++
-			now += 695 * time.Millisecond
-			b.Handle(now, Timer{Token: (i+1)<<2 | timerDeadline}, nil)
-			b.Handle(now, Outcome{ID: i + 1, Server: "a", Result: Cancelled, Took: 695 * time.Millisecond, Final: true}, nil)
+			refused++
+			b.Handle(now, Outcome{ID: i + 1, Server: "a", Result: Full, Took: time.Millisecond}, nil)
 		default:
-			now += 20 * time.Millisecond
 			b.Handle(now, Outcome{ID: i + 1, Server: to[0], Result: Served, Took: 20 * time.Millisecond, Final: true}, nil)
 		}
 	}
-	if lost > 60 || shed > 30 {
-		t.Errorf("of 600 requests %d were lost and %d shed", lost, shed)
+	if refused > 250 || shed > 60 {
+		t.Errorf("of 2000 requests %d were refused and %d shed", refused, shed)
 	}
 }
