Don't hold ended connections against well nodes and a scarce budget

Ruled out: the 623 attempts that 'could not connect' are not failed dials (one to three in half a second) but attempts that the proxy gave up, and no send failed for want of a connection (place returned false 0 times).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,10 +87,14 @@
 	hushed int // warnings left out since
 }
 
-// The waits before a node that refused a connection is asked for a further one.
+// The waits before a node that refused connections is asked for a further one.
+// The first refusal brings none: networks reset single connections, and on
+// the few that are left attempts would wait for one another and end together.
+// A node whose table is full costs as many refusals as it takes to double
+// the wait.
 const (
-	dialPauseFirst = 500 * time.Millisecond
-	dialPauseMost  = 8 * time.Second
+	dialPauseFirst = 50 * time.Millisecond
+	dialPauseMost  = 4 * time.Second
 )
 
 type node struct {
@@ -266,8 +270,8 @@
 	switch {
 	case err != nil:
 		ns.conns--
-		n.pause = min(max(2*n.pause, dialPauseFirst), dialPauseMost)
 		n.dialAt = time.Now().Add(n.pause)
+		n.pause = min(max(2*n.pause, dialPauseFirst), dialPauseMost)
 	case address != n.Address || !n.listed || ns.closed: // the node has moved or is gone
 		ns.conns--
 		socket.Close()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
 	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
 	overdueMost  = 0.6             // of the aim: anything later is too late for a second copy
+	chance       = 0.01            // of what is taken for no accident
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
 )
@@ -114,6 +115,17 @@
 	return max((own.failed+healthPrior*rest)/(own.ended+healthPrior)-rest, 0)
 }
 
+// rare tells whether so many connections in a row would seldom end by chance,
+// as often as they end at all servers together. A server must not be set aside,
+// and its keys with it, for what befalls all: networks that reset, or drop what
+// is idle. It should cover proxies and nodes short of descriptors as well. It
+// might hurt where most of a fleet dies at once: the first failures at each are
+// then taken for the network's, and cost a retry each.
+func (b *Balancer) rare(fails int) bool {
+	b.ends.count(b.now, 0, 0)
+	return math.Pow(b.ends.failed/(b.ends.ended+1), float64(fails)) < chance
+}
+
 type attempt struct {
 	server  *server
 	sent    time.Duration
@@ -160,6 +172,7 @@
 	// origin must not close the way to what the caches hold.
 	gates  map[bool]*gate
 	health []health // of all servers, by class
+	ends   health   // of attempts at all servers, failed where their connection ended
 }
 
 // The kinds of timers, in the low bits of a token; the rest is a request's ID.
@@ -580,8 +593,7 @@
 	a := &r.attempts[e.Attempt]
 	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
 		b.excess(a.server, r.Class) < sickExcess
-	if b.now < r.Deadline-4*b.set.Tick && b.retries >= 1 && !origin {
-		b.retries--
+	if b.now < r.Deadline-4*b.set.Tick && !origin && b.pay() {
 		if s, promise := b.choose(r); s != nil {
 			b.send(r, s, promise)
 			return
@@ -590,6 +602,23 @@
 	b.giveUp(r)
 }
 
+// pay tells whether one more attempt for a request may be made. It multiplies an
+// overload, so it is paid for from what successes have earned once the gates shed.
+// Until then the limit of attempts bounds it: networks that break more
+// connections than a budget foresees must not fail requests that idle servers
+// could answer, since their clients ask again all the same. It might hurt where
+// failing takes a server more work than answering.
+func (b *Balancer) pay() bool {
+	if b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
+		return true
+	}
+	if b.retries < 1 {
+		return false
+	}
+	b.retries--
+	return true
+}
+
 // end drops a request once nothing of it is out.
 func (b *Balancer) end(r *request) {
 	if !r.ended && b.set.Limits.Cancel {
@@ -616,7 +645,7 @@
 	if e.Result != Cancelled && e.Result != TimedOut && e.Result != ConnectFailed {
 		s.heard = b.now
 	}
-	good, failed, sick := 0.0, 0.0, false
+	good, failed, broken, sick := 0.0, 0.0, 0.0, false
 	switch e.Result {
 	case Served:
 		s.fails, s.until = 0, 0
@@ -643,16 +672,19 @@
 		}
 	case ConnectFailed, Reset:
 		// One connection's end is one failure, whatever waited on it.
-		if a.sent >= s.failed {
+		if broken = 1; a.sent >= s.failed {
 			s.fails++
 			s.failed = b.now
 			// Nor does it tell that the server has gone, as long as others come up.
-			if e.Result == ConnectFailed || s.fails > 1 {
+			if (e.Result == ConnectFailed || s.fails > 1) && b.rare(s.fails) {
 				s.until = b.now + b.jitter(min(backoffFirst<<min(s.fails, 8), backoffMost))
 			}
 		}
 		failed = 1
 	}
+	if e.Result != Cancelled {
+		b.ends.count(b.now, 1, broken)
+	}
 	if e.Result != ConnectFailed {
 		s.health[r.Class].count(b.now, 1, failed)
 		b.health[r.Class].count(b.now, 1, failed)
