Turn hopeless requests away at once; keep impatience out of the gates

Each try given up was counted as bad in the gates (learn), which then stood at 0.2 to 0.3 for ten seconds with 1 to 4 attempts out at each node: as long as 23% or more of what is sent is not in time, gateSlack*good/asked cannot grow (gate.open), and the gate of misses reopened at 23 s only. Meanwhile inFlight fell with each attempt given up though the work goes on, and only quick answers counted for a server's time.

So shedding is needed, by another measure: the expected time against the client's wait, with given-up work as load and with what an attempt outlasted as a sample.

Ruled out: answers waiting behind others on client connections (0 seen); that shed requests counted as asked feed the gate by themselves: sends do settle at 1.3 times the good, as meant. Refusals now say when to come back.

Tests over loopback sockets for both changes, seen to fail without them.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -343,3 +344,84 @@
 		u.expectValue(fmt.Sprint(i))
 	}
 }
+
+// TestEndedConnectionsFailNobody guards against networks and nodes that break
+// every other connection under a request: nodes that answer all the same must
+// not be set aside for it, nor may it use up what retries are paid from.
+func TestEndedConnectionsFailNobody(t *testing.T) {
+	var asked atomic.Int64
+	node := func(c command) {
+		if asked.Add(1)%2 == 1 {
+			c.node.Close()
+			return
+		}
+		c.serve()
+	}
+	f := startFleet(t, 256, startNode(t, node), startNode(t, node))
+	u := f.connect()
+	for i := range 60 {
+		u.read(fmt.Sprint(i))
+		u.expectValue(fmt.Sprint(i))
+	}
+}
+
+// TestImpatientClientsKeepNobodyOut guards against clients that give up before
+// an answer can be expected: others must not be turned away for it.
+func TestImpatientClientsKeepNobodyOut(t *testing.T) {
+	f := startFleet(t, 256, startNode(t, func(c command) {
+		if !strings.HasPrefix(c.id, "hasty") {
+			c.serve()
+		}
+	}))
+	u := f.connect()
+	patient := func(id string) {
+		u.read(id)
+		u.expectValue(id)
+	}
+	for i := range 20 {
+		patient(fmt.Sprint("before", i))
+	}
+	for i := range 40 {
+		hasty := f.connect()
+		hasty.send("mg k%d v Ohasty%d Pc=read,t=shops,d=60\r\n", i, i)
+		if got := hasty.line(); !strings.HasPrefix(got, "SERVER_ERROR busy ") {
+			t.Errorf("a read that was not answered ended with %q", got)
+		}
+	}
+	for i := range 20 {
+		patient(fmt.Sprint("after", i))
+	}
+}
+
+// TestHopelessRequestsAreTurnedAwayAtOnce guards against overloads that waiting
+// work keeps up: what a busy node can't answer before its client gives up
+// is not sent there, and the client is told when to come back.
+func TestHopelessRequestsAreTurnedAwayAtOnce(t *testing.T) {
+	const waiting, hasty = 60, 20
+	arrived := make(chan string, waiting+hasty)
+	f := startFleet(t, 512, startNode(t, func(c command) { arrived <- c.id }))
+	for i := range waiting { // each holds its connection, and the node answers none
+		f.connect().read(fmt.Sprint("waiting", i))
+	}
+	<-arrived
+	refused := 0
+	for i := range hasty {
+		u := f.connect()
+		u.send("mg k%d v Ohasty%d Pc=read,t=shops,d=150\r\n", i, i)
+		if strings.HasPrefix(u.line(), "SERVER_ERROR busy ") {
+			refused++
+		}
+	}
+	if refused != hasty {
+		t.Errorf("%d of %d refused with advice", refused, hasty)
+	}
+	sent := 0
+	for len(arrived) > 0 {
+		if strings.HasPrefix(<-arrived, "hasty") {
+			sent++
+		}
+	}
+	if sent > hasty/2 { // a few always pass, to see a recovery
+		t.Errorf("%d of %d sent to a node that can't answer them in time", sent, hasty)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	gateSlack    = 1.3
 	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
 	gateLeast    = 0.03            // always passes, to see a recovery
+	hopeShare    = 0.9             // of a client's wait that its answer may be expected to take
 	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
 	healthPrior  = 12.0            // attempts assumed to fail as often as elsewhere: a few seen at a small proxy must move no keys
 	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
@@ -52,6 +53,8 @@
 	listed   bool
 	record   record
 	inFlight float64       // own attempts out
+	given    float64       // own attempts given up whose work may go on, fading
+	faded    time.Duration // time of given
 	load     float64       // its smoothed value
 	fastest  float64       // RTT-SW: fastest recent answer, seconds
 	work     float64       // smoothed latency above that, seconds
@@ -408,13 +411,18 @@
 		b.hold(r)
 		return
 	}
-	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
-	if b.may(r, nil) && b.rng.Float64() > open {
-		// What is shed counts as asked: sends then settle at gateSlack times the good.
-		s.gate.count(b.now, 1, 0, 0)
-		b.gates[promise].count(b.now, 1, 0, 0)
-		b.giveUp(r)
-		return
+	if b.may(r, nil) {
+		if b.hopeless(r, s) && b.rng.Float64() > gateLeast {
+			b.giveUp(r)
+			return
+		}
+		if b.rng.Float64() > min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior)) {
+			// What is shed counts as asked: sends then settle at gateSlack times the good.
+			s.gate.count(b.now, 1, 0, 0)
+			b.gates[promise].count(b.now, 1, 0, 0)
+			b.giveUp(r)
+			return
+		}
 	}
 	b.send(r, s, promise)
 	if at := r.attempts[len(r.attempts)-1].overdue; b.set.Limits.Duplicates && r.class.Effect == Safe && at < r.Deadline {
@@ -422,6 +430,17 @@
 	}
 }
 
+// hopeless tells whether s can hardly answer a request before its client gives up.
+// It is turned away at once then: its work would go on unawaited, and clients that
+// ask again for want of an answer fill the servers with such work. It meets
+// overloads of every kind as soon as they show in the expected time, and clients
+// that turn impatient while nodes are well. The time of a miss is left out, since
+// a fetch that comes too late for one try fills the cache for the next. It might
+// hurt where estimates are too high: so some pass all the same, and correct them.
+func (b *Balancer) hopeless(r *request, s *server) bool {
+	return b.hitTime(s) > hopeShare*(r.Deadline-b.now).Seconds()
+}
+
 // hedge sends a second copy of a read that has long had no answer. It meets
 // answers that are lost and servers that have stalled or vanished, before the
 // client's time is up. It might hurt under overload, when all is slow: so it
@@ -455,7 +474,9 @@
 	case r.ended || r.stream:
 		return
 	case b.may(r, nil):
-		b.do(Action{Kind: Refuse, ID: r.ID})
+		// A queue to be answered in time is gone within an aim. Clients turned
+		// away together must not come back together.
+		b.do(Action{Kind: Refuse, ID: r.ID, After: min(b.jitter(r.class.Aim/2), b.set.Limits.MaxRetryAfter)})
 	default:
 		b.do(Action{Kind: Fail, ID: r.ID})
 	}
@@ -561,7 +582,17 @@
 		work += (s.work - work) * trust
 		fastest = s.fastest
 	}
-	return fastest + work*(s.inFlight+1)/(s.load+1)
+	return fastest + work*(b.busy(s)+1)/(s.load+1)
+}
+
+// busy counts what a server works at for this proxy: what is out, and what was
+// given up: its work goes on for about as long as an answer would have taken.
+func (b *Balancer) busy(s *server) float64 {
+	if s.given > 0 {
+		s.given *= math.Exp(-(b.now - s.faded).Seconds() / max(s.fastest+s.work, b.fastest+b.work))
+	}
+	s.faded = b.now
+	return s.inFlight + s.given
 }
 
 func (b *Balancer) outcome(e Outcome) {
@@ -637,8 +668,11 @@
 // learn updates a server's estimates from an outcome.
 func (b *Balancer) learn(r *request, a *attempt, e Outcome) {
 	s := a.server
-	s.load += (s.inFlight - s.load) * loadWeight
+	s.load += (b.busy(s) - s.load) * loadWeight
 	s.inFlight--
+	if e.Result == Cancelled || e.Result == TimedOut {
+		s.given++
+	}
 	if a.sent < s.Started {
 		return // sent before its restart
 	}
@@ -667,6 +701,7 @@
 	case Spoilt:
 		failed = 1
 	case Cancelled: // its time was up, or a second copy was faster
+		b.outlast(s, a, e, r)
 		if b.now >= a.overdue {
 			failed, sick = 1, true
 		}
@@ -689,9 +724,12 @@
 		s.health[r.Class].count(b.now, 1, failed)
 		b.health[r.Class].count(b.now, 1, failed)
 	}
+	// A client that gives up before the aim tells of its patience, not of load.
+	// Gates that shut for it would turn away all that idle servers could answer.
+	early := b.now-r.arrived < r.class.Aim
 	asked, ended := 0.0, 1.0
 	if e.Result == ConnectFailed || e.Result == Reset || e.Result == Spoilt || // tell nothing of load
-		e.Result == Cancelled && r.served || // the other copy counts
+		e.Result == Cancelled && (r.served || early) || // the other copy counts, or none
 		sick && b.excess(s, r.Class) >= sickExcess { // tells of the server alone
 		asked, ended = -1, 0
 	}
@@ -699,6 +737,21 @@
 	b.gates[a.promise].count(b.now, asked, ended, good)
 }
 
+// outlast learns from an attempt given up that an answer takes longer than that.
+// Without it, where clients give up soon, only the quick answers of a full
+// server would count, and it would pass for a fast one.
+func (b *Balancer) outlast(s *server, a *attempt, e Outcome, r *request) {
+	more := e.Took.Seconds() - s.fastest - s.work
+	switch {
+	case more <= 0 || s.sampled == 0 || r.Write:
+	case a.promise:
+		s.work += more * sampleWeight
+		s.sampled = b.now
+	case more > b.origin:
+		b.origin += (more - b.origin) * loadWeight
+	}
+}
+
 func (b *Balancer) measure(s *server, a *attempt, e Outcome, r *request) {
 	took := e.Took.Seconds()
 	miss := e.Note == NoteMiss || e.Note == NoteMissShared
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -196,7 +196,7 @@
 func TestErrorKeepsKeysAtTheirServer(t *testing.T) {
 	b, now := harness(t)
 	for i := range uint64(10) { // enough that one error does not shut a gate
-		for _, s := range sent(b.Handle(now, Arrival{ID: 10 + i, Key: "other", Deadline: now + time.Second}, nil)) {
+		for _, s := range sent(b.Handle(now, Arrival{ID: 10 + i, Key: fmt.Sprint("other", i), Deadline: now + time.Second}, nil)) {
 			b.Handle(now, Outcome{ID: 10 + i, Server: s, Result: Served, Final: true}, nil)
 		}
 	}
@@ -384,3 +384,25 @@
 		t.Errorf("of 2000 requests %d were refused and %d shed", refused, shed)
 	}
 }
+
+// TestGivenUpWorkCounts guards against clients that give up soon: the server
+// works on, and must neither look idle nor pass for as fast as the
+// answers that were still in time.
+func TestGivenUpWorkCounts(t *testing.T) {
+	b, now := harness(t)
+	s := b.servers["a"]
+	s.sampled, s.fastest, s.work = now, 0.01, 0.04
+	before := b.hitTime(s)
+	a := attempt{server: s, sent: now, promise: true}
+	r := &request{class: &b.set.Classes[0], arrived: now}
+	const wait = 100 * time.Millisecond
+	b.now += wait
+	s.inFlight = 1
+	b.learn(r, &a, Outcome{Result: Cancelled, Took: wait})
+	if b.busy(s) < 0.9 || s.work <= 0.04 || b.hitTime(s) <= 2*before*0.9 {
+		t.Errorf("%.2f in work, %.3f s each, %.3f s expected after %.3f s", b.busy(s), s.work, b.hitTime(s), before)
+	}
+	if b.now += 10 * wait; b.busy(s) > 0.01 {
+		t.Errorf("%.2f still in work long after", b.busy(s))
+	}
+}
