Keep few idle clients: held connections filled the places of all

A trace of client connections showed 1.2 requests a connection, exactly a third of the descriptors held by clients without a request, 2 to 30 requests open, and a steady 159 of 176 places taken: makeRoom closed one idle client for each one accepted, and no more.

tidy now closes those that idle longest beyond an eighth of all places, from 0.1 s on.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// TestHeldConnectionsAreFew guards against clients that ask once on each of many
+// connections and hold them all: most are closed long before they would be for
+// idling, and the latest stay.
+func TestHeldConnectionsAreFew(t *testing.T) {
+	f := startFleet(t, 256, startNode(t, command.serve))
+	for i := range 60 {
+		u := f.connect()
+		u.read(fmt.Sprint(i))
+		u.expectValue(fmt.Sprint(i))
+	}
+	f.server.tidy(time.Now().Add(idleLeast))
+	f.server.mu.Lock()
+	defer f.server.mu.Unlock()
+	idlers := 0
+	for c := range f.server.clients {
+		if _, idle := c.idleSince(); idle {
+			idlers++
+		}
+	}
+	if most := f.server.most / idlePart; idlers > most {
+		t.Errorf("%d clients hold a connection for nothing, want %d at most", idlers, most)
+	}
+}
+
 // TestBadCommandsAreTurnedAway guards against clients that send what can't be
 // meant: each is owed an error or a close, soon, and nothing of it may reach a node.
 func TestBadCommandsAreTurnedAway(t *testing.T) {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,6 +20,8 @@
 	sweepTime = 100 * time.Millisecond
 	// A connection that has idled for less is not closed to make room.
 	idleLeast = 100 * time.Millisecond
+	// One part in so many of all places is kept for clients that idle.
+	idlePart = 8
 )
 
 // Server is a proxy at work.
@@ -153,8 +156,7 @@
 	}
 }
 
-// sweep closes clients that have idled for long, and gives up those that have
-// taken nothing of an answer for longer than any may be waited for.
+// sweep closes clients that hold a place for nothing, time and again.
 func (s *Server) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepTime)
 	defer tick.Stop()
@@ -163,20 +165,42 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			s.mu.Lock()
-			for c := range s.clients {
-				if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
-					c.socket.Close()
-				} else if at, idle := c.idleSince(); idle && now.Sub(at) > idleTime {
-					c.closeIdle()
-				}
-			}
-			s.changed.Broadcast() // an idle client may have come up for closing
-			s.mu.Unlock()
+			s.tidy(now)
 		}
 	}
 }
 
+// tidy closes clients that have idled for long, and gives up those that have
+// taken nothing of an answer for longer than any may be waited for. Of those that
+// idle for less it keeps a few, the latest: clients that open a connection for each
+// request and then hold it would fill the places of all, here or at their own
+// end, and makeRoom frees only as many as come. It should cover fronts and
+// pools with a limit of their own as well. It costs a connection anew where more
+// clients than that come back within idleTime.
+func (s *Server) tidy(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	type idler struct {
+		client *client
+		since  time.Time
+	}
+	var idlers []idler
+	for c := range s.clients {
+		if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
+			c.socket.Close()
+		} else if at, idle := c.idleSince(); idle && now.Sub(at) > idleTime {
+			c.closeIdle()
+		} else if idle {
+			idlers = append(idlers, idler{c, at})
+		}
+	}
+	slices.SortFunc(idlers, func(x, y idler) int { return x.since.Compare(y.since) })
+	for i := 0; i < len(idlers)-s.most/idlePart && now.Sub(idlers[i].since) >= idleLeast; i++ {
+		idlers[i].client.closeIdle()
+	}
+	s.changed.Broadcast() // an idle client may have come up for closing
+}
+
 // drain closes all clients between requests, and waits for those at work.
 func (s *Server) drain() {
 	s.mu.Lock()
