--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -17,7 +17,7 @@
 	// Connections closed ahead of need: they count until the client closes too.
 	headroom = 16
 	// Idle and stuck clients are looked for so often.
-	sweepTime = 100 * time.Millisecond
+	sweepTime = 50 * time.Millisecond
 	// A connection that has idled for less is not closed to make room.
 	idleLeast = 100 * time.Millisecond
 	// One part in so many of all places is kept for clients that idle.
