--- a/policy/policy.go
+++ b/policy/policy.go
@@ -697,7 +697,6 @@
 	case Spoilt:
 		failed = 1
 	case Cancelled: // its time was up, or a second copy was faster
-		b.outlast(s, a, e, r)
 		if b.now >= a.overdue {
 			failed, sick = 1, true
 		}
@@ -733,21 +732,6 @@
 	b.gates[a.promise].count(b.now, asked, ended, good)
 }
 
-// outlast learns from an attempt given up that an answer takes longer than that.
-// Without it, where clients give up soon, only the quick answers of a full
-// server would count, and it would pass for a fast one.
-func (b *Balancer) outlast(s *server, a *attempt, e Outcome, r *request) {
-	more := e.Took.Seconds() - s.fastest - s.work
-	switch {
-	case more <= 0 || s.sampled == 0 || r.Write:
-	case a.promise:
-		s.work += more * sampleWeight
-		s.sampled = b.now
-	case more > b.origin:
-		b.origin += (more - b.origin) * loadWeight
-	}
-}
-
 func (b *Balancer) measure(s *server, a *attempt, e Outcome, r *request) {
 	took := e.Took.Seconds()
 	miss := e.Note == NoteMiss || e.Note == NoteMissShared
