Don't close a client as idle while its request waits unread

The line at fault is taken to be tidy's closeIdle: with the proxy short of its core after the start, clients count as idle for 0.1 s whose requests lie unread in the kernel.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wrenroute/internal/meta"
+	"wrenroute/internal/upstream"
 )
 
 const (
@@ -260,12 +261,13 @@
 }
 
 // closeIdle closes a connection that idles, if it still does. Its last answer
-// has long been taken, so there is nothing to linger for; a request
-// that crosses is unread and sent again.
+// has long been taken, so there is nothing to linger for; a request that
+// crosses is unread and sent again. One that has come and is not read yet, as
+// when the proxy was short of its core for a while, has been taken and is no idling.
 func (c *client) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy && len(c.replies) == 0 && !c.ending {
+	if !c.busy && len(c.replies) == 0 && !c.ending && !upstream.Pending(c.socket) {
 		c.ending, c.finished = true, true
 		c.socket.Close()
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -221,7 +221,7 @@
 // is there could pass for the answer of whatever is sent next.
 func (c *conn) next(in *bufio.Reader) {
 	c.socket.SetReadDeadline(time.Time{})
-	more := in.Buffered() > 0 || c.pending()
+	more := in.Buffered() > 0 || Pending(c.socket)
 	c.ns.mu.Lock()
 	defer c.ns.mu.Unlock()
 	if len(c.sent) == 0 {
@@ -241,17 +241,17 @@
 	}
 }
 
-// pending tells whether unread bytes, or the connection's end, wait in the kernel.
-func (c *conn) pending() bool {
-	raw, err := c.socket.SyscallConn()
+// Pending tells whether unread bytes, or a connection's end, wait in the kernel.
+// It may be called while another goroutine waits for them.
+func Pending(socket *net.TCPConn) bool {
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
 	waiting := false
-	raw.Read(func(fd uintptr) bool {
+	raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting = err == nil
-		return true
 	})
 	return waiting
 }
