--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -12,12 +12,14 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"wrenroute/internal/discovery"
+	"wrenroute/internal/upstream"
 )
 
 // patience bounds each wait of these tests; none of them depends on its length.
@@ -449,3 +451,33 @@
 		t.Errorf("%d of %d sent to a node that can't answer them in time", sent, hasty)
 	}
 }
+
+// TestUnreadRequestIsNoIdling guards against a proxy that was short of its core: a
+// client whose request has come, but is not read yet, must not be closed.
+func TestUnreadRequestIsNoIdling(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	socket, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	c := newClient(nil, socket.(*net.TCPConn)) // nothing reads it
+	fmt.Fprint(peer, "mn\r\n")
+	for give := time.Now().Add(patience); !upstream.Pending(c.socket); runtime.Gosched() {
+		if time.Now().After(give) {
+			t.Fatal("the request has not come")
+		}
+	}
+	if c.closeIdle(); c.ending {
+		t.Error("closed with a request unread")
+	}
+}
