Let the decision module take other settings in service

Change: Balancer.Reconfigure; each request keeps the settings of its arrival; what is learnt by class follows the class's name; what indices refer to is fixed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -144,7 +144,8 @@
 	class    *Class
 	hash     uint64
 	at       positions
-	keyed    bool // has a key whose copies count
+	set      *Settings // in force when it came; it ends under them
+	keyed    bool      // has a key whose copies count
 	ended    bool
 	stream   bool
 	served   bool
@@ -154,7 +155,7 @@
 
 // Balancer decides for one proxy. It is not safe for concurrent use.
 type Balancer struct {
-	set      Settings
+	set      *Settings // in force for what comes now
 	rng      *rand.Rand
 	now      time.Duration
 	out      []Action
@@ -192,7 +193,7 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	return &Balancer{set: set, kinds: slices.Repeat([]float64{0.05}, len(set.Kinds)),
+	return &Balancer{set: &set, kinds: slices.Repeat([]float64{0.05}, len(set.Kinds)),
 		weights: slices.Repeat([]float64{1}, len(set.Kinds)), rng: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
 		origin: 0.1, work: 0.05, fastest: 0.001, health: make([]health, len(set.Classes)),
@@ -307,7 +308,7 @@
 	s.record = record{}
 	s.fastest, s.work, s.load, s.worth, s.fails, s.until, s.sampled = 0, 0, s.inFlight, 1, 0, 0, 0
 	s.credit, s.gate = -b.rng.Float64(), gate{}
-	s.health = make([]health, len(b.set.Classes))
+	s.health = make([]health, len(b.health))
 }
 
 func (b *Balancer) jitter(d time.Duration) time.Duration {
@@ -329,7 +330,7 @@
 		return
 	}
 	a.Class = max(min(a.Class, len(b.set.Classes)-1), 0)
-	r := &request{Arrival: a, arrived: b.now, class: &b.set.Classes[a.Class]}
+	r := &request{Arrival: a, arrived: b.now, set: b.set, class: &b.set.Classes[a.Class]}
 	b.requests[a.ID] = r
 	// A write leaves no copy and needs none: it goes where it is soonest done.
 	if r.keyed = a.Key != "" && !a.Write; r.keyed {
@@ -363,7 +364,7 @@
 	if r.ended || r.stream {
 		return false
 	}
-	if s != nil && (r.open > 0 && !b.set.Limits.Duplicates || len(r.attempts) >= b.set.Limits.MaxAttempts ||
+	if s != nil && (r.open > 0 && !r.set.Limits.Duplicates || len(r.attempts) >= r.set.Limits.MaxAttempts ||
 		b.now >= r.Deadline) {
 		return false
 	}
@@ -396,7 +397,7 @@
 			return false
 		case s == nil:
 			return r.class.Group == GroupAll
-		case b.now >= a.sent+r.class.Window-b.set.Tick, r.class.Group == GroupZone && s.Zone != a.server.Zone,
+		case b.now >= a.sent+r.class.Window-r.set.Tick, r.class.Group == GroupZone && s.Zone != a.server.Zone,
 			r.class.Group == GroupCell && s.Cell != a.server.Cell:
 			return false
 		}
@@ -420,7 +421,7 @@
 		return
 	}
 	b.send(r, s, promise)
-	if at := r.attempts[len(r.attempts)-1].overdue; b.set.Limits.Duplicates && r.class.Effect == Safe && at < r.Deadline {
+	if at := r.attempts[len(r.attempts)-1].overdue; r.set.Limits.Duplicates && r.class.Effect == Safe && at < r.Deadline {
 		b.wake(timerHedge, r.ID, at-b.now)
 	}
 }
@@ -472,7 +473,7 @@
 	case b.may(r, nil):
 		// A queue to be answered in time is gone within an aim. Clients turned
 		// away together must not come back together.
-		b.do(Action{Kind: Refuse, ID: r.ID, After: min(b.jitter(r.class.Aim/2), b.set.Limits.MaxRetryAfter)})
+		b.do(Action{Kind: Refuse, ID: r.ID, After: min(b.jitter(r.class.Aim/2), r.set.Limits.MaxRetryAfter)})
 	default:
 		b.do(Action{Kind: Fail, ID: r.ID})
 	}
@@ -620,7 +621,7 @@
 	a := &r.attempts[e.Attempt]
 	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
 		b.excess(a.server, r.Class) < sickExcess
-	if b.now < r.Deadline-4*b.set.Tick && !origin && b.pay() {
+	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay() {
 		if s, promise := b.choose(r); s != nil {
 			b.send(r, s, promise)
 			return
@@ -648,7 +649,7 @@
 
 // end drops a request once nothing of it is out.
 func (b *Balancer) end(r *request) {
-	if !r.ended && b.set.Limits.Cancel {
+	if !r.ended && r.set.Limits.Cancel {
 		for i := range r.attempts {
 			if !r.attempts[i].done {
 				b.do(Action{Kind: Cancel, ID: r.ID, Attempt: i})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -27,6 +27,60 @@
 	}
 }
 
+// TestReconfigureRefusesWhatIsFixed guards against a reload that changes what
+// indices refer to, or that is put into force by half.
+func TestReconfigureRefusesWhatIsFixed(t *testing.T) {
+	set := Settings{Classes: []Class{{Name: "x", Aim: 1, Deadline: 1}}, Zones: []string{"a", "b"}, Kinds: []string{"k"}}
+	for name, spoil := range map[string]func(*Settings){
+		"zones":   func(s *Settings) { s.Zones = []string{"b", "a"} },
+		"zone":    func(s *Settings) { s.Zone = 1 },
+		"kinds":   func(s *Settings) { s.Kinds = nil },
+		"list":    func(s *Settings) { s.AskList = true },
+		"classes": func(s *Settings) { s.Classes = nil },
+		"reports": func(s *Settings) { s.Reports = ReportAnswers },
+	} {
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bad := set
+		spoil(&bad)
+		if err := b.Reconfigure(bad); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if b.set.Classes[0].Name != "x" || b.set.AskList || b.set.Zone != 0 {
+			t.Errorf("%s: half of it is in force: %+v", name, b.set)
+		}
+	}
+}
+
+// TestReconfigureKeepsWhatIsLearntByClass guards against a class's failures that a
+// reload books to another.
+func TestReconfigureKeepsWhatIsLearntByClass(t *testing.T) {
+	b, now := harness(t)
+	b.set.Classes[0].Name = "x"
+	b.Handle(now, Arrival{ID: 1, Deadline: now + time.Second}, nil)
+	b.health[0].failed, b.servers["a"].health[0].failed = 7, 5
+	set := *b.set
+	set.Classes = []Class{{Name: "new", Aim: 1, Deadline: 1}, {Name: "x", Aim: 2, Deadline: 3}}
+	if err := b.Reconfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	if b.health[0].failed != 0 || b.health[1].failed != 7 || b.servers["a"].health[1].failed != 5 {
+		t.Errorf("after the move: %v, %v", b.health, b.servers["a"].health)
+	}
+	if r := b.requests[1]; r.Class != 1 || r.class.Aim != time.Second {
+		t.Errorf("the open request is of class %d with aim %v", r.Class, r.class.Aim)
+	}
+	set.Classes = set.Classes[:1]
+	if err := b.Reconfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	if r := b.requests[1]; r.Class != 1 || len(b.health) != 2 {
+		t.Errorf("of a class that is gone the open request is at %d of %d", r.Class, len(b.health))
+	}
+}
+
 // harness is a balancer with servers a to d, of which cold ones began at now.
 func harness(t *testing.T, cold ...string) (*Balancer, time.Duration) {
 	t.Helper()
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -44,6 +44,7 @@
 
 type job struct {
 	policy.Arrival
+	set    policy.Settings // in force when it came
 	tries  []try
 	ended  bool
 	stream bool
@@ -98,10 +99,10 @@
 			w.t.Fatalf("action %+v for no request", a)
 		}
 	}
-	class := func() policy.Class { return w.set.Classes[j.Class] }
+	class := func() policy.Class { return j.set.Classes[j.Class] }
 	switch a.Kind {
 	case policy.Send:
-		if j.ended || j.stream || w.now >= j.Deadline || len(j.tries) >= w.set.Limits.MaxAttempts {
+		if j.ended || j.stream || w.now >= j.Deadline || len(j.tries) >= j.set.Limits.MaxAttempts {
 			w.t.Fatalf("send %+v not allowed: %+v", a, j)
 		}
 		if !w.told[a.Server] {
@@ -109,7 +110,7 @@
 		}
 		to := w.members[a.Server]
 		for _, y := range j.tries {
-			if y.out && !w.set.Limits.Duplicates {
+			if y.out && !j.set.Limits.Duplicates {
 				w.t.Fatalf("second copy out: %+v", j)
 			}
 			if !y.out && !y.mayRun || class().Effect == policy.Safe {
@@ -159,7 +160,7 @@
 	if w.rng.IntN(8) > 0 {
 		a.Key = fmt.Sprint("k", w.rng.IntN(1+w.rng.IntN(60)))
 	}
-	w.jobs[a.ID] = &job{Arrival: a}
+	w.jobs[a.ID] = &job{Arrival: a, set: w.set}
 	w.ids = append(w.ids, a.ID)
 	w.handle(a)
 }
@@ -175,7 +176,7 @@
 		if !y.out || w.rng.IntN(3) == 0 {
 			continue
 		}
-		if !j.stream && !j.ended && w.set.Classes[j.Class].Streamed && w.rng.IntN(3) == 0 {
+		if !j.stream && !j.ended && j.set.Classes[j.Class].Streamed && w.rng.IntN(3) == 0 {
 			j.stream = true
 			w.handle(policy.StreamStarted{ID: j.ID, Attempt: i, Server: y.server})
 			continue
@@ -279,6 +280,25 @@
 	}
 }
 
+// reconfigure puts other classes, in another order, and other limits into force.
+func (w *world) reconfigure() {
+	next := settings()
+	next.AskList = w.set.AskList
+	w.rng.Shuffle(len(next.Classes), func(i, j int) {
+		next.Classes[i], next.Classes[j] = next.Classes[j], next.Classes[i]
+	})
+	next.Classes = next.Classes[:1+w.rng.IntN(len(next.Classes))]
+	for i := range next.Classes {
+		next.Classes[i].Window = time.Duration(1+w.rng.IntN(300)) * ms
+	}
+	next.Limits.MaxAttempts = 1 + w.rng.IntN(4)
+	next.Limits.Duplicates = w.rng.IntN(2) == 0
+	if err := w.b.Reconfigure(next); err != nil {
+		w.t.Fatal(err)
+	}
+	w.set = next
+}
+
 func (w *world) step() {
 	if w.rng.IntN(4) > 0 { // some clocks do not advance
 		w.now += time.Duration(1+w.rng.IntN(3)) * 5 * ms
@@ -324,6 +344,24 @@
 	}
 }
 
+// TestRulesHoldThroughReconfigurations guards against requests that a reload
+// puts under other rules than those that they were taken with.
+func TestRulesHoldThroughReconfigurations(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newWorld(t, settings(), seed)
+		w.relist()
+		for i := range 3000 {
+			if i%50 == 25 {
+				w.reconfigure()
+			}
+			w.step()
+		}
+		if w.sends < 40 {
+			t.Errorf("seed %d: only %d sends seen", seed, w.sends)
+		}
+	}
+}
+
 func TestSameEventsGiveSameActions(t *testing.T) {
 	a, b := newWorld(t, settings(), 9), newWorld(t, settings(), 9)
 	for range 2000 { // stepped in turn, so that anything shared would show
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -1,6 +1,13 @@
 package policy
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// ErrFixed is the error of settings that would change what a Balancer is bound to.
+var ErrFixed = errors.New("settings: Zones, Zone, Kinds, AskList, Aside, Origin and Reports cannot change in service")
 
 // check names the setting that cannot be meant.
 func (s *Settings) check() error {
@@ -22,3 +29,48 @@
 	}
 	return nil
 }
+
+// Reconfigure puts other settings into force for what arrives from now on. A
+// request that was taken before ends under those that it came with: its class,
+// its limits on attempts, its window. What has been learnt of servers stays; what
+// was learnt by class follows the class's name. It returns an error, and changes
+// nothing, where the settings cannot be meant or would change what the indices
+// of servers refer to ([ErrFixed]).
+func (b *Balancer) Reconfigure(set Settings) error {
+	if err := set.check(); err != nil {
+		return err
+	}
+	old := b.set
+	if !slices.Equal(set.Zones, old.Zones) || set.Zone != old.Zone || !slices.Equal(set.Kinds, old.Kinds) ||
+		set.AskList != old.AskList || set.Aside != old.Aside || set.Origin != old.Origin || set.Reports != old.Reports {
+		return ErrFixed
+	}
+	// The last place is for classes that are gone while requests of them are open.
+	last := len(set.Classes)
+	from := slices.Repeat([]int{-1}, last+1) // by new place
+	to := slices.Repeat([]int{last}, len(b.health))
+	for i := range set.Classes {
+		from[i] = slices.IndexFunc(old.Classes, func(c Class) bool { return c.Name == set.Classes[i].Name })
+		if from[i] >= 0 {
+			to[from[i]] = i
+		}
+	}
+	moved := func(in []health) []health {
+		out := make([]health, last+1)
+		for i, f := range from {
+			if f >= 0 {
+				out[i] = in[f]
+			}
+		}
+		return out
+	}
+	b.health = moved(b.health)
+	for _, s := range b.servers {
+		s.health = moved(s.health)
+	}
+	for _, r := range b.requests {
+		r.Class = to[r.Class]
+	}
+	b.set = &set
+	return nil
+}
