Run as a daemon: own configuration, life cycle module, whole reloads

Need: yarrowspan started only from the platform's file, a reload followed discovery's address alone, and a drain could be held open by clients that pipeline, to lose what they had sent. Change: package config reads TOML and tells every defect; lifecycle decides what signals mean as one table without I/O; daemon carries it out and speaks with the service manager (notify, passed sockets); a reload is put into force whole or refused; the list may come from a watched file; a drain takes no command 0.1 s after it began, a second SIGTERM ends it with what is open; the kernel drops handshakes before the listener closes, so that none is reset in the backlog.

--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -3,79 +3,144 @@
 package main
 
 import (
-	"context"
+	"errors"
+	"flag"
 	"fmt"
-	"log/slog"
-	"math"
+	"io"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"sync"
+	"runtime/pprof"
 	"syscall"
 
+	"wrenroute/internal/config"
+	"wrenroute/internal/daemon"
 	"wrenroute/internal/proxy"
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "yarrowspan:", err)
-		os.Exit(1)
-	}
-}
+const usage = `Usage:
+  yarrowspan serve --config FILE   serve clients until SIGTERM
+  yarrowspan check --config FILE   tell all that is wrong with a configuration
+  yarrowspan version               tell the version
+With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
+`
 
-func run() error {
+// errUsage is the error of words that can't be meant.
+var errUsage = errors.New("bad usage")
+
+func main() {
 	// First of all: until they are caught, signals end the program, and so does
 	// a reader of the log that goes away.
 	signal.Ignore(syscall.SIGPIPE)
-	hangups := make(chan os.Signal, 1)
+	hangups, terminations := make(chan os.Signal, 1), make(chan os.Signal, 2)
 	signal.Notify(hangups, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	config, err := proxy.ReadConfig(os.Getenv)
-	if err != nil {
-		return err
+	signal.Notify(terminations, syscall.SIGTERM, os.Interrupt)
+	err := run(os.Args[1:], os.Stdout, daemon.Options{Getenv: os.Getenv, Log: os.Stderr, Hangups: hangups,
+		Terminations: terminations})
+	switch {
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(os.Stderr, "yarrowspan: %v\n%s", err, usage)
+		os.Exit(2)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "yarrowspan:", oneLine(err))
+		os.Exit(1)
 	}
-	runtime.GOMAXPROCS(max(int(math.Ceil(config.Cores)), 1))
-	// Collecting seldom saves CPU while memory is plenty; the limit sees to the rest.
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(config.Memory) / 10 * 6)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("proxy", config.Name)
-	server, err := proxy.Listen(config, log)
-	if err != nil {
-		return err
+}
+
+// oneLine says an error in one line: its first defect and how many more there are.
+func oneLine(err error) string {
+	defects := config.Errors(err)
+	if len(defects) == 1 {
+		return defects[0].Error()
 	}
-	log.Info("listening", "address", server.Address().String())
-	serving, done := context.WithCancel(context.Background())
-	var reloads sync.WaitGroup
-	reloads.Go(func() { reload(serving, hangups, server, log) })
-	server.Serve(ctx)
-	done()
-	reloads.Wait()
-	log.Info("all answered")
-	return nil
+	return fmt.Sprintf("%v (and %d more: see yarrowspan check)", defects[0], len(defects)-1)
 }
 
-// reload reads the configuration anew at each hangup, until ctx ends. A bad one
-// is logged, and the old stays in force. The environment is that of the
-// start and can't have changed, so the file alone counts.
-func reload(ctx context.Context, hangups <-chan os.Signal, server *proxy.Server, log *slog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
+// check prints all that is wrong with a configuration, a line each.
+func check(file string, out io.Writer) error {
+	_, err := config.Read(file)
+	if err == nil {
+		fmt.Fprintln(out, file, "is good")
+		return nil
+	}
+	defects := config.Errors(err)
+	for _, defect := range defects {
+		fmt.Fprintln(out, defect)
+	}
+	return fmt.Errorf("%s: %d wrong", file, len(defects))
+}
+
+func run(args []string, out io.Writer, o daemon.Options) error {
+	if len(args) == 0 {
+		if o.Getenv("GW_CONFIG") == "" {
+			return fmt.Errorf("%w: no command, and GW_CONFIG is not set", errUsage)
+		}
+		o.Platform, o.Load = true, platform(o.Getenv)
+		return daemon.Run(o)
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	file := flags.String("config", "", "")
+	profile := flags.String("cpuprofile", "", "") // for measurements
+	if err := flags.Parse(args[1:]); err != nil {
+		return fmt.Errorf("%w: %s: %w", errUsage, args[0], err)
+	}
+	if flags.NArg() > 0 {
+		return fmt.Errorf("%w: %s takes no %q", errUsage, args[0], flags.Arg(0))
+	}
+	switch {
+	case args[0] == "version":
+		fmt.Fprintln(out, "yarrowspan", version())
+		return nil
+	case args[0] != "serve" && args[0] != "check":
+		return fmt.Errorf("%w: there is no command %q", errUsage, args[0])
+	case *file == "":
+		return fmt.Errorf("%w: %s needs --config FILE", errUsage, args[0])
+	case args[0] == "check":
+		return check(*file, out)
+	}
+	if *profile != "" {
+		f, err := os.Create(*profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
 		}
-		config, err := proxy.ReadConfig(func(name string) string {
-			if name == "GW_CONFIG" {
-				return os.Getenv(name)
+		defer pprof.StopCPUProfile()
+	}
+	o.Load = func() (*config.Config, error) { return config.Read(*file) }
+	return daemon.Run(o)
+}
+
+// platform reads the platform's configuration. Environment variables go before
+// the file at the start only: they can't have changed since, so at a reload the
+// file alone counts.
+func platform(getenv func(string) string) func() (*config.Config, error) {
+	begun := false
+	return func() (*config.Config, error) {
+		c, err := proxy.ReadConfig(func(name string) string {
+			if begun && name != "GW_CONFIG" {
+				return ""
 			}
-			return ""
+			return getenv(name)
 		})
-		if err != nil {
-			log.Error("reload failed, the old configuration stays", "error", err)
-			continue
+		begun = true
+		return &config.Config{Proxy: c}, err
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version += " " + s.Value
 		}
-		server.Reload(config)
 	}
+	return version + " " + info.GoVersion
 }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,274 @@
+// Package config reads the daemon's own configuration, a TOML file. It tells all
+// that is wrong with one, each defect by file, key, value and what is allowed,
+// and never returns half of one.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"wrenroute/internal/discovery"
+	"wrenroute/internal/proxy"
+	"wrenroute/policy"
+)
+
+// Config is all that the daemon is told.
+type Config struct {
+	Proxy *proxy.Config
+	Log   Log
+	Start Start
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level slog.Level
+	JSON  bool
+}
+
+// Start says how patient a start is.
+type Start struct {
+	Nodes   time.Duration // for the list of nodes, before it is ready without
+	Address time.Duration // for another process to leave the address
+}
+
+// Bounds of figures.
+const (
+	longest    = time.Hour
+	mostMemory = 1 << 20 // MB
+	mostHeld   = 1 << 20
+)
+
+// Read reads the file at path, and the node file that it may name. Its error
+// joins one error a defect.
+func Read(path string) (*Config, error) {
+	d := &defects{file: path}
+	top, err := parse(path, d)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Proxy: &proxy.Config{Seed: rand.Uint64()}}
+	p := c.Proxy
+	p.Name = top.text("name", "yarrowspan", printable)
+	p.Listen = top.text("listen", "", isAddress)
+	if !top.has("listen") {
+		d.add("listen", "is missing: want HOST:PORT")
+	}
+	set := &p.Policy
+	*set = policy.Settings{Proxies: 1, Origin: -1, OverShare: 0.2, Reports: policy.ReportAnswers, Tick: 5 * time.Millisecond}
+	set.Zones = top.texts("zones", []string{}, printable)
+	set.Kinds = top.texts("types", []string{}, printable)
+	unique(d, "zones", set.Zones)
+	unique(d, "types", set.Kinds)
+	if zone := top.text("zone", "", anything); zone != "" {
+		if set.Zone = slices.Index(set.Zones, zone); set.Zone < 0 {
+			d.add("zone", "cannot be %q: want one of zones %q", zone, set.Zones)
+			set.Zone = 0
+		}
+	}
+	c.nodes(top.table("nodes"), filepath.Dir(path))
+	classes(top, set)
+	tenants(top, set)
+
+	l := top.table("limits")
+	p.Cores = l.number("cores", 1, 0.01, 1024)
+	p.Memory = l.whole("memory_mb", 64, proxy.LeastMemory>>20, mostMemory) << 20
+	p.Sockets = l.whole("sockets", 1024, proxy.LeastSockets, 1<<20)
+	bounds := proxy.Bounds{
+		Connect:  l.duration("connect_timeout", 200*time.Millisecond, time.Millisecond, time.Minute),
+		ConnIdle: l.duration("connection_idle", 15*time.Second, 10*time.Millisecond, longest),
+		Streams:  l.whole("streams", 128, 1, 1<<16),
+		PerNode:  l.whole("connections_per_node", 4, 1, 1<<16),
+		MostHeld: l.whole("held", 1000, 1, mostHeld),
+	}
+	set.Limits = policy.Limits{
+		MaxAttempts:   l.whole("attempts", 4, 1, 16),
+		Duplicates:    l.yes("second_copies", true),
+		Cancel:        true,
+		MaxRetryAfter: l.duration("retry_after", 1200*time.Millisecond, 0, time.Minute),
+	}
+	l.end()
+
+	r := top.table("rules")
+	set.Rules = policy.Rules{
+		DrainGrace:   r.duration("drain_grace", 500*time.Millisecond, 0, time.Minute),
+		AnswerSlack:  r.duration("answer_slack", 20*time.Millisecond, 0, time.Minute),
+		ColdShare:    r.number("cold_share", 0.3, 0.01, 1),
+		ColdRamp:     r.duration("cold_ramp", 8600*time.Millisecond, 0, longest),
+		FallMultiple: r.number("fall_multiple", 3, 1, 100),
+		FallTime:     r.duration("fall_time", 2*time.Second, 0, longest),
+		AskWithin:    10 * time.Second,
+	}
+	r.end()
+	r = top.table("prices")
+	set.Prices = policy.Prices{Origin: r.number("origin", 0.15, 0, 10), CrossZone: r.number("cross_zone", 0.02, 0, 10)}
+	r.end()
+
+	g := top.table("log")
+	level := g.text("level", "info", oneOf("debug", "info", "warn", "error"))
+	c.Log.JSON = g.text("format", "text", oneOf("text", "json")) == "json"
+	if err := c.Log.Level.UnmarshalText([]byte(level)); err != nil {
+		c.Log.Level = slog.LevelInfo // told already
+	}
+	g.end()
+	g = top.table("start")
+	c.Start.Nodes = g.duration("wait_for_nodes", 5*time.Second, 0, time.Minute)
+	c.Start.Address = g.duration("wait_for_address", 0, 0, time.Minute)
+	g.end()
+	top.end()
+
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	if err := p.Share(bounds); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// nodes reads where the list comes from: exactly one source.
+func (c *Config) nodes(t *table, folder string) {
+	place := &c.Proxy.Place
+	file := t.text("file", "", anything)
+	place.Address = t.text("discovery", "", isAddress)
+	addresses := t.texts("addresses", nil, isAddress)
+	unique(t.d, "nodes.addresses", addresses)
+	given := 0
+	for _, key := range []string{"file", "discovery", "addresses"} {
+		if t.has(key) {
+			given++
+		}
+	}
+	if given != 1 {
+		t.d.add("nodes", "has %d sources: want one of file, discovery and addresses", given)
+	}
+	t.end()
+	switch {
+	case given != 1:
+	case t.has("file"):
+		if place.File = file; !filepath.IsAbs(file) {
+			place.File = filepath.Join(folder, file)
+		}
+		known, err := discovery.ReadFile(place.File)
+		if err != nil {
+			t.d.add("nodes.file", "cannot be %q: %v", file, err)
+		}
+		c.Proxy.Known = known
+	case t.has("addresses"):
+		if len(addresses) == 0 {
+			t.d.add("nodes.addresses", "cannot be empty: want one HOST:PORT and more")
+			return
+		}
+		place.Fixed = strings.Join(addresses, ",")
+		c.Proxy.Known = discovery.FixedList(place.Fixed)
+	}
+}
+
+// Without classes there are these two.
+var usual = []policy.Class{
+	{Name: "read", Effect: policy.Safe, Aim: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Late: 0.3},
+	{Name: "write", Effect: policy.Keyed, Window: 1500 * time.Millisecond, Aim: 750 * time.Millisecond,
+		Deadline: 2500 * time.Millisecond, Worth: 2, Late: 0.3},
+}
+
+var (
+	effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
+	groups  = map[string]policy.Group{"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+)
+
+func classes(top *table, set *policy.Settings) {
+	if !top.has("class") {
+		set.Classes = slices.Clone(usual)
+		return
+	}
+	var names []string
+	for _, t := range top.tables("class") {
+		k := policy.Class{
+			Name:     t.text("name", "", printable),
+			Effect:   effects[t.text("effect", "safe", oneOf("safe", "keyed", "unsafe"))],
+			Group:    groups[t.text("group", "all", oneOf("all", "zone", "cell"))],
+			Aim:      t.duration("aim", 500*time.Millisecond, time.Millisecond, longest),
+			Deadline: t.duration("deadline", 2*time.Second, time.Millisecond, longest),
+			Window:   t.duration("window", 0, 0, longest),
+			Worth:    t.number("worth", 1, 0, 1e6),
+			Late:     t.number("late_worth", 0.3, 0, 1),
+		}
+		switch {
+		case !t.has("name"):
+			t.d.add(t.key("name"), "is missing: want a name")
+		case k.Aim > k.Deadline:
+			t.d.add(t.key("aim"), "cannot be %v: want no more than the deadline, %v", k.Aim, k.Deadline)
+		case (k.Effect == policy.Keyed) != (k.Window > 0):
+			t.d.add(t.key("window"), "cannot be %v: want above 0s for effect keyed, and none for others", k.Window)
+		case k.Effect != policy.Keyed && t.has("group"):
+			t.d.add(t.key("group"), "is for effect keyed only")
+		}
+		t.end()
+		names, set.Classes = append(names, k.Name), append(set.Classes, k)
+	}
+	unique(top.d, "class", names)
+}
+
+func tenants(top *table, set *policy.Settings) {
+	var names []string
+	for _, t := range top.tables("tenant") {
+		n := policy.Tenant{Name: t.text("name", "", printable), Quota: t.number("quota", 0, 0, 1e9)}
+		if !t.has("name") {
+			t.d.add(t.key("name"), "is missing: want a name")
+		}
+		t.end()
+		names, set.Tenants = append(names, n.Name), append(set.Tenants, n)
+	}
+	unique(top.d, "tenant", names)
+}
+
+func unique(d *defects, key string, names []string) {
+	for i, name := range names {
+		if name != "" && slices.Contains(names[:i], name) {
+			d.add(key, "has %q twice: want each once", name)
+		}
+	}
+}
+
+// Errors lists the defects that Read has joined.
+func Errors(err error) []error {
+	var joined interface{ Unwrap() []error }
+	if errors.As(err, &joined) {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
+func anything(string) string { return "" }
+
+// printable keeps out what would end a word of the protocol early.
+func printable(text string) string {
+	if text == "" || len(text) > 64 || strings.ContainsFunc(text, func(r rune) bool {
+		return r <= ' ' || r == 0x7f || r == ',' || r == '='
+	}) {
+		return "1 to 64 characters without blanks, commas and ="
+	}
+	return ""
+}
+
+func isAddress(text string) string {
+	if host, port, err := net.SplitHostPort(text); err != nil || port == "" || strings.Contains(host, ",") {
+		return "HOST:PORT"
+	}
+	return ""
+}
+
+func oneOf(words ...string) func(string) string {
+	return func(text string) string {
+		if slices.Contains(words, text) {
+			return ""
+		}
+		return "one of " + strings.Join(words, ", ")
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -75,14 +75,14 @@
 
 // Update says a list in the decision module's terms. Names that the settings
 // do not know map behind the known ones.
-func (l *List) Update(set *policy.Settings) policy.ListUpdate {
+func (l *List) Update(zones, kinds []string) policy.ListUpdate {
 	u := policy.ListUpdate{Version: l.Index, Kind: policy.ListChanges}
 	if l.Snapshot {
 		u.Kind = policy.ListFull
 	}
 	for _, e := range l.Endpoints {
-		u.Members = append(u.Members, policy.Member{Server: e.Name, Zone: place(set.Zones, e.Zone),
-			Kind: place(set.Kinds, e.Type), Cell: e.Group, Mode: modes[e.Status], Weight: e.Weight,
+		u.Members = append(u.Members, policy.Member{Server: e.Name, Zone: place(zones, e.Zone),
+			Kind: place(kinds, e.Type), Cell: e.Group, Mode: modes[e.Status], Weight: e.Weight,
 			Started: time.Duration(e.Since * float64(time.Millisecond))})
 	}
 	return u
@@ -111,6 +111,44 @@
 	return len(names)
 }
 
+// Source is where a list of nodes comes from.
+type Source interface {
+	// Fetch asks for the whole list.
+	Fetch(ctx context.Context) (List, error)
+	// Watch tells each change after version from until it is lost or ctx ends; it
+	// always returns an error. Unless patient, silence is loss too.
+	Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error
+}
+
+// Place names a source: exactly one of its fields is set.
+type Place struct {
+	Address string // HOST:PORT of a service that speaks the platform's form
+	File    string // path of a node file
+	Fixed   string // addresses of nodes that never change, by commas
+}
+
+// String names the place in a log.
+func (p Place) String() string {
+	switch {
+	case p.File != "":
+		return "file " + p.File
+	case p.Fixed != "":
+		return "addresses " + p.Fixed
+	}
+	return p.Address
+}
+
+// Open returns the source at a place. It does no I/O.
+func (p Place) Open() Source {
+	switch {
+	case p.File != "":
+		return &file{path: p.File}
+	case p.Fixed != "":
+		return fixed(FixedList(p.Fixed))
+	}
+	return New(p.Address)
+}
+
 // Client asks one discovery service.
 type Client struct {
 	base string
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -50,6 +50,7 @@
 	replies  []*reply  // in the order of the commands
 	busy     bool      // within a command
 	ending   bool      // to be closed between requests
+	until    time.Time // when ending: no command is taken after it
 	finished bool      // half closed: nothing more is answered
 	gone     bool      // nothing can be written any more
 	since    time.Time // of the last answer
@@ -92,9 +93,16 @@
 // follows cannot be read as commands.
 func (c *client) read() bool {
 	for {
+		if c.pastEnd() {
+			c.linger()
+			return false
+		}
 		if c.in.Buffered() == 0 {
 			c.idle()
 			if _, err := c.in.Peek(1); err != nil {
+				if isTimeout(err) && !c.isFinished() { // no more is taken, but answers are out
+					c.linger()
+				}
 				return false
 			}
 			if !c.begin() {
@@ -102,7 +110,7 @@
 				return false
 			}
 		}
-		c.socket.SetReadDeadline(time.Now().Add(commandTime))
+		c.limitCommand()
 		if lost, err := c.readCommand(); isTimeout(err) {
 			return c.refuse("CLIENT_ERROR command took too long\r\n")
 		} else if lost || err != nil {
@@ -185,6 +193,19 @@
 	return false, nil
 }
 
+// limitCommand bounds the time of a command that has begun. One that comes in
+// while its connection ends is whole soon, or is never taken: what is taken late
+// in a drain could not be answered before its end.
+func (c *client) limitCommand() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := time.Now().Add(commandTime)
+	if c.ending && c.until.Before(until) {
+		until = c.until
+	}
+	c.socket.SetReadDeadline(until)
+}
+
 // clearDeadline lifts a command's time limit, unless the connection is closing.
 func (c *client) clearDeadline() {
 	c.mu.Lock()
@@ -220,17 +241,46 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
-	return !c.finished
+	return !c.finished && !c.late()
 }
 
-// end closes the connection as soon as nothing is under way on it.
+// end closes the connection as soon as nothing is under way on it. A client that
+// always has a command out would never let it come to that: what it sends
+// after a moment more is not read, and it asks elsewhere.
 func (c *client) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
+	if !c.ending {
+		c.ending, c.until = true, time.Now().Add(lingerTime/3)
+		c.socket.SetReadDeadline(c.until)
+	}
 	c.maybeFinish()
 }
 
+// hurry ends the connection and takes no further command.
+func (c *client) hurry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending, c.until = true, time.Now()
+	c.socket.SetReadDeadline(c.until)
+	c.maybeFinish()
+}
+
+// late tells whether commands come too late to be taken. c.mu is held.
+func (c *client) late() bool { return c.ending && !time.Now().Before(c.until) }
+
+func (c *client) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finished
+}
+
+func (c *client) pastEnd() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late()
+}
+
 // maybeFinish half closes an ending connection that has answered all.
 func (c *client) maybeFinish() {
 	if c.ending && !c.busy && len(c.replies) == 0 && !c.finished {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -18,17 +18,23 @@
 	"wrenroute/policy"
 )
 
-// Config is what a proxy is told, and what follows from it.
+// Config is what a proxy is told, and what follows from it. Both readers, of the
+// platform's file here and of the daemon's own in package config, fill it in and
+// end with Share.
 type Config struct {
-	Name, Listen, Discovery string
-	Seed                    uint64
-	Cores                   float64
-	Memory                  int // bytes
+	Name, Listen string
+	Place        discovery.Place // of the list of nodes
+	// Patient takes silence of the list's source for no news rather than its loss.
+	Patient bool
+	Seed    uint64
+	Cores   float64
+	Memory  int // bytes
+	Sockets int // descriptors
 
 	Known       discovery.List
 	Policy      policy.Settings
 	Upstream    upstream.Limits
-	MostHeld    int
+	MostHeld    int // requests at a time
 	Clients     int // connections at most
 	BodyBytes   int
 	AnswerBytes int
@@ -68,18 +74,18 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Cores: in.Limits.Cores,
-		Memory: in.Limits.MemoryMB << 20}
+	c := &Config{Name: in.Name, Listen: in.Listen, Place: discovery.Place{Address: in.Discovery}, Cores: in.Limits.Cores,
+		Memory: in.Limits.MemoryMB << 20, Sockets: in.Limits.Sockets}
 	if v := getenv("GW_LISTEN"); v != "" {
 		c.Listen = v
 	}
 	if v := getenv("GW_DISCOVERY"); v != "" {
-		c.Discovery = v
+		c.Place.Address = v
 	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: listen: %w", err)
 	}
-	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+	if _, _, err := net.SplitHostPort(c.Place.Address); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: discovery: %w", err)
 	}
 	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
@@ -95,18 +101,23 @@
 	if c.Policy, err = wire.ParseSettings(string(in.Settings)); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	if err := c.limits(in.Settings, in.Limits.Sockets); err != nil {
+	c.Patient = !c.Policy.AskList
+	bounds, err := platformBounds(in.Settings, c.Policy.Proxies)
+	if err == nil {
+		err = c.Share(bounds)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
 	return c, nil
 }
 
-// fixed names what differs in next and can't be changed in service.
-func (c *Config) fixed(next *Config) (changed []string) {
+// Fixed names what differs in next and can't be changed in service.
+func (c *Config) Fixed(next *Config) (changed []string) {
 	for name, differs := range map[string]bool{
 		"name":     c.Name != next.Name,
 		"listen":   c.Listen != next.Listen,
-		"limits":   c.Cores != next.Cores || c.Memory != next.Memory || c.Clients != next.Clients,
+		"limits":   c.Cores != next.Cores || c.Memory != next.Memory || c.Sockets != next.Sockets,
 		"settings": c.MostHeld != next.MostHeld || !reflect.DeepEqual(c.Policy, next.Policy),
 	} {
 		if differs {
@@ -117,8 +128,16 @@
 	return changed
 }
 
-// limits shares out descriptors and memory.
-func (c *Config) limits(settings json.RawMessage, sockets int) error {
+// Bounds are what connections and held requests may take.
+type Bounds struct {
+	Connect  time.Duration // for a connection to a node to come up
+	ConnIdle time.Duration // after which nodes close one that stands idle
+	Streams  int           // requests on one connection to a node
+	PerNode  int           // connections to one node
+	MostHeld int           // requests
+}
+
+func platformBounds(settings json.RawMessage, proxies int) (Bounds, error) {
 	var in struct {
 		Limits struct {
 			ConnectTimeout, ConnIdle float64 // milliseconds
@@ -126,30 +145,48 @@
 		}
 	}
 	if err := json.Unmarshal(settings, &in); err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return Bounds{}, fmt.Errorf("settings: %w", err)
 	}
 	l := in.Limits
+	if l.ConnectTimeout <= 0 || l.ConnIdle <= 0 || l.StreamsPerConn < 1 || l.MostHeld < 1 {
+		return Bounds{}, errors.New("settings: Limits has no positive ConnectTimeout, ConnIdle, StreamsPerConn and MostHeld")
+	}
+	millis := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+	return Bounds{Connect: millis(l.ConnectTimeout), ConnIdle: millis(l.ConnIdle), Streams: l.StreamsPerConn,
+		PerNode: max(nodeTable/max(proxies, 1), 1), MostHeld: l.MostHeld}, nil
+}
+
+// Least figures of the limits.
+const (
+	LeastSockets = 2 * ownDescriptors
+	LeastMemory  = 32 << 20 // bytes
+)
+
+// Share shares out descriptors and memory. It returns an error where they
+// are too few for any share.
+func (c *Config) Share(b Bounds) error {
 	switch {
-	case sockets < 2*ownDescriptors:
-		return fmt.Errorf("limits: sockets cannot be %d", sockets)
-	case c.Memory < 32<<20:
+	case c.Sockets < LeastSockets:
+		return fmt.Errorf("limits: sockets cannot be %d", c.Sockets)
+	case c.Memory < LeastMemory:
 		return fmt.Errorf("limits: memory_mb cannot be %d", c.Memory>>20)
 	case c.Cores <= 0:
 		return fmt.Errorf("limits: cores cannot be %v", c.Cores)
-	case l.ConnectTimeout <= 0 || l.ConnIdle <= 0 || l.StreamsPerConn < 1 || l.MostHeld < 1:
-		return errors.New("settings: Limits has no positive ConnectTimeout, ConnIdle, StreamsPerConn and MostHeld")
 	}
-	c.MostHeld = min(l.MostHeld, c.Memory/requestBytes)
-	toNodes := (sockets - ownDescriptors) / 2
-	c.Clients = sockets - ownDescriptors - toNodes
+	c.MostHeld = min(b.MostHeld, c.Memory/requestBytes)
+	toNodes := (c.Sockets - ownDescriptors) / 2
+	c.Clients = c.Sockets - ownDescriptors - toNodes
 	c.BodyBytes, c.AnswerBytes = c.Memory/8, c.Memory/8
-	longest := time.Second
-	for _, class := range c.Policy.Classes {
+	longest := max(time.Second, longestDeadline(&c.Policy))
+	c.Upstream = upstream.Limits{PerNode: b.PerNode, All: toNodes, Streams: b.Streams, Connect: b.Connect,
+		Idle: b.ConnIdle / 2, Silent: longest + longest/2}
+	return nil
+}
+
+// longestDeadline is the longest of all classes.
+func longestDeadline(set *policy.Settings) (longest time.Duration) {
+	for _, class := range set.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	idle := time.Duration(l.ConnIdle * float64(time.Millisecond))
-	c.Upstream = upstream.Limits{PerNode: max(nodeTable/max(c.Policy.Proxies, 1), 1), All: toNodes,
-		Streams: l.StreamsPerConn, Connect: time.Duration(l.ConnectTimeout * float64(time.Millisecond)),
-		Idle: idle / 2, Silent: longest + longest/2}
-	return nil
+	return longest
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -37,16 +37,19 @@
 // Core holds the decision module and carries out what it decides. All events
 // reach the module through it, one at a time; its lock is never held during I/O.
 type Core struct {
-	set      policy.Settings
-	classes  map[string]int
-	tenants  map[string]int
-	mostHeld int
-	log      *slog.Logger
-	nodes    *upstream.Nodes
-	start    time.Time
+	askList bool
+	patient bool
+	zones   []string // what the list's names are the indices of
+	kinds   []string
+	log     *slog.Logger
+	nodes   *upstream.Nodes
+	start   time.Time
+	known   chan struct{} // closed once a list has come
 
 	mu        sync.Mutex
-	registry  *discovery.Client
+	rules     *rules
+	heard     bool // known is closed
+	registry  discovery.Source
 	balancer  *policy.Balancer
 	actions   []policy.Action
 	events    []policy.Event // that carrying out actions has brought
@@ -62,27 +65,54 @@
 	fetch     chan struct{}
 }
 
+// rules are what a request is checked against as it comes. They are replaced
+// whole, so that one request never meets half of each.
+type rules struct {
+	set      policy.Settings
+	classes  map[string]int
+	tenants  map[string]int
+	mostHeld int
+}
+
+func newRules(config *Config) *rules {
+	r := &rules{set: config.Policy, classes: make(map[string]int), tenants: make(map[string]int), mostHeld: config.MostHeld}
+	for i, class := range r.set.Classes {
+		r.classes[class.Name] = i
+	}
+	for i, tenant := range r.set.Tenants {
+		r.tenants[tenant.Name] = i
+	}
+	return r
+}
+
 // newCore returns a core that knows the nodes of the stored list.
 func newCore(config *Config, log *slog.Logger) (*Core, error) {
 	balancer, err := policy.New(config.Policy, config.Seed)
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{set: config.Policy, classes: make(map[string]int), tenants: make(map[string]int),
-		mostHeld: config.MostHeld, log: log, registry: discovery.New(config.Discovery), start: time.Now(),
+	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds,
+		rules: newRules(config), log: log, registry: config.Place.Open(), start: time.Now(), known: make(chan struct{}),
 		balancer: balancer, requests: make(map[uint64]*request), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
-	for i, class := range c.set.Classes {
-		c.classes[class.Name] = i
-	}
-	for i, tenant := range c.set.Tenants {
-		c.tenants[tenant.Name] = i
-	}
 	c.nodes = upstream.New(config.Upstream, c, log)
 	c.learn(c.registry, config.Known, policy.ListStored)
 	return c, nil
 }
 
+// reconfigure puts next's rules into force for what comes from now on. Either
+// all of them are, or none and the error says why.
+func (c *Core) reconfigure(next *Config) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.balancer.Reconfigure(next.Policy); err != nil {
+		return err
+	}
+	c.rules = newRules(next)
+	c.nodes.SetLimits(next.Upstream)
+	return nil
+}
+
 // now is the module's clock: Unix time, so that the list's start times need no
 // mapping, advanced by the monotonic clock.
 func (c *Core) now() time.Duration {
@@ -166,36 +196,37 @@
 
 // arrive takes a request whose last byte has come. The answer goes to reply.
 func (c *Core) arrive(command meta.Command, body []byte, reply *reply) *request {
-	class, known := c.classes[command.Class]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rules := c.rules
+	class, known := rules.classes[command.Class]
 	if !known {
 		reply.finish([]byte("CLIENT_ERROR unknown class\r\n"))
 		return nil
 	}
 	tenant := 0
-	if len(c.tenants) > 0 {
-		if tenant, known = c.tenants[command.Tenant]; !known {
+	if len(rules.tenants) > 0 {
+		if tenant, known = rules.tenants[command.Tenant]; !known {
 			reply.finish([]byte("CLIENT_ERROR unknown tenant\r\n"))
 			return nil
 		}
 	}
-	if c.set.Classes[class].Effect == policy.Keyed && !command.Keyed {
+	if rules.set.Classes[class].Effect == policy.Keyed && !command.Keyed {
 		reply.finish([]byte("CLIENT_ERROR missing k\r\n")) // nothing could drop its repeats
 		return nil
 	}
 	// Nobody waits longer than the class allows; a request that claims to would
 	// hold its place and its timers for as long.
-	wait := c.set.Classes[class].Deadline
+	wait := rules.set.Classes[class].Deadline
 	if command.Wait >= 0 {
 		wait = min(wait, command.Wait)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	// Answers are told apart by the id alone, and so are copies.
 	if _, taken := c.open[command.ID]; taken {
 		reply.finish([]byte("CLIENT_ERROR id in use\r\n"))
 		return nil
 	}
-	if len(c.requests) >= c.mostHeld {
+	if len(c.requests) >= rules.mostHeld {
 		reply.finish(meta.AppendBusy(nil, 0))
 		return nil
 	}
@@ -211,6 +242,18 @@
 	return r
 }
 
+// openFor returns how long the last of the open requests may yet take.
+func (c *Core) openFor() (longest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		if !r.over {
+			longest = max(longest, time.Until(r.expires))
+		}
+	}
+	return longest
+}
+
 // leave ends the requests of a client that has gone.
 func (c *Core) leave(unwritten []*reply) {
 	c.mu.Lock()
@@ -470,7 +513,7 @@
 		case <-time.After(after):
 		}
 		registry, from := c.place()
-		err := registry.Watch(ctx, from, !c.set.AskList, func(l discovery.List) {
+		err := registry.Watch(ctx, from, c.patient, func(l discovery.List) {
 			if ctx.Err() == nil {
 				c.learn(registry, l, policy.ListChanges)
 				post(w.news)
@@ -501,7 +544,7 @@
 		*w = none
 	}
 	moved := false
-	if !c.set.AskList {
+	if !c.askList {
 		now = c.startWatch(ctx, &tasks, 0)
 	}
 	for {
@@ -524,7 +567,7 @@
 			before = none
 		case <-now.lost:
 			now = none
-			if moved || !c.set.AskList {
+			if moved || !c.askList {
 				now = c.startWatch(ctx, &tasks, watchPause)
 				continue
 			}
@@ -537,21 +580,21 @@
 
 // place returns the discovery service and the version of its list that is
 // known: none right after a move, as another service may count otherwise.
-func (c *Core) place() (*discovery.Client, uint64) {
+func (c *Core) place() (discovery.Source, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.registry, c.version
 }
 
-// move makes address the one of discovery.
-func (c *Core) move(address string) {
+// move makes place the one of the list.
+func (c *Core) move(place discovery.Place) {
 	c.mu.Lock()
-	c.registry, c.version = discovery.New(address), 0
+	c.registry, c.version = place.Open(), 0
 	c.mu.Unlock()
 	post(c.moved)
 }
 
-func (c *Core) fetched(from *discovery.Client, l discovery.List, err error) {
+func (c *Core) fetched(from discovery.Source, l discovery.List, err error) {
 	if err == nil {
 		c.learn(from, l, policy.ListFull)
 		return
@@ -564,11 +607,11 @@
 
 // learn takes news of the list: the connections first, so that the module
 // never names a node that they don't know.
-func (c *Core) learn(from *discovery.Client, l discovery.List, kind policy.ListKind) {
+func (c *Core) learn(from discovery.Source, l discovery.List, kind policy.ListKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	there, gone := l.Nodes()
-	update := l.Update(&c.set)
+	update := l.Update(c.zones, c.kinds)
 	if kind == policy.ListStored {
 		update.Kind = kind
 	}
@@ -586,6 +629,10 @@
 	if from == c.registry {
 		c.version = l.Index
 	}
+	if kind != policy.ListStored && !c.heard {
+		c.heard = true
+		close(c.known)
+	}
 	c.nodes.Set(there)
 	c.handle(update)
 	c.nodes.Remove(gone)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := Listen(config, slog.New(slog.DiscardHandler))
+	server, err := Listen(config, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +23,8 @@
 	idleLeast = 100 * time.Millisecond
 	// One part in so many of all places is kept for clients that idle.
 	idlePart = 8
+	// What has come up before handshakes were dropped is in the backlog by then.
+	backlogTime = 20 * time.Millisecond
 )
 
 // Server is a proxy at work.
@@ -34,50 +37,113 @@
 	answers *budget // of values that clients have yet to take
 
 	listener *net.TCPListener
-	longest  time.Duration // deadline
+	shared   bool // another process holds the listener too
 
-	mu      sync.Mutex
-	changed sync.Cond
-	clients map[*client]struct{}
+	mu       sync.Mutex
+	changed  sync.Cond
+	clients  map[*client]struct{}
+	longest  time.Duration // deadline of any request that may be open
+	hurried  bool
+	draining bool
+	late     *time.Timer // ends the drain
 }
 
-// Listen returns a Server that has its address; Serve puts it to work.
-func Listen(config *Config, log *slog.Logger) (*Server, error) {
+// Listen returns a Server that has its address; Serve puts it to work. With
+// a listener it takes that, which another process may hold too, in place of
+// opening config.Listen.
+func Listen(config *Config, listener *net.TCPListener, log *slog.Logger) (*Server, error) {
 	core, err := newCore(config, log)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{core: core, config: config, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
-		answers: newBudget(config.AnswerBytes), clients: make(map[*client]struct{})}
+		answers: newBudget(config.AnswerBytes), clients: make(map[*client]struct{}), listener: listener,
+		shared: listener != nil, longest: longestDeadline(&config.Policy)}
 	s.changed.L = &s.mu
-	for _, class := range config.Policy.Classes {
-		s.longest = max(s.longest, class.Deadline)
+	if s.shared {
+		return s, nil
 	}
 	lc := net.ListenConfig{KeepAlive: -1}
-	listener, err := lc.Listen(context.Background(), "tcp", config.Listen)
+	opened, err := lc.Listen(context.Background(), "tcp", config.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s.listener = listener.(*net.TCPListener)
+	s.listener = opened.(*net.TCPListener)
 	return s, nil
 }
 
+// Known is closed once the source has told its list of nodes.
+func (s *Server) Known() <-chan struct{} { return s.core.known }
+
+// Load counts the connections of clients and the requests that are open.
+func (s *Server) Load() (clients, open int) {
+	s.mu.Lock()
+	clients = len(s.clients)
+	s.mu.Unlock()
+	s.core.mu.Lock()
+	defer s.core.mu.Unlock()
+	return clients, len(s.core.requests)
+}
+
 // Address returns the address that clients connect to.
 func (s *Server) Address() net.Addr { return s.listener.Addr() }
 
-// Reload puts a new configuration into force as far as that goes in service:
-// discovery's address. What else differs is named in the log and waits for a
-// restart. Calls must not overlap.
-func (s *Server) Reload(next *Config) {
-	if changed := s.config.fixed(next); len(changed) > 0 {
+// Follow takes of a new configuration what the platform changes in service: the
+// place of the list. What else differs is named in the log and waits for a
+// restart. Calls of it and of Reload must not overlap.
+func (s *Server) Follow(next *Config) {
+	if changed := s.config.Fixed(next); len(changed) > 0 {
 		s.log.Warn("reload: these wait for a restart", "changed", changed)
 	}
-	s.log.Info("reloaded", "discovery", next.Discovery)
-	if next.Discovery != s.config.Discovery {
-		in := *s.config
-		in.Discovery = next.Discovery
-		s.config = &in
-		s.core.move(in.Discovery)
+	s.log.Info("reloaded", "discovery", next.Place.String())
+	in := *s.config
+	in.Place = next.Place
+	s.put(&in)
+}
+
+// ErrFixed is the error of a reload that would change what can't change in service.
+var ErrFixed = errors.New("these cannot change in service")
+
+// Reload puts a new configuration into force: all of it, or nothing and the
+// error says why. A request that was taken before ends under the rules that it
+// was taken with.
+func (s *Server) Reload(next *Config) error {
+	now := s.config
+	var fixed []string
+	for _, x := range []struct {
+		name     string
+		now, new any
+	}{
+		{"name", now.Name, next.Name},
+		{"listen", now.Listen, next.Listen},
+		{"limits.cores", now.Cores, next.Cores},
+		{"limits.memory_mb", now.Memory >> 20, next.Memory >> 20},
+		{"limits.sockets", now.Sockets, next.Sockets},
+	} {
+		if x.now != x.new {
+			fixed = append(fixed, fmt.Sprintf("%s (in force %v, asked for %v)", x.name, x.now, x.new))
+		}
+	}
+	if len(fixed) > 0 {
+		return fmt.Errorf("%w: %s", ErrFixed, strings.Join(fixed, ", "))
+	}
+	if err := s.core.reconfigure(next); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	// Requests under the old rules may be open for as long as those allow.
+	s.longest = max(s.longest, longestDeadline(&next.Policy))
+	s.mu.Unlock()
+	s.put(next)
+	return nil
+}
+
+// put makes next the configuration in force, and follows its list.
+func (s *Server) put(next *Config) {
+	moved := next.Place != s.config.Place
+	s.config = next
+	if moved {
+		s.core.move(next.Place)
 	}
 }
 
@@ -91,15 +157,67 @@
 	var accepting sync.WaitGroup
 	accepting.Go(func() { s.accept() })
 	<-ctx.Done()
-	// Accept returns what the backlog holds before it heeds a deadline to come.
-	s.listener.SetDeadline(time.Now().Add(acceptTime))
+	s.endAccepting()
 	accepting.Wait()
+	if !s.shared {
+		s.closeListener()
+	}
 	s.listener.Close()
 	s.drain()
 	stop()
 	tasks.Wait()
 }
 
+// endAccepting bounds the time in which connections are taken. Where another
+// process holds the listener too, what comes later is for that one.
+func (s *Server) endAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	// Accept returns what the backlog holds before it heeds a deadline to come.
+	until := time.Now().Add(acceptTime)
+	if s.shared || s.hurried {
+		until = time.Now()
+	}
+	s.listener.SetDeadline(until)
+}
+
+// closeListener takes what the backlog holds before the listener closes. A
+// connection that comes up between the last accept and the close would be reset
+// with its request, so the kernel is told to drop new handshakes first. A client
+// whose handshake is dropped asks again by itself a second later and is refused,
+// or meets the next process at the address.
+func (s *Server) closeListener() {
+	if raw, err := s.listener.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { err = dropHandshakes(int(fd)) })
+		if err != nil {
+			s.log.Warn("listener: handshakes cannot be dropped before the close", "error", err)
+		}
+	}
+	s.listener.SetDeadline(time.Now().Add(backlogTime))
+	s.accept()
+}
+
+// Hurry shortens a drain: no more is taken, and Serve returns when the deadline of
+// what is open now has passed, at the latest.
+func (s *Server) Hurry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hurried {
+		return
+	}
+	s.hurried = true
+	if s.draining {
+		s.listener.SetDeadline(time.Now())
+	}
+	for c := range s.clients {
+		c.hurry()
+	}
+	if s.late != nil {
+		s.late.Reset(s.core.openFor() + lingerTime/3)
+	}
+}
+
 func (s *Server) accept() {
 	for {
 		s.makeRoom()
@@ -206,16 +324,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.clients {
-		c.end()
+		if c.end(); s.hurried {
+			c.hurry()
+		}
+	}
+	wait := s.longest
+	if s.hurried {
+		wait = s.core.openFor()
 	}
-	late := time.AfterFunc(s.longest+lingerTime/3, func() {
+	s.late = time.AfterFunc(wait+lingerTime/3, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.clients {
 			c.socket.Close()
 		}
 	})
-	defer late.Stop()
+	defer s.late.Stop()
 	for len(s.clients) > 0 {
 		s.changed.Wait()
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -64,6 +64,14 @@
 	Silent  time.Duration // how long one with attempts out may say nothing
 }
 
+// SetLimits puts other limits into force. Connections over them are not closed
+// for it: they fall idle.
+func (ns *Nodes) SetLimits(limits Limits) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	ns.limits = limits
+}
+
 // Node is a cache node's place.
 type Node struct {
 	Name, Address string
@@ -72,14 +80,13 @@
 
 // Nodes holds the connections to all cache nodes.
 type Nodes struct {
-	limits  Limits
 	handler Handler
 	log     *slog.Logger
-	dialer  net.Dialer
 
 	tasks sync.WaitGroup // dials, readers and writers
 
 	mu     sync.Mutex
+	limits Limits
 	nodes  map[string]*node
 	conns  int  // open or coming up, of all nodes
 	closed bool // Run has ended
@@ -109,8 +116,7 @@
 
 // New returns an empty Nodes. Run must be called too.
 func New(limits Limits, handler Handler, log *slog.Logger) *Nodes {
-	return &Nodes{limits: limits, handler: handler, log: log, nodes: make(map[string]*node),
-		dialer: net.Dialer{Timeout: limits.Connect, KeepAlive: -1}}
+	return &Nodes{limits: limits, handler: handler, log: log, nodes: make(map[string]*node)}
 }
 
 // Set adds nodes or changes what is known of them. Connections to an old
@@ -258,8 +264,9 @@
 	n.dialing++
 	ns.conns++
 	address := n.Address
+	dialer := net.Dialer{Timeout: ns.limits.Connect, KeepAlive: -1}
 	ns.tasks.Go(func() {
-		socket, err := ns.dialer.Dial("tcp", address) // bounded by the dialer's timeout
+		socket, err := dialer.Dial("tcp", address) // bounded by the dialer's timeout
 		ns.dialed(n, address, socket, err)
 	})
 }
@@ -380,7 +387,7 @@
 // that vanished says nothing at all. When ctx ends it closes all and waits for the
 // end of what this package has started.
 func (ns *Nodes) Run(ctx context.Context) {
-	tick := time.NewTicker(min(ns.limits.Idle, ns.limits.Silent) / 8)
+	tick := time.NewTicker(ns.pause())
 	defer tick.Stop()
 	for {
 		select {
@@ -390,10 +397,18 @@
 			return
 		case now := <-tick.C:
 			ns.sweep(now)
+			tick.Reset(ns.pause())
 		}
 	}
 }
 
+// pause is the time between two sweeps.
+func (ns *Nodes) pause() time.Duration {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	return max(min(ns.limits.Idle, ns.limits.Silent)/8, time.Millisecond)
+}
+
 func (ns *Nodes) sweep(now time.Time) {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
