--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,287 @@
+// Command rehearse plays a fleet of real proxy processes between stand-ins on
+// loopback, and tells whether the rules held.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"wrenroute/internal/config"
+	"wrenroute/internal/notify"
+	"wrenroute/internal/rehearse"
+	"wrenroute/internal/standin/double"
+	"wrenroute/internal/standin/relay"
+)
+
+const usage = `Usage:
+  rehearse --list               the built-in scenarios
+  rehearse wave [--short]       twenty proxies in rolling waves (six, under a minute)
+  rehearse play NAME|FILE       any scenario
+  rehearse up [--scenario NAME] hold a small fleet until interrupted
+  rehearse cost [--runs N] [--requests N]
+                                CPU of a proxy beside a byte relay
+  rehearse times [--runs N]     from exec to ready, from SIGTERM to exit
+  rehearse sight --fault none|lose|double|drain [--every N]
+                                play a proxy with a fault put in
+Everywhere:
+  --program FILE   the proxy, yarrowspan beside this program if left out
+  --json FILE      write the report there too
+  --keep FOLDER    keep configurations and logs there
+  --quiet          tell no progress
+Exit: 0 the rules held, 1 one broke or the rehearsal failed, 2 bad usage.
+`
+
+var (
+	errUsage  = errors.New("bad usage")
+	errBroken = errors.New("a rule broke")
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	switch {
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(os.Stderr, "rehearse: %v\n%s", err, usage)
+		os.Exit(2)
+	case errors.Is(err, errBroken):
+		os.Exit(1)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "rehearse:", err)
+		os.Exit(1)
+	}
+}
+
+// settings are the flags of all commands.
+type settings struct {
+	program, json, keep, scenario, fault string
+	short, quiet                         bool
+	runs, requests, every                int
+}
+
+// printer is a report of any command.
+type printer interface{ Print(io.Writer) }
+
+func run(ctx context.Context, args []string, out, progress io.Writer) error {
+	if len(args) == 0 {
+		return fmt.Errorf("%w: no command", errUsage)
+	}
+	if args[0] == "--list" || args[0] == "-list" {
+		for _, s := range rehearse.List() {
+			fmt.Fprintf(out, "%-12s %s\n", s[0], s[1])
+		}
+		return nil
+	}
+	command := args[0]
+	switch command { // these two play a part in a rehearsal
+	case "double":
+		return playDouble(ctx, args[1:], progress)
+	case "relay":
+		return playRelay(ctx, args[1:])
+	}
+	var s settings
+	flags := flag.NewFlagSet(command, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	flags.StringVar(&s.program, "program", "", "")
+	flags.StringVar(&s.json, "json", "", "")
+	flags.StringVar(&s.keep, "keep", "", "")
+	flags.StringVar(&s.scenario, "scenario", "up", "")
+	flags.StringVar(&s.fault, "fault", "", "")
+	flags.BoolVar(&s.short, "short", false, "")
+	flags.BoolVar(&s.quiet, "quiet", false, "")
+	flags.IntVar(&s.runs, "runs", 5, "")
+	flags.IntVar(&s.requests, "requests", 20000, "")
+	flags.IntVar(&s.every, "every", 500, "")
+	rest, err := interleaved(flags, args[1:])
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", errUsage, command, err)
+	}
+	names := 0
+	if command == "play" {
+		names = 1
+	}
+	if len(rest) != names {
+		return fmt.Errorf("%w: %s takes %d names, not %d", errUsage, command, names, len(rest))
+	}
+	if s.runs < 1 || s.runs > 1000 || s.requests < 1 || s.requests > 1e7 || s.every < 1 {
+		return fmt.Errorf("%w: runs want 1 to 1000, requests 1 to 10000000, every 1 and more", errUsage)
+	}
+	o, done, err := s.options(progress)
+	if err != nil {
+		return err
+	}
+	defer done()
+	switch command {
+	case "wave":
+		name := "wave"
+		if s.short {
+			name = "wave-short"
+		}
+		return s.play(ctx, name, o, out)
+	case "play":
+		return s.play(ctx, rest[0], o, out)
+	case "sight":
+		if !slices.Contains(double.Faults, s.fault) {
+			return fmt.Errorf("%w: sight --fault cannot be %q: want one of %s", errUsage, s.fault, strings.Join(double.Faults, ", "))
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o.Program = []string{self, "double", s.fault, fmt.Sprint(s.every)}
+		return s.play(ctx, "sight", o, out)
+	case "up":
+		scenario, err := rehearse.Load(s.scenario)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+		return rehearse.Up(ctx, scenario, o, func(line string) { fmt.Fprintln(out, line) })
+	case "cost":
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		report, err := rehearse.Cost(ctx, rehearse.CostOptions{Proxy: o.Program, Relay: []string{self, "relay"}, Folder: o.Folder,
+			Profiled: func(path string) []string { return []string{o.Program[0], "serve", "--cpuprofile", path, "--config"} },
+			Runs:     s.runs, Requests: s.requests, Conns: []int{1, 8, 64}, Progress: o.Progress})
+		if err != nil {
+			return err
+		}
+		return s.print(report, out)
+	case "times":
+		report, err := rehearse.Times(o.Program, o.Folder, s.runs)
+		if err != nil {
+			return err
+		}
+		return s.print(report, out)
+	}
+	return fmt.Errorf("%w: there is no command %q", errUsage, command)
+}
+
+// interleaved parses flags that may stand before and behind names.
+func interleaved(flags *flag.FlagSet, args []string) (names []string, err error) {
+	for {
+		if err := flags.Parse(args); err != nil {
+			return nil, err
+		}
+		if flags.NArg() == 0 {
+			return names, nil
+		}
+		names, args = append(names, flags.Arg(0)), flags.Args()[1:]
+	}
+}
+
+func (s *settings) options(progress io.Writer) (o rehearse.Options, done func(), err error) {
+	done = func() {}
+	if s.program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return o, done, err
+		}
+		s.program = filepath.Join(filepath.Dir(self), "yarrowspan")
+	}
+	if _, err := os.Stat(s.program); err != nil {
+		return o, done, fmt.Errorf("%w: the proxy: %w (build it, or name it with --program)", errUsage, err)
+	}
+	o.Program = []string{s.program, "serve", "--config"}
+	o.Progress = func(string, ...any) {}
+	if !s.quiet {
+		o.Progress = func(format string, a ...any) {
+			fmt.Fprintf(progress, "%s %s\n", time.Now().Format("15:04:05"), fmt.Sprintf(format, a...))
+		}
+	}
+	if o.Folder = s.keep; s.keep != "" {
+		return o, done, os.MkdirAll(s.keep, 0o755)
+	}
+	o.Folder, done, err = rehearse.TempFolder()
+	return o, done, err
+}
+
+func (s *settings) play(ctx context.Context, name string, o rehearse.Options, out io.Writer) error {
+	scenario, err := rehearse.Load(name)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	report, err := rehearse.Play(ctx, scenario, o)
+	if err != nil {
+		return err
+	}
+	if err := s.print(report, out); err != nil {
+		return err
+	}
+	if !report.OK() {
+		return errBroken
+	}
+	return nil
+}
+
+func (s *settings) print(report printer, out io.Writer) error {
+	report.Print(out)
+	if s.json == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(report, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(s.json, append(text, '\n'), 0o644)
+}
+
+// playDouble is a proxy with a fault put in: double FAULT EVERY CONFIG.
+func playDouble(ctx context.Context, args []string, log io.Writer) error {
+	var every int
+	if len(args) != 3 || !slices.Contains(double.Faults, args[0]) {
+		return fmt.Errorf("%w: double FAULT EVERY CONFIG", errUsage)
+	}
+	if _, err := fmt.Sscan(args[1], &every); err != nil {
+		return fmt.Errorf("%w: double: every %q", errUsage, args[1])
+	}
+	c, err := config.Read(args[2])
+	if err != nil {
+		return err
+	}
+	manager, err := notify.FromEnvironment(os.Getenv)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", c.Proxy.Listen)
+	if err != nil {
+		return err
+	}
+	d := double.Serve(ctx, double.Config{Listener: listener, List: c.Proxy.Place.Address, Fault: args[0], Every: every,
+		Window: 1500 * time.Millisecond}, func() { manager.Tell(notify.Ready) })
+	fmt.Fprintf(log, "injected=%d\n", d.Injected())
+	return nil
+}
+
+// playRelay is a byte relay: relay ADDRESS TO.
+func playRelay(ctx context.Context, args []string) error {
+	if len(args) != 2 {
+		return fmt.Errorf("%w: relay ADDRESS TO", errUsage)
+	}
+	manager, err := notify.FromEnvironment(os.Getenv)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", args[0])
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	manager.Tell(notify.Ready)
+	relay.Serve(listener, args[1])
+	return nil
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -138,13 +138,14 @@
 	return p.Address
 }
 
-// Open returns the source at a place. It does no I/O.
+// Open returns the source at a place. It does no I/O. Each is one of its own, and
+// comparable.
 func (p Place) Open() Source {
 	switch {
 	case p.File != "":
 		return &file{path: p.File}
 	case p.Fixed != "":
-		return fixed(FixedList(p.Fixed))
+		return &fixed{FixedList(p.Fixed)}
 	}
 	return New(p.Address)
 }
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -122,7 +122,7 @@
 }
 
 // fixed is a list that never changes.
-type fixed List
+type fixed struct{ list List }
 
 // FixedList is the list of nodes at addresses given by commas, each named by its
 // address.
@@ -147,11 +147,11 @@
 }
 
 // Fetch implements Source.
-func (l fixed) Fetch(context.Context) (List, error) { return List(l), nil }
+func (f *fixed) Fetch(context.Context) (List, error) { return f.list, nil }
 
 // Watch implements Source.
-func (l fixed) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
-	tell(List(l))
+func (f *fixed) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
+	tell(f.list)
 	<-ctx.Done()
 	return ctx.Err()
 }
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -42,6 +42,8 @@
 	Wait   time.Duration // how long the client waits; negative if it did not say
 	Retry  bool
 	Keyed  bool // it has an idempotency key
+	// Idempotency is that key, the figure of k.
+	Idempotency string
 
 	line       string
 	from, to   int  // place of d's figure in line, or where it would go
@@ -155,7 +157,7 @@
 		case "r":
 			c.Retry = figure == "1"
 		case "k":
-			c.Keyed = true
+			c.Keyed, c.Idempotency = true, figure
 		case "d":
 			ms, err := strconv.ParseFloat(figure, 64)
 			if err != nil || strings.Trim(figure, "0123456789.") != "" || ms > float64(maxWait/time.Millisecond) {
--- /dev/null
+++ b/internal/rehearse/client.go
@@ -0,0 +1,434 @@
+package rehearse
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wrenroute/internal/meta"
+)
+
+const (
+	// An answer this much after its client's deadline is on time for a rule that
+	// is measured over sockets on a busy machine; a later one counts as lost.
+	slack = 250 * time.Millisecond
+	// How long a try is watched after its deadline for what comes late.
+	watchTime = time.Second
+	// A kept connection that ends so soon after a request went out was closed
+	// between requests; the request crossed that, unless a node has seen it.
+	crossTime = 300 * time.Millisecond
+	// Connections that idle are kept by a client side for so long at most.
+	keepTime = 1500 * time.Millisecond
+	// Requests under way at a time, over all clients.
+	mostOpen = 8192
+)
+
+// clients are the client side of a rehearsal: arrivals that do not wait for
+// answers, each with its own retries, over kept connections.
+type clients struct {
+	fleet *fleet
+	load  LoadPart
+	kinds [2]kind // read, write
+	tally *tally
+
+	serial atomic.Uint64
+	open   atomic.Int64
+	tasks  sync.WaitGroup
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	zipf  *rand.Zipf
+	pools [][]*link // by proxy, idle, the latest last
+}
+
+// link is a client's connection to a proxy.
+type link struct {
+	socket net.Conn
+	in     *bufio.Reader
+	opened time.Time
+	idle   time.Time
+	used   bool // it has carried a request
+}
+
+func newClients(f *fleet, t *tally) *clients {
+	l := f.scenario.Load
+	rng := rand.New(rand.NewPCG(f.scenario.Seed, 5))
+	return &clients{fleet: f, load: l, tally: t, rng: rng, zipf: rand.NewZipf(rng, l.Skew, 4, uint64(l.Keys-1)),
+		pools: make([][]*link, len(f.proxies)),
+		kinds: [2]kind{{name: "read", aim: 500 * time.Millisecond, deadline: 2 * time.Second},
+			{name: "write", write: true, aim: 750 * time.Millisecond, deadline: 2500 * time.Millisecond,
+				window: time.Duration(f.scenario.Fleet.Window)}}}
+}
+
+// errand is one request of a client, through all its tries.
+type errand struct {
+	plan
+	key, idempotency, tenant string
+	share                    float64 // of the deadline that a try waits
+	marked                   bool
+}
+
+// draw makes up the next request, and the time until the one after it.
+func (c *clients) draw() (*errand, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rng
+	e := &errand{plan: plan{kind: c.kinds[0], retries: c.load.Retries, pause: time.Duration(20+r.IntN(140)) * time.Millisecond,
+		honour: r.Float64() < c.load.Honour}, share: 0.3 + r.Float64()*0.25, marked: r.Float64() < c.load.Marked}
+	switch {
+	case r.Float64() < c.load.Handovers:
+		e.kind = c.kinds[1]
+		e.key = fmt.Sprint("h", r.IntN(c.load.Keys))
+		e.idempotency = fmt.Sprintf("%x", c.serial.Add(1))
+	case r.Float64() < c.load.OneOff:
+		e.key = fmt.Sprint("once", c.serial.Add(1))
+	default:
+		e.key = fmt.Sprint("k", c.zipf.Uint64())
+	}
+	if n := len(c.load.Tenants); n > 0 {
+		e.tenant = c.load.Tenants[r.IntN(n)]
+	}
+	return e, time.Duration(r.ExpFloat64() / c.load.Rate * float64(time.Second))
+}
+
+// run sends requests until ctx ends, and returns when all of them are over.
+func (c *clients) run(ctx context.Context) {
+	for i := range c.load.Pipelines {
+		c.tasks.Go(func() { c.pipeline(ctx, i) })
+	}
+	if c.load.Rate > 0 {
+		for next := time.Now(); ctx.Err() == nil; {
+			e, gap := c.draw()
+			if c.open.Load() >= mostOpen {
+				c.tally.notOffered()
+			} else {
+				c.open.Add(1)
+				c.tasks.Go(func() {
+					defer c.open.Add(-1)
+					c.carry(e)
+				})
+			}
+			next = next.Add(gap)
+			if wait := time.Until(next); wait > 0 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(wait):
+				}
+			}
+		}
+	} else {
+		<-ctx.Done()
+	}
+	c.tasks.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pool := range c.pools {
+		for _, l := range pool {
+			l.socket.Close()
+		}
+	}
+}
+
+// carry takes one request through its tries.
+func (c *clients) carry(e *errand) {
+	begun := time.Now()
+	note := c.tally.begin(begun)
+	wait := e.kind.deadline
+	for first := true; ; first = false {
+		e.lastOut = time.Since(begun)
+		as, advice := c.try(e, min(time.Duration(e.share*float64(e.kind.deadline)), wait), !first)
+		now := time.Since(begun)
+		again, pause, most := e.next(now, as, advice)
+		if !again {
+			c.tally.end(note, now, as, e.kind.aim)
+			return
+		}
+		if as != crossed && as != unopened {
+			c.tally.retry(note)
+		}
+		if as == unopened {
+			pause = max(pause, 10*time.Millisecond)
+			most -= pause
+		}
+		time.Sleep(pause)
+		wait = most
+	}
+}
+
+// pick chooses a proxy that the front deals to.
+func (c *clients) pick() *proxyDoor {
+	for range 100 {
+		c.mu.Lock()
+		d := c.fleet.proxies[c.rng.IntN(len(c.fleet.proxies))]
+		c.mu.Unlock()
+		d.mu.Lock()
+		taking := d.taking
+		d.mu.Unlock()
+		if taking {
+			return d
+		}
+	}
+	return nil
+}
+
+// connect returns a kept connection to a proxy, or a new one.
+func (c *clients) connect(d *proxyDoor) (*link, error) {
+	c.mu.Lock()
+	pool := c.pools[d.index]
+	for len(pool) > 0 {
+		l := pool[len(pool)-1]
+		pool = pool[:len(pool)-1]
+		if time.Since(l.idle) < keepTime {
+			c.pools[d.index] = pool
+			c.mu.Unlock()
+			return l, nil
+		}
+		l.socket.Close()
+	}
+	c.pools[d.index] = pool
+	c.mu.Unlock()
+	return dial(d.address)
+}
+
+func dial(address string) (*link, error) {
+	socket, err := net.DialTimeout("tcp", address, 3*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &link{socket: socket, in: bufio.NewReaderSize(socket, 2<<10), opened: time.Now()}, nil
+}
+
+func (c *clients) keep(d *proxyDoor, l *link) {
+	l.idle, l.used = time.Now(), true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools[d.index] = append(c.pools[d.index], l)
+}
+
+// command is a request's text for a proxy, and the id that it was given.
+func (c *clients) command(e *errand, proxy int, wait time.Duration, repeat bool) (text []byte, id string) {
+	id = fmt.Sprintf("p%d-%x", proxy, c.serial.Add(1))
+	var b bytes.Buffer
+	if e.kind.write {
+		fmt.Fprintf(&b, "ms %s 5 O%s Pc=%s", e.key, id, e.kind.name)
+	} else {
+		fmt.Fprintf(&b, "mg %s v O%s Pc=%s", e.key, id, e.kind.name)
+	}
+	if e.tenant != "" {
+		fmt.Fprintf(&b, ",t=%s", e.tenant)
+	}
+	fmt.Fprintf(&b, ",d=%d", max(wait.Milliseconds(), 1))
+	if e.idempotency != "" {
+		fmt.Fprintf(&b, ",k=%s", e.idempotency)
+	}
+	if repeat && e.marked {
+		b.WriteString(",r=1")
+	}
+	b.WriteString("\r\n")
+	if e.kind.write {
+		b.WriteString("hello\r\n")
+	}
+	return b.Bytes(), id
+}
+
+// try sends a request once and waits for its answer.
+func (c *clients) try(e *errand, wait time.Duration, repeat bool) (ending, time.Duration) {
+	d := c.pick()
+	if d == nil {
+		return unopened, 0
+	}
+	l, err := c.connect(d)
+	if err != nil {
+		c.tally.unopened()
+		return unopened, 0
+	}
+	text, id := c.command(e, d.index, wait, repeat)
+	sent := time.Now()
+	c.tally.sent()
+	l.socket.SetDeadline(sent.Add(wait))
+	if _, err = l.socket.Write(text); err == nil {
+		var answer meta.Answer
+		var value []byte
+		if answer, value, err = l.answer(); err == nil {
+			return c.judge(d, l, e, id, &answer, value)
+		}
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		// The client gives up, and what comes yet is watched for.
+		c.tasks.Go(func() { c.late(d, l, id, sent.Add(wait)) })
+		return silent, 0
+	}
+	l.socket.Close()
+	if errors.Is(err, meta.ErrAnswer) {
+		c.tally.wrong("proxy %d answered %s with what can't be read", d.index, id)
+		return failed, 0
+	}
+	return c.broken(d, l, id, sent, err), 0
+}
+
+// broken judges a connection that ended with a request out.
+func (c *clients) broken(d *proxyDoor, l *link, id string, sent time.Time, err error) ending {
+	took := time.Since(sent)
+	d.mu.Lock()
+	killed := d.killed
+	d.mu.Unlock()
+	switch {
+	case killed.After(l.opened) && killed.After(sent.Add(-patience)) && time.Since(killed) < patience:
+		c.tally.excused()
+		return silent // left to the client: it may have run
+	case l.used && took < crossTime:
+		// It is lost all the same if the proxy had taken it, which a node may see late.
+		c.tasks.Go(func() {
+			time.Sleep(watchTime)
+			if c.fleet.wasSeen(id) {
+				c.tally.lose("proxy %d took %s and closed its connection", d.index, id)
+			} else {
+				c.tally.crossed()
+			}
+		})
+		return crossed
+	}
+	c.tally.lose("proxy %d ended the connection of %s after %v, used before: %v: %v", d.index, id, took.Round(time.Millisecond), l.used, err)
+	return silent
+}
+
+// late watches a connection whose client has given up.
+func (c *clients) late(d *proxyDoor, l *link, id string, deadline time.Time) {
+	defer l.socket.Close()
+	l.socket.SetDeadline(deadline.Add(watchTime))
+	_, _, err := l.answer()
+	var timeout net.Error
+	switch by := time.Since(deadline); {
+	case err == nil && by <= slack:
+		c.tally.overdue(by)
+	case err == nil:
+		c.tally.lose("proxy %d answered %s %v after its deadline", d.index, id, by.Round(time.Millisecond))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.tally.lose("proxy %d never answered %s", d.index, id)
+	default:
+		c.broken(d, l, id, deadline.Add(-crossTime), err) // too late for a crossing
+	}
+}
+
+// judge tells what an answer is worth, and keeps its connection.
+func (c *clients) judge(d *proxyDoor, l *link, e *errand, id string, a *meta.Answer, value []byte) (ending, time.Duration) {
+	if l.in.Buffered() > 0 {
+		l.socket.Close()
+		c.tally.wrong("proxy %d sent more than one answer to %s", d.index, id)
+		return failed, 0
+	}
+	isRead := !e.kind.write
+	switch {
+	case a.Kind == meta.Value && isRead && string(a.ID) == id && bytes.HasPrefix(value, append([]byte(e.key), ' ')),
+		a.Kind == meta.Stored && !isRead && string(a.ID) == id && len(a.Receipt) > 0:
+		c.keep(d, l)
+		return served, 0
+	case a.Kind == meta.Value || a.Kind == meta.Stored:
+		l.socket.Close()
+		c.tally.wrong("proxy %d answered %s of %s with %q for %q", d.index, id, e.key, value, a.ID)
+		return failed, 0
+	}
+	c.keep(d, l)
+	if a.Kind == meta.Busy {
+		return refused, time.Duration(a.Size) * time.Millisecond
+	}
+	return failed, 0
+}
+
+// answer reads one answer. Of a refusal, Size is the advice in milliseconds.
+func (l *link) answer() (meta.Answer, []byte, error) {
+	line, err := l.in.ReadSlice('\n')
+	if err != nil {
+		return meta.Answer{}, nil, err
+	}
+	line = bytes.TrimSuffix(line, []byte("\r\n"))
+	if advice, ok := bytes.CutPrefix(line, []byte("SERVER_ERROR busy")); ok {
+		ms, _ := strconv.Atoi(string(bytes.TrimSpace(advice)))
+		return meta.Answer{Kind: meta.Busy, Size: ms}, nil, nil
+	}
+	a, err := meta.ParseAnswer(bytes.Clone(line))
+	if err != nil || a.Kind != meta.Value {
+		return a, nil, err
+	}
+	value := make([]byte, a.Size+2)
+	if _, err := io.ReadFull(l.in, value); err != nil {
+		return a, nil, err
+	}
+	if !bytes.HasSuffix(value, []byte("\r\n")) {
+		return a, nil, meta.ErrAnswer
+	}
+	return a, value[:a.Size], nil
+}
+
+// pipeline is a client that writes many reads at once and takes the answers in
+// order, over and over. Its requests are not counted in the phases; the rules are.
+func (c *clients) pipeline(ctx context.Context, number int) {
+	var l *link
+	defer func() {
+		if l != nil {
+			l.socket.Close()
+		}
+	}()
+	var d *proxyDoor
+	for ctx.Err() == nil {
+		if l == nil {
+			if d = c.pick(); d == nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			var err error
+			if l, err = dial(d.address); err != nil {
+				l = nil
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+		}
+		wait := c.kinds[0].deadline
+		var text []byte
+		var ids, keys []string
+		for i := range c.load.Depth {
+			e := &errand{plan: plan{kind: c.kinds[0]}, key: fmt.Sprintf("pipe%d.%d", number, i)}
+			if n := len(c.load.Tenants); n > 0 {
+				e.tenant = c.load.Tenants[number%n]
+			}
+			one, id := c.command(e, d.index, wait, false)
+			text, ids, keys = append(text, one...), append(ids, id), append(keys, e.key)
+		}
+		sent := time.Now()
+		l.socket.SetDeadline(sent.Add(wait + watchTime))
+		_, err := l.socket.Write(text)
+		for i, id := range ids {
+			c.tally.sent()
+			var a meta.Answer
+			var value []byte
+			if err == nil {
+				a, value, err = l.answer()
+			}
+			var timeout net.Error
+			switch {
+			case err == nil && a.Kind == meta.Value && (string(a.ID) != id || !bytes.HasPrefix(value, []byte(keys[i]+" "))):
+				c.tally.wrong("proxy %d answered %s in a pipeline with that of %s", d.index, id, a.ID)
+			case err == nil:
+			case errors.As(err, &timeout) && timeout.Timeout():
+				c.tally.lose("proxy %d never answered %s in a pipeline", d.index, id)
+			default: // what the proxy has not read is asked for elsewhere
+				l.used = true
+				c.broken(d, l, id, time.Now(), err)
+			}
+		}
+		if l.used = true; err != nil {
+			l.socket.Close()
+			l = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/cost.go
@@ -0,0 +1,279 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/pprof/profile"
+	"golang.org/x/sys/unix"
+
+	"wrenroute/internal/meta"
+	"wrenroute/internal/standin/node"
+	"wrenroute/internal/standin/origin"
+)
+
+// CostOptions say how to measure what a proxy costs.
+type CostOptions struct {
+	Proxy    []string // starts a proxy; its configuration's path follows
+	Profiled func(path string) []string
+	Relay    []string // starts a byte relay; ADDRESS TO follow
+	Folder   string
+	Runs     int
+	Requests int // of one measurement
+	Conns    []int
+	Progress func(format string, a ...any)
+}
+
+// CostReport is what was measured. Costs are CPU time in ms for 1,000 requests.
+type CostReport struct {
+	Rows    []CostRow `json:"rows"`
+	Hottest []string  `json:"hottest"` // functions by their own CPU time
+}
+
+// CostRow is of one number of connections; a figure for each run.
+type CostRow struct {
+	Conns int       `json:"conns"`
+	Proxy []float64 `json:"proxy_ms"`
+	Relay []float64 `json:"relay_ms"`
+	Ratio []float64 `json:"ratio"`
+	Rate  []float64 `json:"proxy_requests_a_second"`
+}
+
+// cpuTime is the CPU time that a process has had, all its threads together.
+func cpuTime(pid int) (time.Duration, error) {
+	var t unix.Timespec
+	// The clock of another process, as the manual page clock_getcpuclockid(3) has it.
+	if err := unix.ClockGettime(int32(^pid<<3|2), &t); err != nil {
+		return 0, fmt.Errorf("CPU clock of %d: %w", pid, err)
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// Cost measures a proxy and a byte relay side by side, turn by turn.
+func Cost(ctx context.Context, o CostOptions) (*CostReport, error) {
+	center := origin.New(origin.Config{Slots: 64, Queue: 1024, Work: time.Millisecond})
+	defer center.Close()
+	most := slices.Max(o.Conns)
+	n, err := node.Start(node.Config{Name: "n0", Conns: 2*most + 64, Queue: 4 * most, Slots: 4 * most, Origin: center,
+		Group: node.NewGroup(time.Second)})
+	if err != nil {
+		return nil, err
+	}
+	defer n.Close()
+	proxyAt, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	config := filepath.Join(o.Folder, "cost.toml")
+	text := fmt.Sprintf("listen = %q\nnodes.addresses = [%q]\n[limits]\nsockets = 1024\nconnections_per_node = %d\n", proxyAt, n.Address(), most)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	proxy, err := startProcess(append(slices.Clone(o.Proxy), config), nil, filepath.Join(o.Folder, "proxy.log"))
+	if err != nil {
+		return nil, err
+	}
+	defer proxy.end(syscall.SIGTERM)
+	if err := proxy.awaitReady(); err != nil {
+		return nil, err
+	}
+	relayAt, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	relay, err := startProcess(append(slices.Clone(o.Relay), relayAt, n.Address()), nil, filepath.Join(o.Folder, "relay.log"))
+	if err != nil {
+		return nil, err
+	}
+	defer relay.end(syscall.SIGTERM)
+	if err := relay.awaitReady(); err != nil {
+		return nil, err
+	}
+	r := &CostReport{}
+	for _, conns := range o.Conns {
+		r.Rows = append(r.Rows, CostRow{Conns: conns})
+	}
+	for run := range o.Runs + 1 { // the first is for warming up, and is dropped
+		for i := range r.Rows {
+			row := &r.Rows[i]
+			var cost [2]float64
+			var rate float64
+			for j, target := range []struct {
+				p  *process
+				at string
+			}{{proxy, proxyAt}, {relay, relayAt}} {
+				cpu, took, err := drive(ctx, target.p, target.at, row.Conns, o.Requests)
+				if err != nil {
+					return nil, err
+				}
+				if cost[j] = cpu * 1e6 / float64(o.Requests); j == 0 {
+					rate = float64(o.Requests) / took
+				}
+			}
+			if run > 0 {
+				row.Proxy, row.Relay = append(row.Proxy, cost[0]), append(row.Relay, cost[1])
+				row.Ratio, row.Rate = append(row.Ratio, cost[0]/cost[1]), append(row.Rate, rate)
+				o.Progress("run %d, %d connections: proxy %.1f ms, relay %.1f ms", run, row.Conns, cost[0], cost[1])
+			}
+		}
+	}
+	r.Hottest, err = hottest(ctx, o, config, proxyAt, proxy)
+	return r, err
+}
+
+// freeAddress returns an address that was free a moment ago, of a host that no
+// connection goes out from.
+func freeAddress() (string, error) {
+	l, err := listenAt(proxyHost)
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// drive sends requests over so many connections, one at a time on each, and
+// returns the CPU seconds that a process had for them, and the seconds they took.
+func drive(ctx context.Context, p *process, address string, conns, requests int) (cpu, took float64, err error) {
+	var links []*link
+	defer func() {
+		for _, l := range links {
+			l.socket.Close()
+		}
+	}()
+	for range conns {
+		l, err := dial(address)
+		if err != nil {
+			return 0, 0, err
+		}
+		l.socket.SetDeadline(time.Now().Add(5 * time.Minute))
+		links = append(links, l)
+	}
+	before, err := cpuTime(p.cmd.Process.Pid)
+	if err != nil {
+		return 0, 0, err
+	}
+	begun := time.Now()
+	var left, serial, refused atomic.Int64
+	left.Store(int64(requests))
+	var tasks sync.WaitGroup
+	errs := make(chan error, conns)
+	for _, l := range links {
+		tasks.Go(func() {
+			for left.Add(-1) >= 0 && ctx.Err() == nil {
+				id := serial.Add(1)
+				_, err := fmt.Fprintf(l.socket, "mg k%d v O%x Pc=read,d=2000\r\n", id%64, id)
+				var a meta.Answer
+				if err == nil {
+					a, _, err = l.answer()
+				}
+				if err == nil && a.Kind == meta.Busy { // it costs too, but is no read
+					refused.Add(1)
+				} else if err == nil && a.Kind != meta.Value {
+					err = fmt.Errorf("an answer of kind %d", a.Kind)
+				}
+				if err != nil {
+					errs <- err
+					return
+				}
+			}
+		})
+	}
+	tasks.Wait()
+	took = time.Since(begun).Seconds()
+	after, err := cpuTime(p.cmd.Process.Pid)
+	if err != nil {
+		return 0, 0, err
+	}
+	select {
+	case err := <-errs:
+		return 0, 0, fmt.Errorf("measuring: %w", err)
+	default:
+		if n := refused.Load(); n > int64(requests/50) {
+			return 0, 0, fmt.Errorf("measuring: %d of %d refused", n, requests)
+		}
+		return (after - before).Seconds(), took, ctx.Err()
+	}
+}
+
+// hottest returns the functions with the most CPU time of their own, from a
+// profile of a proxy of its own.
+func hottest(ctx context.Context, o CostOptions, config, address string, before *process) ([]string, error) {
+	if err := before.end(syscall.SIGTERM); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(o.Folder, "cpu.profile")
+	p, err := startProcess(append(o.Profiled(path), config), nil, filepath.Join(o.Folder, "profiled.log"))
+	if err != nil {
+		return nil, err
+	}
+	if err = p.awaitReady(); err == nil {
+		_, _, err = drive(ctx, p, address, slices.Max(o.Conns), 2*o.Requests)
+	}
+	if ended := p.end(syscall.SIGTERM); err == nil {
+		err = ended
+	}
+	if err != nil {
+		return nil, err
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	parsed, err := profile.Parse(f)
+	if err != nil {
+		return nil, err
+	}
+	own := make(map[string]int64)
+	total := int64(0)
+	for _, s := range parsed.Sample {
+		value := s.Value[len(s.Value)-1]
+		if total += value; len(s.Location) > 0 && len(s.Location[0].Line) > 0 {
+			own[s.Location[0].Line[0].Function.Name] += value
+		}
+	}
+	var names []string
+	for name := range own {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return own[names[i]] > own[names[j]] })
+	var list []string
+	for _, name := range names[:min(len(names), 10)] {
+		list = append(list, fmt.Sprintf("%.1f%% %s", 100*float64(own[name])/float64(total), name))
+	}
+	return list, nil
+}
+
+// spread says the median of figures, and their least and most.
+func spread(x []float64) string {
+	x = slices.Sorted(slices.Values(x))
+	if len(x) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f (%.2f to %.2f)", x[len(x)/2], x[0], x[len(x)-1])
+}
+
+// Print writes the report as a table.
+func (r *CostReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "CPU ms for 1,000 reads\tproxy\tbyte relay\tratio\treads a second\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%d connections\t%s\t%s\t%s\t%s\t\n", row.Conns, spread(row.Proxy), spread(row.Relay), spread(row.Ratio), spread(row.Rate))
+	}
+	w.Flush()
+	fmt.Fprintln(out, "median (least to most) of", len(r.Rows[0].Ratio), "runs; the proxy's hottest functions:")
+	for _, line := range r.Hottest {
+		fmt.Fprintln(out, "  "+line)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/fleet.go
@@ -0,0 +1,444 @@
+package rehearse
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wrenroute/internal/standin/list"
+	"wrenroute/internal/standin/node"
+	"wrenroute/internal/standin/origin"
+)
+
+// proxyHost is a loopback address that no connection goes out from: while a
+// proxy is down, none can take its port by chance.
+const proxyHost = "127.0.0.3"
+
+// The drain rule, and what the protocol page adds for real sockets.
+const drainGrace = 500*time.Millisecond + 50*time.Millisecond
+
+// fleet is all stand-ins and the processes of the proxies.
+type fleet struct {
+	scenario *Scenario
+	program  []string // how a proxy is started; its configuration's path follows
+	folder   string
+	say      func(format string, a ...any)
+
+	origin  *origin.Origin
+	group   *node.Group
+	nodes   []*node.Node
+	list    *list.Service
+	proxies []*proxyDoor
+
+	mu       sync.Mutex
+	entries  []list.Entry // of nodes, as last told
+	late     int          // drains
+	lateBy   time.Duration
+	crashes  int
+	problems []string
+	seen     [2]map[string]struct{} // ids that a node has seen, in two generations
+	turned   time.Time
+}
+
+// A node's request is remembered for one to two of these.
+const seenTime = 5 * time.Second
+
+// proxyDoor is one proxy of the fleet, through all its processes.
+type proxyDoor struct {
+	fleet    *fleet
+	index    int
+	address  string
+	config   string
+	listener *os.File // passed to each process, or nil
+
+	change sync.Mutex // held while it is being restarted or reloaded
+
+	mu       sync.Mutex
+	process  *process
+	taking   bool // the front deals it connections
+	killed   time.Time
+	listAt   string
+	quota    int
+	restarts int
+	reloads  int
+}
+
+// startFleet starts the stand-ins, and processes if a program is named.
+func startFleet(s *Scenario, program []string, folder string, say func(string, ...any)) (*fleet, error) {
+	f := &fleet{scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
+		seen: [2]map[string]struct{}{{}, {}}}
+	p := s.Fleet
+	f.origin = origin.New(origin.Config{Slots: p.OriginSlots, Queue: p.OriginQueue, Work: time.Duration(p.OriginWork), Seed: s.Seed})
+	f.group = node.NewGroup(time.Duration(p.Window))
+	for i := range p.Nodes {
+		n, err := node.Start(node.Config{Name: fmt.Sprintf("n%d", i), Slots: p.Slots, Queue: p.Queue, Work: time.Duration(p.Work),
+			Capacity: p.Capacity, Conns: p.Connections, Report: true, Seed: s.Seed + uint64(i), Origin: f.origin, Group: f.group,
+			Arrived: f.arrived})
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.nodes = append(f.nodes, n)
+		f.entries = append(f.entries, list.Entry{Name: n.Name(), Address: n.Address(), Zone: p.Zones[i%len(p.Zones)], Type: "m1",
+			Group: i % 3, Status: "up", Weight: 1})
+	}
+	f.list = list.New(f.entries)
+	for i := range p.Proxies {
+		d, err := f.newDoor(i)
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		f.proxies = append(f.proxies, d)
+	}
+	var starting sync.WaitGroup
+	errs := make([]error, len(f.proxies))
+	for i, d := range f.proxies {
+		starting.Go(func() { errs[i] = d.start() })
+	}
+	starting.Wait()
+	if err := errors.Join(errs...); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) newDoor(i int) (*proxyDoor, error) {
+	d := &proxyDoor{fleet: f, index: i, config: filepath.Join(f.folder, fmt.Sprintf("p%d.toml", i)), quota: 1000}
+	listener, err := net.Listen("tcp", proxyHost+":0")
+	if err != nil {
+		return nil, err
+	}
+	d.address = listener.Addr().String()
+	if every := f.scenario.Fleet.PassedSocket; every > 0 && i%every == 0 {
+		if d.listener, err = listener.(*net.TCPListener).File(); err != nil {
+			return nil, err
+		}
+	}
+	listener.Close()
+	if d.listAt, err = f.list.Open(i); err != nil {
+		return nil, err
+	}
+	return d, os.WriteFile(d.config, d.text("same"), 0o600)
+}
+
+// text is the proxy's configuration. With tells what is wrong or new in it.
+func (d *proxyDoor) text(with string) []byte {
+	var b bytes.Buffer
+	s, p := d.fleet.scenario, d.fleet.scenario.Fleet
+	sockets := p.Sockets
+	if with == "fixed" {
+		sockets *= 2
+	}
+	fmt.Fprintf(&b, "name = \"p%d\"\nlisten = %q\nzones = %s\nzone = %q\ntypes = [\"m1\"]\n", d.index, d.address, quoted(p.Zones),
+		p.Zones[d.index%len(p.Zones)])
+	if with == "broken" {
+		fmt.Fprintln(&b, "zone = \"nowhere")
+	}
+	fmt.Fprintf(&b, "[nodes]\ndiscovery = %q\n[start]\nwait_for_address = \"10s\"\n", d.listAt)
+	fmt.Fprintf(&b, "[limits]\nmemory_mb = %d\nsockets = %d\nconnections_per_node = %d\n", p.MemoryMB, sockets, p.PerNode)
+	for _, t := range s.Load.Tenants {
+		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
+	}
+	text := b.Bytes()
+	if with == "half" {
+		text = text[:len(text)/3]
+	}
+	return text
+}
+
+func quoted(texts []string) string {
+	for i, t := range texts {
+		if i == 0 {
+			texts = append([]string(nil), texts...)
+		}
+		texts[i] = strconv.Quote(t)
+	}
+	return "[" + strings.Join(texts, ", ") + "]"
+}
+
+// arrived is told each request that comes to a node.
+func (f *fleet) arrived(name, id string, at time.Time) {
+	proxy := proxyOf(id)
+	told, draining := f.list.DrainTold(proxy, name)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.Sub(f.turned) > seenTime {
+		f.seen[0], f.seen[1], f.turned = f.seen[1], make(map[string]struct{}), at
+	}
+	f.seen[1][id] = struct{}{}
+	if by := at.Sub(told); draining && by > drainGrace {
+		f.late++
+		f.lateBy = max(f.lateBy, by)
+	}
+}
+
+// wasSeen tells whether a node has seen a request lately.
+func (f *fleet) wasSeen(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, a := f.seen[0][id]
+	_, b := f.seen[1][id]
+	return a || b
+}
+
+// proxyOf returns the proxy that a request was sent to, which its id names.
+func proxyOf(id string) int {
+	number, _, _ := strings.Cut(strings.TrimPrefix(id, "p"), "-")
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+func (f *fleet) problem(format string, a ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.problems) < 50 {
+		f.problems = append(f.problems, fmt.Sprintf(format, a...))
+	}
+}
+
+func (f *fleet) crash(format string, a ...any) {
+	f.problem(format, a...)
+	f.mu.Lock()
+	f.crashes++
+	f.mu.Unlock()
+}
+
+// launch starts a process for the proxy.
+func (d *proxyDoor) launch() (*process, error) {
+	argv := append(append([]string(nil), d.fleet.program...), d.config)
+	return startProcess(argv, d.listener, filepath.Join(d.fleet.folder, fmt.Sprintf("p%d.log", d.index)))
+}
+
+// start brings the proxy up where there is none.
+func (d *proxyDoor) start() error {
+	p, err := d.launch()
+	if err != nil {
+		return fmt.Errorf("proxy %d: %w", d.index, err)
+	}
+	d.mu.Lock()
+	d.process = p
+	d.mu.Unlock()
+	if err := p.awaitReady(); err != nil {
+		return fmt.Errorf("proxy %d: %w", d.index, err)
+	}
+	d.deal(true)
+	return nil
+}
+
+func (d *proxyDoor) deal(taking bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.taking = taking
+}
+
+func (d *proxyDoor) current() *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process
+}
+
+// frontNotice is how long after a drain began a front still deals connections.
+const frontNotice = 300 * time.Millisecond
+
+// restart replaces the proxy's process as its operators would.
+func (d *proxyDoor) restart(mode string) {
+	d.change.Lock()
+	defer d.change.Unlock()
+	f, old := d.fleet, d.current()
+	if old.crashed() {
+		f.crash("proxy %d had ended unasked: %v: %s", d.index, old.err, tail(old.log))
+	}
+	d.mu.Lock()
+	d.restarts++
+	d.mu.Unlock()
+	ended := make(chan struct{})
+	drain := func() {
+		defer close(ended)
+		if err := old.end(syscall.SIGTERM); err != nil {
+			f.crash("proxy %d: old process: %v: %s", d.index, err, tail(old.log))
+		}
+	}
+	begin := func() bool {
+		p, err := d.launch()
+		if err == nil {
+			if err = p.awaitReady(); err != nil {
+				p.end(syscall.SIGKILL)
+			}
+		}
+		if err != nil {
+			f.crash("proxy %d: new process: %v", d.index, err)
+			return false
+		}
+		d.mu.Lock()
+		d.process = p
+		d.mu.Unlock()
+		return true
+	}
+	switch {
+	case d.listener != nil: // both hold it, and the front sees no gap
+		if begin() {
+			drain()
+		}
+		return
+	case mode == "overlap": // the new one waits for the address
+		go drain()
+		notice := time.AfterFunc(frontNotice, func() { d.deal(false) })
+		if begin() {
+			notice.Stop()
+			d.deal(true)
+		}
+		<-ended
+	default:
+		notice := time.AfterFunc(frontNotice, func() { d.deal(false) })
+		drain()
+		notice.Stop()
+		d.deal(false)
+		if begin() {
+			d.deal(true)
+		}
+	}
+}
+
+// kill ends the proxy outright, and starts it again.
+func (d *proxyDoor) kill() {
+	d.change.Lock()
+	defer d.change.Unlock()
+	d.mu.Lock()
+	d.killed = time.Now()
+	old := d.process
+	d.mu.Unlock()
+	old.end(syscall.SIGKILL)
+	notice := time.AfterFunc(time.Second, func() { d.deal(false) }) // the front sees it late
+	err := d.start()
+	if notice.Stop(); err != nil {
+		d.fleet.crash("%v", err)
+	}
+}
+
+// hangup writes the configuration anew and has the proxy read it.
+func (d *proxyDoor) hangup(with string, times int, every time.Duration) {
+	d.change.Lock()
+	defer d.change.Unlock()
+	f, p := d.fleet, d.current()
+	before := p.reloaded()
+	for i := range max(times, 1) {
+		if i > 0 {
+			time.Sleep(every)
+		}
+		d.mu.Lock()
+		d.reloads++
+		if with == "quota" {
+			d.quota++
+		}
+		d.mu.Unlock()
+		if with == "moved" {
+			at, err := f.list.Move(d.index)
+			if err != nil {
+				f.problem("list: %v", err)
+				return
+			}
+			d.mu.Lock()
+			d.listAt = at
+			d.mu.Unlock()
+		}
+		if err := d.rewrite(with); err != nil {
+			f.problem("proxy %d: %v", d.index, err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	for until := time.Now().Add(patience); p.reloaded() == before; time.Sleep(5 * time.Millisecond) {
+		if p.crashed() || time.Now().After(until) {
+			f.crash("proxy %d: no reload was told after SIGHUP: %s", d.index, tail(p.log))
+			return
+		}
+	}
+	if with != "same" && with != "quota" && with != "moved" { // a next start must find a good one
+		if err := d.rewrite("same"); err != nil {
+			f.problem("proxy %d: %v", d.index, err)
+		}
+	}
+}
+
+func (d *proxyDoor) rewrite(with string) error {
+	if with == "gone" {
+		return os.Remove(d.config)
+	}
+	if with == "half" { // as it is being written
+		return os.WriteFile(d.config, d.text(with), 0o600)
+	}
+	if err := os.WriteFile(d.config+".new", d.text(with), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(d.config+".new", d.config)
+}
+
+// tellNode changes a node's entry in the list.
+func (f *fleet) tellNode(i int, change func(*list.Entry)) {
+	f.mu.Lock()
+	change(&f.entries[i])
+	e := f.entries[i]
+	f.mu.Unlock()
+	f.list.Set(e)
+}
+
+// stop ends all processes as a drain does, and counts what went wrong.
+func (f *fleet) stop() {
+	var ending sync.WaitGroup
+	for _, d := range f.proxies {
+		ending.Go(func() {
+			d.change.Lock()
+			defer d.change.Unlock()
+			p := d.current()
+			if p == nil {
+				return
+			}
+			if p.crashed() {
+				f.crash("proxy %d had ended unasked: %v: %s", d.index, p.err, tail(p.log))
+			} else if err := p.end(syscall.SIGTERM); err != nil {
+				f.crash("proxy %d: at the end: %v: %s", d.index, err, tail(p.log))
+			}
+		})
+	}
+	ending.Wait()
+}
+
+// close ends the stand-ins, and whatever process is left.
+func (f *fleet) close() {
+	for _, d := range f.proxies {
+		if p := d.current(); p != nil && !isClosed(p.exited) {
+			p.end(syscall.SIGKILL)
+		}
+		if d.listener != nil {
+			d.listener.Close()
+		}
+	}
+	if f.list != nil {
+		f.list.Close()
+	}
+	f.origin.Close()
+	for _, n := range f.nodes {
+		n.Close()
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/rehearse/play.go
@@ -0,0 +1,217 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"wrenroute/internal/standin/list"
+	"wrenroute/internal/standin/node"
+)
+
+// Options say how to play a scenario.
+type Options struct {
+	// Program starts a proxy; its configuration's path is put behind.
+	Program []string
+	// Folder takes configurations and logs. It must exist.
+	Folder string
+	// Progress, if set, is told what happens while it happens.
+	Progress func(format string, a ...any)
+}
+
+// Play plays a scenario to its end, or until ctx ends, and tells how it went. An
+// error means that it could not be played; broken rules are in the report.
+func Play(ctx context.Context, s *Scenario, o Options) (*Report, error) {
+	if o.Progress == nil {
+		o.Progress = func(string, ...any) {}
+	}
+	f, err := startFleet(s, o.Program, o.Folder, o.Progress)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	began := time.Now()
+	t := newTally(s.Phases, began)
+	c := newClients(f, t)
+	ctx, stop := context.WithTimeout(ctx, s.length())
+	defer stop()
+	report := &Report{Scenario: s.Name, About: s.About, Proxies: s.Fleet.Proxies, Nodes: s.Fleet.Nodes}
+	fetches := make([]int, len(s.Phases)+1)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.run(ctx) })
+	tasks.Go(func() { f.script(ctx, began) })
+	at := time.Duration(0)
+	for i, p := range s.Phases {
+		o.Progress("%s: %d proxies, %v", p.Name, len(f.proxies), time.Duration(p.For))
+		at += time.Duration(p.For)
+		sleep(ctx, time.Until(began.Add(at)))
+		fetches[i+1] = f.origin.Stats().Fetches
+		if i == 0 {
+			f.footprints(&report.Start)
+		}
+		o.Progress("%s", t.line(i))
+	}
+	tasks.Wait()
+	f.footprints(&report.End)
+	f.stop()
+	// What a proxy still had out at a node may take effect yet.
+	settle(func() int { return f.origin.Stats().Writes })
+	report.fill(f, t, fetches)
+	return report, nil
+}
+
+// settle waits until a count has stood still for a while.
+func settle(count func() int) {
+	last, since := count(), time.Now()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until) && time.Since(since) < time.Second; {
+		time.Sleep(50 * time.Millisecond)
+		if now := count(); now != last {
+			last, since = now, time.Now()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *fleet) footprints(into *[]Footprint) {
+	for _, d := range f.proxies {
+		*into = append(*into, d.current().footprint())
+	}
+}
+
+// script has the events happen in their time, and returns when all are over.
+func (f *fleet) script(ctx context.Context, began time.Time) {
+	events := slices.Clone(f.scenario.Events)
+	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for _, e := range events {
+		sleep(ctx, time.Until(began.Add(time.Duration(e.At))))
+		if ctx.Err() != nil {
+			return
+		}
+		f.say("%.1f s: %s", time.Since(began).Seconds(), e)
+		tasks.Go(func() { f.do(ctx, e) })
+	}
+}
+
+// String says an event as the progress does.
+func (e Event) String() string {
+	text := e.Do
+	for _, part := range []string{e.Mode, e.With, e.Kind} {
+		if part != "" {
+			text += " " + part
+		}
+	}
+	switch e.Do {
+	case "restart", "kill", "hangup":
+		if e.Proxy >= 0 {
+			return text + fmt.Sprintf(" proxy %d", e.Proxy)
+		}
+		return text + " all proxies"
+	case "drain", "undrain", "cold", "remove", "fault":
+		return text + fmt.Sprintf(" node %d", e.Node)
+	}
+	return text
+}
+
+// chosen returns the proxies that an event is about.
+func (f *fleet) chosen(e Event) []*proxyDoor {
+	if e.Proxy < 0 {
+		return f.proxies
+	}
+	return f.proxies[e.Proxy : e.Proxy+1]
+}
+
+func (f *fleet) do(ctx context.Context, e Event) {
+	each := func(do func(*proxyDoor)) {
+		var tasks sync.WaitGroup
+		for _, d := range f.chosen(e) {
+			tasks.Go(func() { do(d) })
+		}
+		tasks.Wait()
+	}
+	n := f.nodes[e.Node]
+	switch e.Do {
+	case "wave":
+		for i, d := range f.proxies {
+			begun := time.Now()
+			mode := e.Mode
+			if mode == "" { // by turns
+				mode = modes[1+i%2]
+			}
+			d.restart(mode)
+			sleep(ctx, time.Duration(e.Every)-time.Since(begun))
+			if ctx.Err() != nil {
+				f.problem("the wave was cut short at proxy %d", i)
+				return
+			}
+		}
+	case "restart":
+		each(func(d *proxyDoor) { d.restart(e.Mode) })
+	case "kill":
+		each((*proxyDoor).kill)
+	case "hangup":
+		each(func(d *proxyDoor) { d.hangup(e.With, e.Times, time.Duration(e.Every)) })
+	case "drain":
+		f.tellNode(e.Node, func(x *list.Entry) { x.Status = "draining" })
+	case "undrain":
+		f.tellNode(e.Node, func(x *list.Entry) { x.Status = "up" })
+	case "remove":
+		f.tellNode(e.Node, func(x *list.Entry) { x.Status = "removed" })
+	case "cold":
+		if err := n.Restart(); err != nil {
+			f.problem("node %d: %v", e.Node, err)
+		}
+		f.tellNode(e.Node, func(x *list.Entry) { x.Status, x.Since = "up", n.Started().UnixMilli() })
+	case "fault":
+		if err := n.SetFault(node.Fault{Kind: node.FaultKind(e.Kind), Every: e.Part, By: time.Duration(e.By)}); err != nil {
+			f.problem("node %d: %v", e.Node, err)
+		}
+	case "list-down":
+		f.list.SetDown(true)
+	case "list-up":
+		f.list.SetDown(false)
+	}
+}
+
+// Up holds a fleet until ctx ends. It tells of each proxy and node by tell.
+func Up(ctx context.Context, s *Scenario, o Options, tell func(line string)) error {
+	f, err := startFleet(s, o.Program, o.Folder, func(string, ...any) {})
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	for _, d := range f.proxies {
+		tell("proxy " + d.address)
+	}
+	for _, n := range f.nodes {
+		tell("node " + n.Name() + " " + n.Address())
+	}
+	tell("ready")
+	<-ctx.Done()
+	f.stop()
+	if f.crashes > 0 {
+		return fmt.Errorf("%d proxies ended badly: %s", f.crashes, f.problems)
+	}
+	return nil
+}
+
+// TempFolder makes a folder for a rehearsal.
+func TempFolder() (path string, remove func(), err error) {
+	path, err = os.MkdirTemp("", "rehearse-")
+	return path, func() { os.RemoveAll(path) }, err
+}
--- /dev/null
+++ b/internal/rehearse/process.go
@@ -0,0 +1,203 @@
+package rehearse
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// patience bounds the waits for a process: a start, a reload, an end.
+const patience = 20 * time.Second
+
+// process is one run of a proxy's program, whose service manager the rehearsal is.
+type process struct {
+	cmd    *exec.Cmd
+	notify *net.UnixConn
+	log    string // path of what it writes
+	ready  chan struct{}
+	exited chan struct{}
+	tasks  sync.WaitGroup
+
+	begun    time.Time
+	readyAt  time.Time // after ready is closed
+	exitedAt time.Time // after exited is closed
+	err      error     // after exited is closed
+
+	mu        sync.Mutex
+	status    string
+	reloads   int // ended
+	reloading bool
+	planned   bool // its end is
+}
+
+var serials atomic.Int64
+
+// startProcess starts a program under a service manager's protocol; with a
+// listener it is passed that. What it writes goes behind the log at a path.
+func startProcess(argv []string, listener *os.File, log string) (*process, error) {
+	name := fmt.Sprintf("@rehearse-%d-%d", os.Getpid(), serials.Add(1))
+	notify, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: name, Net: "unixgram"})
+	if err != nil {
+		return nil, fmt.Errorf("notify socket: %w", err)
+	}
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		notify.Close()
+		return nil, err
+	}
+	defer out.Close()
+	p := &process{notify: notify, log: log, ready: make(chan struct{}), exited: make(chan struct{}), begun: time.Now()}
+	p.cmd = exec.Command(argv[0], argv[1:]...)
+	p.cmd.Env = append(os.Environ(), "NOTIFY_SOCKET="+name, "WATCHDOG_USEC=2000000", "GW_CONFIG=")
+	if listener != nil {
+		// Its number is known only to the process itself.
+		p.cmd.Args = append([]string{"sh", "-c", `LISTEN_PID=$$ LISTEN_FDS=1 exec "$0" "$@"`}, argv...)
+		p.cmd.Path = "/bin/sh"
+		p.cmd.ExtraFiles = []*os.File{listener}
+	}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		notify.Close()
+		return nil, err
+	}
+	p.tasks.Go(p.listen)
+	p.tasks.Go(func() {
+		p.err = p.cmd.Wait()
+		p.exitedAt = time.Now()
+		close(p.exited)
+		notify.Close()
+	})
+	return p, nil
+}
+
+// listen takes what the process tells its service manager.
+func (p *process) listen() {
+	buf := make([]byte, 4<<10)
+	for ready := false; ; {
+		n, _, err := p.notify.ReadFromUnix(buf)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		for line := range strings.SplitSeq(string(buf[:n]), "\n") {
+			name, value, _ := strings.Cut(line, "=")
+			switch name {
+			case "READY":
+				if !ready {
+					ready, p.readyAt = true, time.Now()
+					close(p.ready)
+				} else if p.reloading {
+					p.reloads, p.reloading = p.reloads+1, false
+				}
+			case "RELOADING":
+				p.reloading = true
+			case "STATUS":
+				p.status = value
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
+// awaitReady waits until the process has told that it is ready.
+func (p *process) awaitReady() error {
+	select {
+	case <-p.ready:
+		return nil
+	case <-p.exited:
+		return fmt.Errorf("ended before it was ready: %w: %s", errors.Join(p.err, errEnded), tail(p.log))
+	case <-time.After(patience):
+		return fmt.Errorf("not ready in %v: %s", patience, tail(p.log))
+	}
+}
+
+var errEnded = errors.New("the program ended")
+
+// end has the process end by a signal, and waits for it.
+func (p *process) end(signal syscall.Signal) error {
+	p.mu.Lock()
+	p.planned = true
+	p.mu.Unlock()
+	p.cmd.Process.Signal(signal)
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		p.cmd.Process.Kill()
+		<-p.exited
+		return fmt.Errorf("did not end in %v after %v", patience, signal)
+	}
+	p.tasks.Wait()
+	if signal == syscall.SIGKILL {
+		return nil
+	}
+	return p.err
+}
+
+// crashed tells whether the process has ended unasked.
+func (p *process) crashed() bool {
+	select {
+	case <-p.exited:
+	default:
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.planned
+}
+
+// reloaded counts the reloads that have ended.
+func (p *process) reloaded() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reloads
+}
+
+// Footprint is what a process takes.
+type Footprint struct {
+	ResidentMB  float64 `json:"resident_mb"`
+	Descriptors int     `json:"descriptors"`
+	Goroutines  int     `json:"goroutines"`
+}
+
+func (p *process) footprint() (f Footprint) {
+	f.ResidentMB, f.Descriptors = footprintOf(p.cmd.Process.Pid)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, text, ok := strings.Cut(p.status, "goroutines="); ok {
+		f.Goroutines, _ = strconv.Atoi(strings.Fields(text)[0])
+	}
+	return f
+}
+
+func footprintOf(pid int) (residentMB float64, descriptors int) {
+	folder := filepath.Join("/proc", strconv.Itoa(pid))
+	if text, err := os.ReadFile(filepath.Join(folder, "status")); err == nil {
+		if _, rest, ok := strings.Cut(string(text), "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			residentMB = float64(kb) / 1024
+		}
+	}
+	if entries, err := os.ReadDir(filepath.Join(folder, "fd")); err == nil {
+		descriptors = len(entries)
+	}
+	return residentMB, descriptors
+}
+
+// tail returns the last of what a process wrote.
+func tail(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(text[max(0, len(text)-500):]))
+}
--- /dev/null
+++ b/internal/rehearse/report.go
@@ -0,0 +1,147 @@
+package rehearse
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is what a rehearsal found.
+type Report struct {
+	Scenario string        `json:"scenario"`
+	About    string        `json:"about"`
+	Proxies  int           `json:"proxies"`
+	Nodes    int           `json:"nodes"`
+	Phases   []PhaseReport `json:"phases"`
+	Start    []Footprint   `json:"start"` // by proxy, at the end of the first phase
+	End      []Footprint   `json:"end"`
+	Restarts int           `json:"restarts"`
+	Reloads  int           `json:"reloads"`
+
+	Requests    int      `json:"requests"`
+	Lost        int      `json:"lost"`
+	Doubled     int      `json:"doubled"`
+	LateDrains  int      `json:"late_drains"`
+	Crashes     int      `json:"crashes"`
+	Wrong       int      `json:"wrong"`
+	Fallen      int      `json:"fallen"` // nodes that were pushed over
+	LateBy      float64  `json:"late_drains_by_ms"`
+	Crossed     int      `json:"crossed"`
+	Excused     int      `json:"excused"`
+	Overdue     int      `json:"overdue"`
+	OverdueBy   float64  `json:"overdue_by_ms"`
+	Unopened    int      `json:"unopened"`
+	NotOffered  int      `json:"not_offered"`
+	Effects     int      `json:"effects"`
+	OriginFull  int      `json:"origin_full"`
+	MostPerNode int      `json:"most_connections_of_a_node"`
+	Problems    []string `json:"problems"`
+}
+
+// PhaseReport is of one phase. Offered counts first tries; each ended in time,
+// late, refused or failed. Times are in milliseconds, of what was served.
+type PhaseReport struct {
+	Name    string  `json:"name"`
+	Seconds float64 `json:"seconds"`
+	Offered int     `json:"offered"`
+	InTime  int     `json:"in_time"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	Fetches int     `json:"fetches"`
+	Retries int     `json:"retries"`
+}
+
+// Share is the part of what was offered that was answered in time, in per cent.
+func (p *PhaseReport) Share() float64 { return 100 * float64(p.InTime) / float64(max(p.Offered, 1)) }
+
+func (t *tally) line(phase int) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.counts[phase]
+	return fmt.Sprintf("%s: %d offered, %d in time; %d lost", t.phases[phase].Name, c.offered, c.inTime, t.rules.lost)
+}
+
+func (r *Report) fill(f *fleet, t *tally, fetches []int) {
+	var rules broken
+	r.Phases, rules = t.figures()
+	for i := range r.Phases {
+		r.Phases[i].Fetches = fetches[i+1] - fetches[i]
+	}
+	o := f.origin.Stats()
+	r.Requests, r.Lost, r.Wrong, r.Crossed, r.Excused = rules.requests, rules.lost, rules.wrong, rules.crossed, rules.excused
+	r.Overdue, r.OverdueBy = rules.overdue, millis(rules.overBy)
+	r.Unopened, r.NotOffered = t.refuse, t.unsent
+	r.Doubled, r.Effects, r.OriginFull = o.Doubled, o.Effects, o.Full
+	for _, n := range f.nodes {
+		s := n.Stats()
+		r.MostPerNode = max(r.MostPerNode, s.MostConns)
+		if s.Fallen {
+			r.Fallen++
+			f.problem("node %s was pushed over while cold", n.Name())
+		}
+	}
+	for _, d := range f.proxies {
+		r.Restarts, r.Reloads = r.Restarts+d.restarts, r.Reloads+d.reloads
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.LateDrains, r.LateBy, r.Crashes = f.late, millis(f.lateBy), f.crashes
+	r.Problems = append(append(r.Problems, rules.samples...), f.problems...)
+	for i, e := range f.origin.Doubled() {
+		if i < 20 {
+			r.Problems = append(r.Problems, fmt.Sprintf("handover %s of %s was carried out again %v after the first time", e.Key, e.Record,
+				e.Last.Sub(e.First).Round(time.Millisecond)))
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// OK tells whether all rules held.
+func (r *Report) OK() bool {
+	return r.Lost+r.Doubled+r.LateDrains+r.Crashes+r.Wrong+r.Fallen == 0
+}
+
+// Verdict is the closing line.
+func (r *Report) Verdict() string {
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	return fmt.Sprintf("verdict: %s requests=%d lost=%d doubled=%d late_drains=%d crashes=%d", word, r.Requests, r.Lost, r.Doubled,
+		r.LateDrains, r.Crashes)
+}
+
+// Print writes the report as tables, its verdict last.
+func (r *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "%s: %s (%d proxies, %d nodes)\n", r.Scenario, r.About, r.Proxies, r.Nodes)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "phase\toffered\ta second\tin time\tshare\tlate\trefused\tfailed\tp50 ms\tp99 ms\tfetches\tretries\t")
+	for _, p := range r.Phases {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\t%d\t%.2f%%\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t\n", p.Name, p.Offered, float64(p.Offered)/max(p.Seconds, 1e-9), p.InTime,
+			p.Share(), p.Late, p.Refused, p.Failed, p.P50, p.P99, p.Fetches, p.Retries)
+	}
+	w.Flush()
+	fmt.Fprintln(w, "proxy\tMB at first\tat the end\tdescriptors at first\tat the end\tgoroutines at first\tat the end\t")
+	for i := range min(len(r.Start), len(r.End)) {
+		a, b := r.Start[i], r.End[i]
+		fmt.Fprintf(w, "%d\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t\n", i, a.ResidentMB, b.ResidentMB, a.Descriptors, b.Descriptors, a.Goroutines, b.Goroutines)
+	}
+	w.Flush()
+	fmt.Fprintf(out, "%d restarts, %d reloads; %d effects; origin full %d times; %d connections to a node at most\n", r.Restarts, r.Reloads,
+		r.Effects, r.OriginFull, r.MostPerNode)
+	fmt.Fprintf(out, "no breach: %d requests crossed a close, %d were out at a killed proxy, %d connections did not come up, %d answers "+
+		"came up to %.0f ms after their deadline, %d requests were not offered\n", r.Crossed, r.Excused, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered)
+	if r.Wrong > 0 || r.Fallen > 0 {
+		fmt.Fprintf(out, "besides: %d wrong answers, %d nodes pushed over\n", r.Wrong, r.Fallen)
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintln(out, "  "+strings.ReplaceAll(p, "\n", " | "))
+	}
+	fmt.Fprintln(out, r.Verdict())
+}
--- /dev/null
+++ b/internal/rehearse/scenario.go
@@ -0,0 +1,206 @@
+// Package rehearse plays a fleet of real proxy processes between stand-in clients,
+// nodes, origin and list, on loopback, and tells whether the rules held. A
+// scenario says what fleet, what load and what befalls it when.
+package rehearse
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"wrenroute/internal/standin/node"
+)
+
+// span is a duration as a scenario writes it.
+type span time.Duration
+
+func (s *span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err == nil && d < 0 {
+		err = fmt.Errorf("duration %s is negative", text)
+	}
+	*s = span(d)
+	return err
+}
+
+// Scenario is one rehearsal.
+type Scenario struct {
+	Name   string `toml:"-"`
+	About  string
+	Seed   uint64
+	Fleet  FleetPart
+	Load   LoadPart
+	Phases []Phase `toml:"phase"`
+	Events []Event `toml:"event"`
+}
+
+// FleetPart says what there is.
+type FleetPart struct {
+	Proxies      int
+	Nodes        int
+	Zones        []string
+	Slots        int  // of a node
+	Queue        int  // of a node
+	Work         span // of a node for a request
+	Capacity     int  // keys that a node keeps
+	Connections  int  // that a node holds
+	Window       span // in which nodes drop repeats
+	OriginSlots  int  `toml:"origin_slots"`
+	OriginQueue  int  `toml:"origin_queue"`
+	OriginWork   span `toml:"origin_work"`
+	MemoryMB     int  `toml:"memory_mb"` // of a proxy
+	Sockets      int  // of a proxy
+	PerNode      int  `toml:"connections_per_node"` // of a proxy
+	PassedSocket int  `toml:"passed_socket"`        // every so many-th proxy is passed its listener; 0 for none
+}
+
+// LoadPart says what clients do.
+type LoadPart struct {
+	Rate      float64 // requests a second, first tries
+	Handovers float64 // share of them
+	Keys      int     // of reads
+	Skew      float64 // of their popularity, above 1
+	OneOff    float64 `toml:"one_off"` // share of reads for keys wanted once
+	Retries   int
+	Marked    float64 // share of clients that mark retries
+	Honour    float64 // share of clients that heed a refusal's advice
+	Pipelines int     // connections that pipeline reads, besides
+	Depth     int     // of such a pipeline
+	Tenants   []string
+}
+
+// Phase is a stretch of time whose figures stand together.
+type Phase struct {
+	Name string
+	For  span
+}
+
+// Event is something done to the fleet at a time.
+type Event struct {
+	At    span
+	Do    string
+	Proxy int    // its number; -1 for all
+	Node  int    // its number
+	Mode  string // of restart and wave: old first (gap), or new first (overlap)
+	Every span   // between the proxies of a wave, or the times of a hangup
+	Times int    // how often
+	With  string // of hangup: what the configuration is like
+	Kind  string // of fault
+	By    span   // of fault
+	Part  int    // of fault: one request in so many
+}
+
+// what events there are, and what they do.
+var doings = map[string]string{
+	"wave":      "restarts all proxies one after another, Every apart, by Mode",
+	"restart":   "restarts a proxy, or all at once, by Mode",
+	"kill":      "kills a proxy outright and starts it again",
+	"hangup":    "writes a proxy's configuration anew (With: same, quota, broken, gone, half, moved, fixed) and sends SIGHUP, Times times, Every apart",
+	"drain":     "has the list tell that a node drains",
+	"undrain":   "has the list tell that it is up again",
+	"cold":      "restarts a node cold, and has the list tell it",
+	"remove":    "takes a node out of the list",
+	"fault":     "makes a node fail by Kind, for Part and By",
+	"list-down": "takes the list service down",
+	"list-up":   "brings it back",
+}
+
+var modes = []string{"", "gap", "overlap"}
+var withs = []string{"", "same", "quota", "broken", "gone", "half", "moved", "fixed"}
+
+//go:embed scenarios/*.toml
+var builtIn embed.FS
+
+// List returns the names of the built-in scenarios, with what they are about.
+func List() (list [][2]string) {
+	files, err := fs.Glob(builtIn, "scenarios/*.toml")
+	if err != nil {
+		return nil
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(path.Base(file), ".toml")
+		if s, err := Load(name); err == nil {
+			list = append(list, [2]string{name, s.About})
+		}
+	}
+	return list
+}
+
+// Load reads a built-in scenario, or one in a file.
+func Load(name string) (*Scenario, error) {
+	text, err := builtIn.ReadFile("scenarios/" + name + ".toml")
+	if err != nil {
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("scenario %s: neither built in nor a file that can be read", name)
+		}
+	}
+	s := &Scenario{Name: strings.TrimSuffix(path.Base(name), ".toml"), Seed: 1,
+		Fleet: FleetPart{Proxies: 3, Nodes: 6, Zones: []string{"a"}, Slots: 8, Queue: 64, Work: span(20 * time.Millisecond),
+			Capacity: 4096, Connections: 64, Window: span(1500 * time.Millisecond), OriginSlots: 64, OriginQueue: 256,
+			OriginWork: span(30 * time.Millisecond), MemoryMB: 64, Sockets: 512, PerNode: 2},
+		Load: LoadPart{Rate: 100, Handovers: 0.05, Keys: 5000, Skew: 1.1, Retries: 3, Marked: 0.5, Honour: 0.5, Depth: 8}}
+	meta, err := toml.Decode(string(text), s)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("scenario %s: unknown key %s", name, unknown[0])
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	return s, nil
+}
+
+func (s *Scenario) check() error {
+	f, l := &s.Fleet, &s.Load
+	switch {
+	case f.Proxies < 1 || f.Proxies > 99:
+		return fmt.Errorf("fleet.proxies cannot be %d: want 1 to 99", f.Proxies)
+	case f.Nodes < 1 || f.Nodes > 1000:
+		return fmt.Errorf("fleet.nodes cannot be %d: want 1 to 1000", f.Nodes)
+	case l.Rate < 0 || l.Rate > 20000:
+		return fmt.Errorf("load.rate cannot be %v: want 0 to 20000", l.Rate)
+	case l.Skew <= 1 || l.Keys < 1 || l.Depth < 1 || l.Depth > 100 || l.Pipelines < 0 || l.Pipelines > 100:
+		return errors.New("load: want skew above 1, keys from 1, depth 1 to 100, pipelines 0 to 100")
+	case len(f.Zones) == 0:
+		return errors.New("fleet.zones cannot be empty")
+	case len(s.Phases) == 0:
+		return errors.New("there is no phase")
+	}
+	if total := s.length(); total > 4*time.Hour {
+		return fmt.Errorf("the phases last %v: want 4h at most", total)
+	}
+	for i, e := range s.Events {
+		switch {
+		case doings[e.Do] == "":
+			return fmt.Errorf("event %d: nothing is done by %q", i, e.Do)
+		case !slices.Contains(modes, e.Mode) || !slices.Contains(withs, e.With):
+			return fmt.Errorf("event %d: mode cannot be %q, or with cannot be %q", i, e.Mode, e.With)
+		case e.Proxy < -1 || e.Proxy >= f.Proxies || e.Node < 0 || e.Node >= f.Nodes:
+			return fmt.Errorf("event %d: there is no proxy %d, or no node %d", i, e.Proxy, e.Node)
+		case time.Duration(e.At) > s.length():
+			return fmt.Errorf("event %d comes after the end", i)
+		}
+		if _, err := node.ParseFault(e.Kind); err != nil {
+			return fmt.Errorf("event %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// length is that of all phases.
+func (s *Scenario) length() (total time.Duration) {
+	for _, p := range s.Phases {
+		total += time.Duration(p.For)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/rehearse/tally.go
@@ -0,0 +1,146 @@
+package rehearse
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// tally counts what became of requests, by the phase in which they began.
+type tally struct {
+	phases []Phase
+	began  time.Time // of the first phase
+
+	mu     sync.Mutex
+	counts []count
+	rules  broken
+	unsent int
+	refuse int // connections that did not come up
+}
+
+// count is of one phase.
+type count struct {
+	offered, inTime, late, refused, failed, retries int
+	latencies                                       []float32 // of served ones, seconds
+}
+
+// broken counts what the rules forbid, and what looks like it but is not.
+type broken struct {
+	requests int // tries that were sent
+	lost     int
+	wrong    int // answers that are not the request's
+	crossed  int // closed between requests as they went out
+	excused  int // out when their proxy was killed outright
+	overdue  int // answered just after the deadline
+	overBy   time.Duration
+	samples  []string
+}
+
+// note is a request's place in the tally.
+type note struct{ phase int }
+
+func newTally(phases []Phase, began time.Time) *tally {
+	return &tally{phases: phases, began: began, counts: make([]count, len(phases))}
+}
+
+// phaseAt returns the phase that a time lies in, the last for any after it.
+func (t *tally) phaseAt(at time.Time) int {
+	since := at.Sub(t.began)
+	for i, p := range t.phases {
+		if since -= time.Duration(p.For); since < 0 {
+			return i
+		}
+	}
+	return len(t.phases) - 1
+}
+
+func (t *tally) begin(at time.Time) note {
+	n := note{phase: t.phaseAt(at)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[n.phase].offered++
+	return n
+}
+
+func (t *tally) retry(n note) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[n.phase].retries++
+}
+
+func (t *tally) end(n note, took time.Duration, as ending, aim time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.counts[n.phase]
+	switch {
+	case as == served:
+		c.latencies = append(c.latencies, float32(took.Seconds()))
+		if took <= aim {
+			c.inTime++
+		} else {
+			c.late++
+		}
+	case as == refused:
+		c.refused++
+	default:
+		c.failed++
+	}
+}
+
+func (t *tally) sent()       { t.add(func(b *broken) { b.requests++ }) }
+func (t *tally) crossed()    { t.add(func(b *broken) { b.crossed++ }) }
+func (t *tally) excused()    { t.add(func(b *broken) { b.excused++ }) }
+func (t *tally) notOffered() { t.add(func(*broken) { t.unsent++ }) }
+func (t *tally) unopened()   { t.add(func(*broken) { t.refuse++ }) }
+
+func (t *tally) overdue(by time.Duration) {
+	t.add(func(b *broken) {
+		b.overdue++
+		b.overBy = max(b.overBy, by)
+	})
+}
+
+func (t *tally) lose(format string, a ...any) {
+	t.add(func(b *broken) { b.lost++ }, fmt.Sprintf(format, a...))
+}
+
+func (t *tally) wrong(format string, a ...any) {
+	t.add(func(b *broken) { b.wrong++ }, fmt.Sprintf(format, a...))
+}
+
+// add changes the counts, and keeps some samples of what was wrong.
+func (t *tally) add(change func(*broken), samples ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(&t.rules)
+	for _, sample := range samples {
+		if len(t.rules.samples) < 20 {
+			t.rules.samples = append(t.rules.samples, fmt.Sprintf("%.2f s: %s", time.Since(t.began).Seconds(), sample))
+		}
+	}
+}
+
+// quantile returns the share q of a sorted list, in milliseconds.
+func quantile(sorted []float32, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]) * 1000
+}
+
+// figures returns the counts of the phases as a report has them.
+func (t *tally) figures() (list []PhaseReport, rules broken) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, c := range t.counts {
+		slices.Sort(c.latencies)
+		p := PhaseReport{Name: t.phases[i].Name, Seconds: time.Duration(t.phases[i].For).Seconds(), Offered: c.offered,
+			InTime: c.inTime, Late: c.late, Refused: c.refused, Failed: c.failed, Retries: c.retries,
+			P50: quantile(c.latencies, 0.5), P99: quantile(c.latencies, 0.99)}
+		list = append(list, p)
+	}
+	rules = t.rules
+	rules.samples = slices.Clone(t.rules.samples)
+	return list, rules
+}
--- /dev/null
+++ b/internal/rehearse/times.go
@@ -0,0 +1,131 @@
+package rehearse
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"wrenroute/internal/standin/node"
+	"wrenroute/internal/standin/origin"
+)
+
+// TimesReport tells how long a daemon takes to come and to go, in ms, a figure
+// for each run.
+type TimesReport struct {
+	Ready    []float64 `json:"exec_to_ready_ms"`
+	ExitIdle []float64 `json:"sigterm_to_exit_idle_ms"`
+	ExitOpen []float64 `json:"sigterm_to_exit_open_ms"`
+	// With a listener that was passed in there is no time to wait for the backlog.
+	ExitPassed []float64 `json:"sigterm_to_exit_idle_passed_ms"`
+	OpenFor    float64   `json:"open_request_takes_ms"`
+}
+
+func listenAt(host string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// Times measures starts and ends of a program, so many of each.
+func Times(program []string, folder string, runs int) (*TimesReport, error) {
+	const work = 800 * time.Millisecond
+	center := origin.New(origin.Config{Slots: 4, Queue: 4})
+	defer center.Close()
+	n, err := node.Start(node.Config{Name: "n0", Work: work, Origin: center, Group: node.NewGroup(time.Second)})
+	if err != nil {
+		return nil, err
+	}
+	defer n.Close()
+	r := &TimesReport{OpenFor: millis(work)}
+	one := func(passed, open bool) (ready, exit float64, err error) {
+		l, err := listenAt(proxyHost)
+		if err != nil {
+			return 0, 0, err
+		}
+		address := l.Addr().String()
+		var file *os.File
+		if passed {
+			if file, err = l.File(); err != nil {
+				return 0, 0, err
+			}
+			defer file.Close()
+		}
+		l.Close()
+		config := filepath.Join(folder, "times.toml")
+		text := fmt.Sprintf("listen = %q\nnodes.addresses = [%q]\n", address, n.Address())
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			return 0, 0, err
+		}
+		p, err := startProcess(append(slices.Clone(program), config), file, filepath.Join(folder, "times.log"))
+		if err != nil {
+			return 0, 0, err
+		}
+		if err := p.awaitReady(); err != nil {
+			return 0, 0, err
+		}
+		k, err := dial(address)
+		if err != nil {
+			return 0, 0, err
+		}
+		defer k.socket.Close()
+		k.socket.SetDeadline(time.Now().Add(patience))
+		if open {
+			before := n.Stats().Requests
+			fmt.Fprint(k.socket, "mg k v O1 Pc=read,d=2000\r\n")
+			for n.Stats().Requests == before {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		answered := make(chan error, 1)
+		go func() { // as clients do: take the answer, and close once the other end has
+			defer k.socket.Close()
+			var err error
+			if open {
+				_, _, err = k.answer()
+			}
+			io.Copy(io.Discard, k.in)
+			answered <- err
+		}()
+		begun := time.Now()
+		if err := p.end(syscall.SIGTERM); err != nil {
+			return 0, 0, err
+		}
+		if err := <-answered; err != nil {
+			return 0, 0, fmt.Errorf("the open request was not answered: %w", err)
+		}
+		return millis(p.readyAt.Sub(p.begun)), millis(p.exitedAt.Sub(begun)), nil
+	}
+	for range runs {
+		ready, idle, err := one(false, false)
+		if err != nil {
+			return nil, err
+		}
+		_, open, err := one(false, true)
+		if err != nil {
+			return nil, err
+		}
+		_, passed, err := one(true, false)
+		if err != nil {
+			return nil, err
+		}
+		r.Ready, r.ExitIdle = append(r.Ready, ready), append(r.ExitIdle, idle)
+		r.ExitOpen, r.ExitPassed = append(r.ExitOpen, open), append(r.ExitPassed, passed)
+	}
+	return r, nil
+}
+
+// Print writes the report.
+func (r *TimesReport) Print(out io.Writer) {
+	fmt.Fprintf(out, "ms, median (least to most) of %d runs\n", len(r.Ready))
+	fmt.Fprintf(out, "exec to ready                                     %s\n", spread(r.Ready))
+	fmt.Fprintf(out, "SIGTERM to exit, nothing open                     %s\n", spread(r.ExitIdle))
+	fmt.Fprintf(out, "SIGTERM to exit, nothing open, passed listener    %s\n", spread(r.ExitPassed))
+	fmt.Fprintf(out, "SIGTERM to exit, a read open that takes %.0f ms    %s\n", r.OpenFor, spread(r.ExitOpen))
+}
--- /dev/null
+++ b/internal/standin/double/double.go
@@ -0,0 +1,263 @@
+// Package double is a test double of a proxy with a fault put in, so that it can
+// be shown that a rehearsal sees what it looks for. It is no proxy to learn from:
+// it sends each request to one node and decides nothing.
+package double
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wrenroute/internal/meta"
+)
+
+// The faults that can be put in. None is a proxy that does no wrong.
+const (
+	None   = "none"
+	Lose   = "lose"   // an answer is never passed on
+	Twice  = "double" // a handover is sent again when its repeat is dropped no more
+	Drains = "drain"  // a request goes to a node that drains
+)
+
+// Faults are all of them.
+var Faults = []string{None, Lose, Twice, Drains}
+
+// Config says what to run.
+type Config struct {
+	Listener net.Listener
+	List     string // address of the list service
+	Fault    string
+	Every    int           // one in so many befalls it
+	Window   time.Duration // of the nodes
+}
+
+type entry struct {
+	Name, Address, Status string
+	since                 time.Time // of its status
+}
+
+// Double is one at work.
+type Double struct {
+	config   Config
+	injected atomic.Int64
+	count    atomic.Int64 // requests that the fault might befall
+	mu       sync.Mutex
+	nodes    map[string]entry
+	conns    map[net.Conn]bool // true while a request is out
+	ending   bool
+	tasks    sync.WaitGroup
+}
+
+// Injected tells how often the fault was put in.
+func (d *Double) Injected() int64 { return d.injected.Load() }
+
+// Serve works until ctx ends and all is answered. known is called once the list
+// of nodes has come.
+func Serve(ctx context.Context, c Config, known func()) *Double {
+	d := &Double{config: c, nodes: make(map[string]entry), conns: make(map[net.Conn]bool)}
+	d.tasks.Go(func() { d.watch(ctx, known) })
+	d.tasks.Go(func() {
+		for {
+			socket, err := c.Listener.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			d.conns[socket] = false
+			d.mu.Unlock()
+			d.tasks.Go(func() { d.serve(socket) })
+		}
+	})
+	<-ctx.Done()
+	c.Listener.Close()
+	d.mu.Lock()
+	d.ending = true
+	for socket, busy := range d.conns {
+		if !busy {
+			socket.Close()
+		}
+	}
+	d.mu.Unlock()
+	d.tasks.Wait()
+	return d
+}
+
+func (d *Double) watch(ctx context.Context, known func()) {
+	for told := false; ctx.Err() == nil; {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.config.List+"/api/targets?watch=1&from=0", nil)
+		if err != nil {
+			return
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(100 * time.Millisecond):
+			}
+			continue
+		}
+		for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+			var m struct{ Endpoints []entry }
+			if json.Unmarshal(lines.Bytes(), &m) != nil {
+				continue
+			}
+			d.mu.Lock()
+			for _, e := range m.Endpoints {
+				if e.since = time.Now(); d.nodes[e.Name].Status == e.Status {
+					e.since = d.nodes[e.Name].since
+				}
+				d.nodes[e.Name] = e
+			}
+			d.mu.Unlock()
+			if !told {
+				told = true
+				known()
+			}
+		}
+		response.Body.Close()
+	}
+}
+
+// due tells whether the fault befalls this one of those that it might.
+func (d *Double) due() bool {
+	return d.count.Add(1)%int64(max(d.config.Every, 1)) == 0
+}
+
+// choose returns the address of a node for a key.
+func (d *Double) choose(key string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var up, draining []string
+	for _, e := range d.nodes {
+		if e.Status == "up" {
+			up = append(up, e.Address)
+		} else if e.Status == "draining" && time.Since(e.since) > time.Second {
+			draining = append(draining, e.Address)
+		}
+	}
+	if d.config.Fault == Drains && len(draining) > 0 && d.due() {
+		d.injected.Add(1)
+		return draining[0]
+	}
+	if len(up) == 0 {
+		return ""
+	}
+	slices.Sort(up)
+	h := fnv.New32a()
+	io.WriteString(h, key)
+	return up[int(h.Sum32()>>4)%len(up)]
+}
+
+func (d *Double) serve(socket net.Conn) {
+	nodes := make(map[string]*upstream)
+	defer func() {
+		socket.Close()
+		d.mu.Lock()
+		delete(d.conns, socket)
+		d.mu.Unlock()
+		for _, n := range nodes {
+			n.socket.Close()
+		}
+	}()
+	for in := bufio.NewReader(socket); ; {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.conns[socket] = true
+		d.mu.Unlock()
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		c, err := meta.ParseCommand(strings.TrimSuffix(line, "\r\n"))
+		if err != nil {
+			return
+		}
+		var body []byte
+		if c.Verb == meta.Set {
+			body = make([]byte, c.Size+2)
+			if _, err := io.ReadFull(in, body); err != nil {
+				return
+			}
+		}
+		answer := "MN\r\n"
+		if c.Verb != meta.Noop {
+			answer = ask(nodes, d.choose(c.Key), &c, body)
+		}
+		switch {
+		case d.config.Fault == Lose && d.due():
+			d.injected.Add(1)
+			answer = ""
+		case d.config.Fault == Twice && c.Verb == meta.Set && strings.HasPrefix(answer, "HD") && d.due():
+			d.injected.Add(1)
+			d.tasks.Go(func() {
+				time.Sleep(d.config.Window + d.config.Window/5)
+				again := make(map[string]*upstream)
+				ask(again, d.choose(c.Key), &c, body)
+				for _, n := range again {
+					n.socket.Close()
+				}
+			})
+		}
+		io.WriteString(socket, answer)
+		d.mu.Lock()
+		d.conns[socket] = false
+		ending := d.ending
+		d.mu.Unlock()
+		if ending {
+			return
+		}
+	}
+}
+
+type upstream struct {
+	socket net.Conn
+	in     *bufio.Reader
+}
+
+// ask sends a request to a node and returns its answer.
+func ask(nodes map[string]*upstream, address string, c *meta.Command, body []byte) string {
+	for again := range 2 {
+		n := nodes[address]
+		if n == nil {
+			socket, err := net.DialTimeout("tcp", address, time.Second)
+			if err != nil {
+				return "SERVER_ERROR busy\r\n" // it never ran
+			}
+			n = &upstream{socket, bufio.NewReader(socket)}
+			nodes[address] = n
+			again = 1
+		}
+		n.socket.SetDeadline(time.Now().Add(max(c.Wait, 100*time.Millisecond)))
+		n.socket.Write(append(c.AppendForward(nil, c.Wait), body...))
+		first, err := n.in.ReadString('\n')
+		if err == nil {
+			if size := 0; strings.HasPrefix(first, "VA ") {
+				fmt.Sscanf(first, "VA %d", &size)
+				value := make([]byte, size+2)
+				_, err = io.ReadFull(n.in, value)
+				first += string(value)
+			}
+		}
+		if err == nil {
+			return first
+		}
+		n.socket.Close()
+		delete(nodes, address)
+		if again == 1 || c.Verb == meta.Set {
+			break
+		}
+	}
+	return "SERVER_ERROR failed\r\n"
+}
--- /dev/null
+++ b/internal/standin/list/list.go
@@ -0,0 +1,293 @@
+// Package list is a stand-in for the service that tells proxies the list of
+// nodes, in the platform's form. It speaks with each proxy at an address of its
+// own, so that it knows when each was told of a drain.
+package list
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is a node's entry, as the platform's form has it.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"` // up, draining, removed
+	Weight  float64 `json:"weight"`
+	Since   int64   `json:"since_ms"`
+}
+
+type message struct {
+	Index     uint64  `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// quiet is the time after which a watch brings an empty line.
+const quiet = 2 * time.Second
+
+// leaveTime is how long an address that was moved away from keeps its connections.
+const leaveTime = 1500 * time.Millisecond
+
+// mostKept bounds the changes that are kept for watches that come back; one from
+// before them gets the whole list.
+const mostKept = 1024
+
+// Service is a stand-in list service. It is safe for concurrent use.
+type Service struct {
+	mu      sync.Mutex
+	changed chan struct{} // closed at each change
+	index   uint64
+	entries map[string]Entry
+	log     []message // changes, in order
+	down    bool
+	doors   map[int]*door
+	leaving []*door
+	told    map[int]map[string]time.Time // proxy, node: of a drain that is on
+	named   map[int]map[string]bool      // proxy, node: it has been told of it
+	tasks   sync.WaitGroup
+	timers  map[*time.Timer]struct{}
+	closed  bool
+}
+
+// door is the address of one proxy.
+type door struct {
+	listener net.Listener
+	server   *http.Server
+	end      chan struct{} // closed to end its watches
+}
+
+// New returns a service of a list of entries.
+func New(entries []Entry) *Service {
+	s := &Service{changed: make(chan struct{}), index: 1, entries: make(map[string]Entry), doors: make(map[int]*door),
+		told: make(map[int]map[string]time.Time), named: make(map[int]map[string]bool), timers: make(map[*time.Timer]struct{})}
+	for _, e := range entries {
+		s.entries[e.Name] = e
+	}
+	return s
+}
+
+// Open returns the address for a proxy, opening it at first.
+func (s *Service) Open(proxy int) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d := s.doors[proxy]; d != nil {
+		return d.listener.Addr().String(), nil
+	}
+	return s.open(proxy)
+}
+
+func (s *Service) open(proxy int) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	d := &door{listener: listener, end: make(chan struct{})}
+	d.server = &http.Server{ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(proxy, d, w, r) })}
+	s.doors[proxy] = d
+	s.tasks.Go(func() { d.server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+// Move opens another address for a proxy. The old one takes no new connection
+// and ends those that it has after a while.
+func (s *Service) Move(proxy int) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.doors[proxy]
+	address, err := s.open(proxy)
+	if err != nil || old == nil {
+		return address, err
+	}
+	old.listener.Close()
+	s.leaving = append(s.leaving, old)
+	var timer *time.Timer
+	timer = time.AfterFunc(leaveTime, func() {
+		s.mu.Lock()
+		delete(s.timers, timer)
+		s.leaving = slices.DeleteFunc(s.leaving, func(d *door) bool { return d == old })
+		s.mu.Unlock()
+		close(old.end)
+		old.server.Close()
+	})
+	s.timers[timer] = struct{}{}
+	return address, nil
+}
+
+// Close ends the service.
+func (s *Service) Close() {
+	s.mu.Lock()
+	s.closed = true
+	var ending []*door
+	for timer := range s.timers {
+		timer.Stop()
+	}
+	ending = append(ending, s.leaving...)
+	for _, d := range s.doors {
+		ending = append(ending, d)
+	}
+	s.leaving, s.doors = nil, make(map[int]*door)
+	s.mu.Unlock()
+	for _, d := range ending {
+		close(d.end)
+		d.server.Close()
+	}
+	s.tasks.Wait()
+}
+
+// Set tells changes: entries with other figures, new ones, or gone with status
+// removed.
+func (s *Service) Set(entries ...Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	for _, e := range entries {
+		if e.Status == "removed" {
+			delete(s.entries, e.Name)
+		} else {
+			s.entries[e.Name] = e
+		}
+	}
+	s.log = append(s.log, message{Index: s.index, Endpoints: slices.Clone(entries)})
+	if len(s.log) > mostKept {
+		s.log = s.log[len(s.log)-mostKept:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetDown takes the service down, which ends watches and fails calls, or up again.
+func (s *Service) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// DrainTold tells since when a proxy knows that a node drains or is gone; false
+// if it was not told so, or has been told since that the node is up.
+func (s *Service) DrainTold(proxy int, node string) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.told[proxy][node]
+	return at, ok
+}
+
+// since returns what changed after a version, and a channel that is closed at
+// the next change.
+func (s *Service) since(from uint64) (message, chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := message{Index: s.index}
+	switch {
+	case s.down || s.closed:
+		return m, s.changed, false
+	case from == s.index:
+		return m, s.changed, true
+	case from == 0 || from > s.index || len(s.log) == 0 || from < s.log[0].Index-1:
+		m.Snapshot = true
+		for _, e := range s.entries {
+			m.Endpoints = append(m.Endpoints, e)
+		}
+		return m, s.changed, true
+	}
+	latest := make(map[string]int)
+	for _, c := range s.log {
+		if c.Index <= from {
+			continue
+		}
+		for _, e := range c.Endpoints {
+			if i, ok := latest[e.Name]; ok {
+				m.Endpoints[i] = e
+				continue
+			}
+			latest[e.Name] = len(m.Endpoints)
+			m.Endpoints = append(m.Endpoints, e)
+		}
+	}
+	return m, s.changed, true
+}
+
+// tell notes what a proxy is about to be told. It is called before the write:
+// a drain counts from no later than that.
+func (s *Service) tell(proxy int, m *message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told, named := s.told[proxy], s.named[proxy]
+	if told == nil {
+		told, named = make(map[string]time.Time), make(map[string]bool)
+		s.told[proxy], s.named[proxy] = told, named
+	}
+	now := time.Now()
+	gone := func(name string) {
+		if _, known := told[name]; !known {
+			told[name] = now
+		}
+	}
+	there := make(map[string]bool, len(m.Endpoints))
+	for _, e := range m.Endpoints {
+		named[e.Name], there[e.Name] = true, true
+		if e.Status == "up" {
+			delete(told, e.Name)
+		} else {
+			gone(e.Name)
+		}
+	}
+	for name := range named {
+		if m.Snapshot && !there[name] {
+			gone(name)
+		}
+	}
+}
+
+func (s *Service) serve(proxy int, d *door, w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if r.URL.Path != "/api/targets" || r.FormValue("from") != "" && err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	m, changed, up := s.since(from)
+	if !up {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	watch := r.FormValue("watch") == "1"
+	out := json.NewEncoder(w)
+	for first := true; ; first = false {
+		if len(m.Endpoints) > 0 || first {
+			s.tell(proxy, &m)
+			if out.Encode(m) != nil {
+				return
+			}
+		} else {
+			fmt.Fprintln(w)
+		}
+		if !watch {
+			return
+		}
+		w.(http.Flusher).Flush()
+		from = m.Index
+		select {
+		case <-changed:
+		case <-time.After(quiet):
+		case <-d.end:
+			return
+		case <-r.Context().Done():
+			return
+		}
+		if m, changed, up = s.since(from); !up {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/node/node.go
@@ -0,0 +1,632 @@
+// Package node is a stand-in cache node: it reads through to a stand-in origin and
+// speaks the meta protocol as real nodes do. Its memory, places, queue and table
+// of connections are bounded; it starts warm or cold, falls over where it is sent
+// far more than it can do while cold, and fails on demand in the ways of [Fault].
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wrenroute/internal/meta"
+	"wrenroute/internal/standin/origin"
+)
+
+// Config says what a node is and can do. Zero stands for the usual.
+type Config struct {
+	Name     string
+	Slots    int           // requests in work at a time; 8
+	Queue    int           // that may wait; 64
+	Work     time.Duration // for one request, give or take a quarter; none
+	Capacity int           // keys kept; 4096
+	Conns    int           // connections held; 64
+	Idle     time.Duration // after which a connection is closed; 15 s
+	Value    int           // bytes of a value; 64
+	Report   bool          // answers tell the load
+
+	Cold         bool          // it starts now, and empty
+	ColdShare    float64       // of its capacity at the start; 0.3
+	ColdRamp     time.Duration // until it is warm; 8.6 s
+	FallMultiple float64       // of what it can do while cold, for FallTime: it falls; 3
+	FallTime     time.Duration // 2 s
+
+	Seed   uint64
+	Origin *origin.Origin // needed
+	Group  *Group         // needed
+	// Arrived, if set, is told each request as its first byte has come: its id, and when.
+	Arrived func(node, id string, at time.Time)
+}
+
+func (c *Config) fill() {
+	set := func(n *int, usual int) {
+		if *n == 0 {
+			*n = usual
+		}
+	}
+	set(&c.Slots, 8)
+	set(&c.Queue, 64)
+	set(&c.Capacity, 4096)
+	set(&c.Conns, 64)
+	set(&c.Value, 64)
+	if c.Idle == 0 {
+		c.Idle = 15 * time.Second
+	}
+	if c.ColdShare == 0 {
+		c.ColdShare = 0.3
+	}
+	if c.ColdRamp == 0 {
+		c.ColdRamp = 8600 * time.Millisecond
+	}
+	if c.FallMultiple == 0 {
+		c.FallMultiple = 3
+	}
+	if c.FallTime == 0 {
+		c.FallTime = 2 * time.Second
+	}
+}
+
+// FaultKind is a way to fail.
+type FaultKind string
+
+// The ways to fail.
+const (
+	Well    FaultKind = ""
+	Stall   FaultKind = "stall"   // nothing is begun or answered, connections come up
+	Reset   FaultKind = "reset"   // the connection is reset once a request has been carried out
+	Late    FaultKind = "late"    // an answer comes Fault.By later
+	Busy    FaultKind = "busy"    // requests are turned away unseen
+	Garbage FaultKind = "garbage" // what comes for an answer can't be read; the request has run
+	Refuse  FaultKind = "refuse"  // the process is gone: connections are reset and refused
+	Vanish  FaultKind = "vanish"  // the machine is gone: nothing is said, no connection comes up
+)
+
+// Faults are all ways to fail.
+var Faults = []FaultKind{Well, Stall, Reset, Late, Busy, Garbage, Refuse, Vanish}
+
+// Fault is a way to fail, and for how many. Reset, Late, Busy and Garbage
+// befall one request in Every (all for 0 and 1).
+type Fault struct {
+	Kind  FaultKind
+	Every int
+	By    time.Duration
+}
+
+// Stats count what came to a node.
+type Stats struct {
+	Requests, Hits, Misses, Writes, Repeats, Busy int
+	Conns, MostConns                              int
+	Fallen                                        bool
+}
+
+// host is a loopback address that no connection goes out from: while a node is
+// down, none can take its port by chance.
+const host = "127.0.0.2"
+
+// pipelined bounds the requests of one connection that are not answered yet.
+const pipelined = 256
+
+// Node is a stand-in node at work. It is safe for concurrent use.
+type Node struct {
+	config  Config
+	address string
+
+	mu       sync.Mutex
+	stalled  sync.Cond // while fault is Stall or Vanish
+	rng      *rand.Rand
+	cache    *cache
+	started  time.Time // zero for long ago
+	draining bool
+	fault    Fault
+	faulted  int // requests counted for Fault.Every
+	listener *net.TCPListener
+	fill     []net.Conn // that keep the backlog full while vanished
+	conns    map[*conn]struct{}
+	running  int
+	waiting  []*job
+	fetching int
+	arrivals []time.Time // within FallTime, while cold
+	stats    Stats
+	serial   int
+	closed   bool
+	tasks    sync.WaitGroup
+}
+
+type conn struct {
+	node    *Node
+	socket  *net.TCPConn
+	changed sync.Cond // of what follows, under Node.mu
+	replies []*job
+	gone    bool
+}
+
+type job struct {
+	conn    *conn
+	command meta.Command
+	answer  []byte // nil until it is there
+	fault   FaultKind
+	until   time.Time // nobody waits longer
+}
+
+// Start returns a node that listens at a free port of the loopback.
+func Start(c Config) (*Node, error) {
+	c.fill()
+	n := &Node{config: c, rng: rand.New(rand.NewPCG(c.Seed, 4)), cache: newCache(c.Capacity), conns: make(map[*conn]struct{})}
+	n.stalled.L = &n.mu
+	if c.Cold {
+		n.started = time.Now()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.listen(host + ":0"); err != nil {
+		return nil, err
+	}
+	n.address = n.listener.Addr().String()
+	c.Group.join(n)
+	return n, nil
+}
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.config.Name }
+
+// Address returns where it listens, the same after a restart.
+func (n *Node) Address() string { return n.address }
+
+// Started returns the time of its last start; zero for long ago.
+func (n *Node) Started() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started
+}
+
+// Stats returns what came to the node so far.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.stats
+	s.Conns = len(n.conns)
+	return s
+}
+
+// listen opens the address. n.mu is held.
+func (n *Node) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	n.listener = listener.(*net.TCPListener)
+	own := n.listener
+	n.tasks.Go(func() { n.accept(own) })
+	return nil
+}
+
+func (n *Node) accept(listener *net.TCPListener) {
+	for {
+		socket, err := listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		c := &conn{node: n, socket: socket}
+		c.changed.L = &n.mu
+		if n.closed || n.listener != listener || len(n.conns) >= n.config.Conns {
+			n.mu.Unlock()
+			socket.SetLinger(0) // a full table resets
+			socket.Close()
+			continue
+		}
+		n.conns[c] = struct{}{}
+		n.stats.MostConns = max(n.stats.MostConns, len(n.conns))
+		n.mu.Unlock()
+		n.tasks.Go(c.read)
+		n.tasks.Go(c.write)
+	}
+}
+
+// Close ends the node and waits for its goroutines.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.fault = Fault{}
+	n.stalled.Broadcast()
+	n.down()
+	n.mu.Unlock()
+	n.tasks.Wait()
+}
+
+// down closes the listener and resets all connections. n.mu is held.
+func (n *Node) down() {
+	if n.listener != nil {
+		n.listener.Close()
+		n.listener = nil
+	}
+	for _, c := range n.fill {
+		c.Close()
+	}
+	n.fill = nil
+	for c := range n.conns {
+		c.reset()
+	}
+	n.waiting = nil
+}
+
+// reset breaks a connection. Node.mu is held.
+func (c *conn) reset() {
+	c.gone = true
+	c.socket.SetLinger(0)
+	c.socket.Close()
+	c.changed.Broadcast()
+	c.node.stalled.Broadcast()
+}
+
+// Restart makes the node one that was just started: cold and empty, at its
+// address.
+func (n *Node) Restart() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down()
+	n.cache = newCache(n.config.Capacity)
+	n.started, n.draining, n.fault, n.arrivals = time.Now(), false, Fault{}, nil
+	n.stats.Fallen = false
+	n.stalled.Broadcast()
+	return n.listen(n.address)
+}
+
+// SetDraining has the node turn new requests away, or take them again.
+func (n *Node) SetDraining(draining bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = draining
+}
+
+// SetFault makes the node fail in a way from now on; the zero Fault makes it well.
+func (n *Node) SetFault(f Fault) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.fault.Kind
+	n.fault, n.faulted = f, 0
+	n.stalled.Broadcast()
+	if before == Vanish {
+		for _, c := range n.fill {
+			c.Close()
+		}
+		n.fill = nil
+		n.down() // a machine that is back knows none of its connections
+	}
+	switch {
+	case f.Kind == Refuse:
+		n.down()
+	case f.Kind == Vanish:
+		return n.vanish()
+	case n.listener == nil && !n.closed:
+		return n.listen(n.address)
+	}
+	n.next()
+	return nil
+}
+
+// vanish fills the backlog of the listener, which nobody takes from any more, so
+// that no connection comes up. n.mu is held.
+func (n *Node) vanish() error {
+	raw, err := n.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	own := n.listener
+	n.listener = nil // its accept would take what fills it
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		return err
+	}
+	own.SetDeadline(time.Unix(1, 0)) // ends its accept; the socket stays
+	n.listener = own
+	for range 8 {
+		c, err := net.DialTimeout("tcp", n.address, 50*time.Millisecond)
+		if err != nil {
+			return nil // full
+		}
+		n.fill = append(n.fill, c)
+	}
+	return errors.New("node: the backlog does not fill")
+}
+
+// warmth is the share of its capacity that the node has. n.mu is held.
+func (n *Node) warmth(now time.Time) float64 {
+	age := now.Sub(n.started)
+	if n.started.IsZero() || age >= n.config.ColdRamp {
+		return 1
+	}
+	share := n.config.ColdShare
+	return share + (1-share)*float64(age)/float64(n.config.ColdRamp)
+}
+
+// overrun tells whether a cold node has been sent more than it stands. n.mu is held.
+func (n *Node) overrun(now time.Time) bool {
+	warmth := n.warmth(now)
+	if warmth >= 1 || n.config.Work <= 0 {
+		n.arrivals = nil
+		return false
+	}
+	n.arrivals = append(n.arrivals, now)
+	for now.Sub(n.arrivals[0]) > n.config.FallTime {
+		n.arrivals = n.arrivals[1:]
+	}
+	able := warmth * float64(n.config.Slots) * float64(n.config.FallTime) / float64(n.config.Work)
+	return float64(len(n.arrivals)) > n.config.FallMultiple*able
+}
+
+// read takes commands until the connection ends.
+func (c *conn) read() {
+	n := c.node
+	in := bufio.NewReaderSize(c.socket, 4<<10)
+	for {
+		c.socket.SetReadDeadline(time.Now().Add(n.config.Idle))
+		if _, err := in.Peek(1); err != nil {
+			break
+		}
+		at := time.Now()
+		c.socket.SetReadDeadline(at.Add(n.config.Idle))
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			break
+		}
+		j := &job{conn: c}
+		command, err := meta.ParseCommand(strings.TrimSuffix(string(line), "\r\n"))
+		if err == nil && command.Verb == meta.Set {
+			_, err = in.Discard(command.Size + 2)
+			if err != nil {
+				break
+			}
+		}
+		j.command = command
+		switch {
+		case err != nil: // framing may be lost
+			j.answer = []byte("CLIENT_ERROR " + err.Error() + "\r\n")
+		case command.Verb == meta.Noop:
+			j.answer = []byte("MN\r\n")
+		default:
+			if n.config.Arrived != nil {
+				n.config.Arrived(n.config.Name, command.ID, at)
+			}
+		}
+		n.mu.Lock()
+		for len(c.replies) >= pipelined && !c.gone {
+			c.changed.Wait()
+		}
+		if c.gone {
+			n.mu.Unlock()
+			break
+		}
+		c.replies = append(c.replies, j)
+		if j.answer == nil {
+			n.admit(j, at)
+		}
+		c.changed.Broadcast()
+		n.mu.Unlock()
+		if err != nil {
+			break
+		}
+	}
+	n.mu.Lock()
+	// What was asked is answered if the other end only stopped sending.
+	for len(c.replies) > 0 && !c.gone {
+		c.changed.Wait()
+	}
+	c.gone = true
+	delete(n.conns, c)
+	c.changed.Broadcast()
+	n.stalled.Broadcast()
+	n.mu.Unlock()
+	c.socket.Close()
+}
+
+// write sends the answers in the order of the commands.
+func (c *conn) write() {
+	n := c.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for {
+		for !c.gone && (len(c.replies) == 0 || c.replies[0].answer == nil || n.silent()) {
+			if n.silent() {
+				n.stalled.Wait()
+			} else {
+				c.changed.Wait()
+			}
+		}
+		if c.gone {
+			return
+		}
+		j := c.replies[0]
+		if j.fault == Reset {
+			c.reset()
+			return
+		}
+		n.mu.Unlock()
+		c.socket.SetWriteDeadline(time.Now().Add(n.config.Idle))
+		_, err := c.socket.Write(j.answer)
+		n.mu.Lock()
+		c.replies[0] = nil
+		if c.replies = c.replies[1:]; err != nil {
+			c.gone = true
+			c.socket.Close()
+		}
+		c.changed.Broadcast()
+	}
+}
+
+// silent tells whether the node says nothing at all. n.mu is held.
+func (n *Node) silent() bool {
+	return !n.closed && (n.fault.Kind == Stall || n.fault.Kind == Vanish)
+}
+
+// admit takes a request, or turns it away. n.mu is held.
+func (n *Node) admit(j *job, now time.Time) {
+	n.stats.Requests++
+	if n.overrun(now) && !n.stats.Fallen {
+		n.stats.Fallen = true
+	}
+	if k := n.fault.Kind; k == Reset || k == Late || k == Busy || k == Garbage {
+		if n.faulted++; n.fault.Every <= 1 || n.faulted%n.fault.Every == 0 {
+			j.fault = k
+		}
+	}
+	if j.fault == Busy || n.draining || n.stats.Fallen || len(n.waiting) >= n.config.Queue && n.running >= n.config.Slots {
+		n.stats.Busy++
+		n.reply(j, "SERVER_ERROR busy\r\n")
+		return
+	}
+	if j.until = now.Add(time.Hour); j.command.Wait >= 0 {
+		j.until = now.Add(j.command.Wait)
+	}
+	n.waiting = append(n.waiting, j)
+	n.next()
+}
+
+// next begins what there is room for. n.mu is held.
+func (n *Node) next() {
+	for len(n.waiting) > 0 && n.running < n.config.Slots && !n.silent() && !n.closed {
+		j := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		if !time.Now().Before(j.until) { // the request is over, and is not begun
+			n.stats.Busy++
+			n.reply(j, "SERVER_ERROR busy\r\n")
+			continue
+		}
+		n.running++
+		took := time.Duration(float64(n.config.Work) * (0.75 + n.rng.Float64()/2) / n.warmth(time.Now()))
+		if took <= 0 {
+			n.running--
+			n.carryOut(j)
+			continue
+		}
+		time.AfterFunc(took, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.running--
+			if !n.closed {
+				n.carryOut(j)
+				n.next()
+			}
+		})
+	}
+}
+
+// carryOut does a request's work. n.mu is held.
+func (n *Node) carryOut(j *job) {
+	key, c := j.command.Key, j.command
+	switch {
+	case c.Verb == meta.Set:
+		n.stats.Writes++
+		first := false
+		run := func(done func(string, error)) {
+			first = true
+			n.config.Origin.Write(key, c.Idempotency, func(err error) {
+				if err == nil {
+					n.config.Group.void(key)
+				}
+				done(fmt.Sprintf("%s.%s", n.config.Name, c.ID), err)
+			})
+		}
+		finish := func(receipt string, err error) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			switch {
+			case err == nil:
+				n.reply(j, "HD O"+c.ID+" c"+receipt+n.load()+"\r\n")
+			default: // the origin has not begun it
+				n.reply(j, "SERVER_ERROR busy\r\n")
+			}
+		}
+		n.mu.Unlock()
+		if c.Keyed {
+			n.config.Group.once(c.Idempotency, run, finish)
+		} else {
+			run(finish)
+		}
+		n.mu.Lock()
+		if !first {
+			n.stats.Repeats++
+		}
+	case n.cache.has(key):
+		n.stats.Hits++
+		n.reply(j, n.value(&c, "h1"))
+	default:
+		n.stats.Misses++
+		n.fetching++
+		n.mu.Unlock()
+		n.config.Origin.Fetch(func(err error) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.fetching--
+			if err != nil {
+				n.reply(j, "SERVER_ERROR failed\r\n")
+				return
+			}
+			n.cache.add(key)
+			n.reply(j, n.value(&c, "h0"))
+		})
+		n.mu.Lock()
+	}
+}
+
+// value is the answer to a read: its key and a serial, filled up. n.mu is held.
+func (n *Node) value(c *meta.Command, flag string) string {
+	n.serial++
+	text := fmt.Sprintf("%s %s %d ", c.Key, n.config.Name, n.serial)
+	if short := n.config.Value - len(text); short > 0 {
+		text += strings.Repeat(".", short)
+	}
+	return fmt.Sprintf("VA %d O%s %s%s\r\n%s\r\n", len(text), c.ID, flag, n.load(), text)
+}
+
+// load is the report that ends a first line. n.mu is held.
+func (n *Node) load() string {
+	if !n.config.Report {
+		return ""
+	}
+	return fmt.Sprintf(" Linflight=%d,x1=%d", n.running+len(n.waiting), n.fetching)
+}
+
+// reply answers a request, spoilt or late if that is its lot. n.mu is held.
+func (n *Node) reply(j *job, text string) {
+	put := func() {
+		j.answer = []byte(text)
+		j.conn.changed.Broadcast()
+	}
+	switch j.fault {
+	case Garbage:
+		text = "VA 3000000000 O" + j.command.ID + "\r\n\x00noise"
+	case Late:
+		time.AfterFunc(n.fault.By, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			put()
+		})
+		return
+	}
+	put()
+}
+
+// Holds tells whether a node keeps a copy of a key.
+func (n *Node) Holds(key string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.cache.place[key]
+	return ok
+}
+
+// ParseFault returns the way to fail of that name.
+func ParseFault(name string) (FaultKind, error) {
+	k := FaultKind(name)
+	if !slices.Contains(Faults, k) {
+		return k, fmt.Errorf("no fault is named %q: want one of %q", name, Faults)
+	}
+	return k, nil
+}
--- /dev/null
+++ b/internal/standin/origin/origin.go
@@ -0,0 +1,200 @@
+// Package origin is a stand-in for the one slow origin behind all cache nodes: it
+// has so many places, a queue, and a time for each piece of work, and it keeps a
+// ledger of every effect. It has no sockets: nodes of the same process call it.
+package origin
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Errors of work that was not begun, and so had no effect.
+var (
+	ErrFull = errors.New("origin: queue full")
+	ErrDown = errors.New("origin: down")
+)
+
+// Config says what an origin can do.
+type Config struct {
+	Slots int           // pieces of work at a time; at least 1
+	Queue int           // pieces that may wait
+	Work  time.Duration // for one piece, give or take a quarter
+	Seed  uint64
+}
+
+// Effect is one line of the ledger: a write by its record and idempotency key.
+type Effect struct {
+	Record, Key string
+	Times       int // carried out so often
+	First, Last time.Time
+}
+
+const (
+	mostEffects = 1 << 20 // lines of the ledger: past it the oldest make room
+	mostDoubled = 1000    // that are kept for the record; all are counted
+)
+
+// Origin is a stand-in origin. It is safe for concurrent use.
+type Origin struct {
+	config Config
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	running int
+	waiting []*job
+	down    bool
+	stats   Stats
+	ledger  map[string]*Effect
+	order   []string // keys of the ledger, oldest first
+	doubled []Effect // as they were found, for the record
+	timers  map[*time.Timer]struct{}
+	closed  bool
+}
+
+// Stats count what an origin did.
+type Stats struct {
+	Fetches, Writes, Full int
+	Effects, Doubled      int // distinct writes, and those carried out more than once
+}
+
+type job struct{ done func() }
+
+// New returns an origin.
+func New(c Config) *Origin {
+	c.Slots = max(c.Slots, 1)
+	return &Origin{config: c, rng: rand.New(rand.NewPCG(c.Seed, 3)), ledger: make(map[string]*Effect),
+		timers: make(map[*time.Timer]struct{})}
+}
+
+// Fetch reads a key; done is called once, on a goroutine of the origin's or, with
+// an error, at once.
+func (o *Origin) Fetch(done func(error)) {
+	o.submit(done, func() { o.stats.Fetches++ })
+}
+
+// Write carries out a write of a record under an idempotency key. The effect
+// is had as it ends; the origin itself drops no repeats, the nodes do.
+func (o *Origin) Write(record, key string, done func(error)) {
+	o.submit(done, func() { o.enter(record, key, time.Now()) })
+}
+
+func (o *Origin) submit(done func(error), effect func()) {
+	o.mu.Lock()
+	var err error
+	switch {
+	case o.down || o.closed:
+		err = ErrDown
+	case o.running >= o.config.Slots && len(o.waiting) >= o.config.Queue:
+		o.stats.Full++
+		err = ErrFull
+	}
+	if err != nil {
+		o.mu.Unlock()
+		done(err)
+		return
+	}
+	j := &job{done: func() {
+		o.mu.Lock()
+		effect()
+		o.mu.Unlock()
+		done(nil)
+	}}
+	if o.running >= o.config.Slots {
+		o.waiting = append(o.waiting, j)
+	} else {
+		o.begin(j)
+	}
+	o.mu.Unlock()
+}
+
+// begin starts a piece of work. o.mu is held.
+func (o *Origin) begin(j *job) {
+	o.running++
+	took := time.Duration(float64(o.config.Work) * (0.75 + o.rng.Float64()/2))
+	var timer *time.Timer
+	timer = time.AfterFunc(took, func() {
+		o.mu.Lock()
+		delete(o.timers, timer)
+		o.running--
+		if len(o.waiting) > 0 && !o.closed {
+			next := o.waiting[0]
+			o.waiting = o.waiting[1:]
+			o.begin(next)
+		}
+		o.mu.Unlock()
+		j.done()
+	})
+	o.timers[timer] = struct{}{}
+}
+
+// enter writes an effect into the ledger. o.mu is held.
+func (o *Origin) enter(record, key string, now time.Time) {
+	o.stats.Writes++
+	name := record + " " + key
+	e := o.ledger[name]
+	if e == nil {
+		if len(o.order) >= mostEffects {
+			delete(o.ledger, o.order[0])
+			o.order = o.order[1:]
+		}
+		e = &Effect{Record: record, Key: key, First: now}
+		o.ledger[name] = e
+		o.order = append(o.order, name)
+		o.stats.Effects++
+	}
+	e.Times++
+	e.Last = now
+	if e.Times == 2 {
+		o.stats.Doubled++
+		if len(o.doubled) < mostDoubled {
+			o.doubled = append(o.doubled, *e)
+		}
+	}
+}
+
+// SetDown stops the origin from taking work, or lets it again.
+func (o *Origin) SetDown(down bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = down
+}
+
+// Stats returns what was done so far.
+func (o *Origin) Stats() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stats
+}
+
+// Doubled returns effects that were had more than once, as they were when that
+// was found.
+func (o *Origin) Doubled() []Effect {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.doubled)
+}
+
+// Times tells how often a write was carried out.
+func (o *Origin) Times(record, key string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if e := o.ledger[record+" "+key]; e != nil {
+		return e.Times
+	}
+	return 0
+}
+
+// Close ends all work under way; what it would have brought never comes.
+func (o *Origin) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for t := range o.timers {
+		t.Stop()
+	}
+	clear(o.timers)
+	o.waiting = nil
+}
