--- a/cmd/yarrowspan/daemon_test.go
+++ b/cmd/yarrowspan/daemon_test.go
@@ -453,10 +453,18 @@
 // TestSecondTerminationEndsWithWhatIsOpen guards against a hurried end that drops
 // what was taken, or that still takes more.
 func TestSecondTerminationEndsWithWhatIsOpen(t *testing.T) {
-	r := newRig(t, node.Config{})
+	r := newRig(t, node.Config{Value: 60 << 10})
 	r.configure("[[class]]\nname = \"read\"\ndeadline = \"60s\"\n")
 	r.start()
 	r.hear("READY=1")
+	// This one takes no answer, and its class would let it hold the drain for a minute.
+	deaf := r.call()
+	deaf.socket.(*net.TCPConn).SetReadBuffer(4 << 10)
+	for i, stuck := 0, false; !stuck; i++ { // until the proxy reads no more of it
+		deaf.socket.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+		_, err := fmt.Fprintf(deaf.socket, "mg k v Od%d Pc=read,d=60000\r\n", i)
+		stuck = err != nil
+	}
 	for _, n := range r.nodes {
 		n.SetFault(node.Fault{Kind: node.Stall})
 	}
