Wait for a configuration that is being written; judge lateness by own lag

Need: half of a file that is being written can read as a whole one with a class less; and a rehearsal on a machine without a free core must not take its own lateness for the proxies'. Change: a reload takes a text once two looks 50 ms apart agree; the rehearsal measures its own wake-ups. Result: the test puts a file's second half in between two looks, and gets both classes; Read got one.

--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
+	"time"
 
 	"wrenroute/internal/config"
 	"wrenroute/internal/daemon"
@@ -25,6 +26,9 @@
 With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
 `
 
+// settleTime is how long a configuration must have stood still to be reloaded.
+const settleTime = 50 * time.Millisecond
+
 // errUsage is the error of words that can't be meant.
 var errUsage = errors.New("bad usage")
 
@@ -110,7 +114,14 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
-	o.Load = func() (*config.Config, error) { return config.Read(*file) }
+	begun := false
+	o.Load = func() (*config.Config, error) {
+		if begun { // a start is late enough without the wait
+			return config.ReadSettled(*file, func() { time.Sleep(settleTime) })
+		}
+		begun = true
+		return config.Read(*file)
+	}
 	return daemon.Run(o)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,8 +48,39 @@
 // Read reads the file at path, and the node file that it may name. Its error
 // joins one error a defect.
 func Read(path string) (*Config, error) {
+	text, err := load(path)
+	if err != nil {
+		return nil, err
+	}
+	return read(path, text)
+}
+
+// mostLooks bounds the looks at a file that keeps changing.
+const mostLooks = 20
+
+// ReadSettled is Read for a file that may be being written at this moment: half of
+// it may well read as a whole file that says less. So the text is taken once two
+// looks in a row have found the same; pause is the wait between them. A file that
+// can't be opened is an error at once, as Read's is.
+func ReadSettled(path string, pause func()) (*Config, error) {
+	last, err := load(path)
+	for range mostLooks {
+		if err != nil {
+			return nil, err
+		}
+		pause()
+		var text string
+		if text, err = load(path); err == nil && text == last {
+			return read(path, text)
+		}
+		last = text
+	}
+	return nil, fmt.Errorf("%s: is still being written", path)
+}
+
+func read(path, text string) (*Config, error) {
 	d := &defects{file: path}
-	top, err := parse(path, d)
+	top, err := parse(text, d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -145,6 +145,41 @@
 	}
 }
 
+// TestFileBeingWrittenIsWaitedFor guards against a reload that puts the first half of
+// a file into force, which reads as a whole one with a class less.
+func TestFileBeingWrittenIsWaitedFor(t *testing.T) {
+	const half = "listen = \"h:1\"\n[nodes]\naddresses = [\"h:1\"]\n[[class]]\nname = \"a\"\n"
+	const whole = half + "[[class]]\nname = \"b\"\n"
+	path := write(t, half)
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if c, err := Read(path); err != nil || len(c.Proxy.Policy.Classes) != 1 {
+		t.Fatalf("the half is no file of its own: %v", err)
+	}
+	looks := 0
+	c, err := ReadSettled(path, func() {
+		if looks++; looks == 1 {
+			put(whole) // the writer goes on
+		}
+	})
+	if err != nil || len(c.Proxy.Policy.Classes) != 2 {
+		t.Errorf("taken after %d looks: %+v, %v", looks, c, err)
+	}
+	_, err = ReadSettled(path, func() {
+		looks++
+		put(whole + strings.Repeat("#", looks))
+	})
+	if err == nil || !strings.Contains(err.Error(), "is still being written") || looks > 2*mostLooks {
+		t.Errorf("a file that never settles: %v after %d looks", err, looks)
+	}
+	if _, err := ReadSettled(path, func() { os.Remove(path) }); err == nil {
+		t.Error("a file that vanishes was taken")
+	}
+}
+
 // FuzzRead guards against files that bring the reader down, or through.
 func FuzzRead(f *testing.F) {
 	f.Add("listen = \"127.0.0.1:0\"\n[nodes]\naddresses = [\"127.0.0.1:1\"]\n[[class]]\nname = \"a\"\n[limits]\ncores = 2\n")
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -42,6 +42,7 @@
 	fetches := make([]int, len(s.Phases)+1)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.run(ctx) })
+	tasks.Go(func() { t.watchLag(ctx) })
 	tasks.Go(func() { f.script(ctx, began) })
 	at := time.Duration(0)
 	for i, p := range s.Phases {
--- a/internal/rehearse/tally.go
+++ b/internal/rehearse/tally.go
@@ -1,6 +1,7 @@
 package rehearse
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -17,6 +18,39 @@
 	rules  broken
 	unsent int
 	refuse int // connections that did not come up
+	lag    time.Duration
+	lagAt  time.Time
+	most   time.Duration // of it
+}
+
+const (
+	lagTick = 10 * time.Millisecond
+	lagKept = 5 * time.Second
+)
+
+// watchLag keeps how late the rehearsal itself was woken lately, until ctx ends. What
+// a machine without a free core does to it, it does to the proxies as well.
+func (t *tally) watchLag(ctx context.Context) {
+	for ctx.Err() == nil {
+		before := time.Now()
+		sleep(ctx, lagTick)
+		now := time.Now()
+		by := now.Sub(before) - lagTick
+		t.mu.Lock()
+		if by > t.lag || now.Sub(t.lagAt) > lagKept {
+			t.lag, t.lagAt = by, now
+		}
+		t.most = max(t.most, by)
+		t.mu.Unlock()
+	}
+}
+
+// slackNow is how late an answer may be: slack, and more where the rehearsal itself
+// was late.
+func (t *tally) slackNow() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slack + 2*t.lag
 }
 
 // count is of one phase.
