Put a neutral request between fronts, core and nodes

Need: the core took a meta.Command and upstream wrote meta lines, so no other dialect could be served by the same rules. Change: internal/request knows a request and its answer; meta encodes and decodes them; fronts meet the core by Reply, nodes are met by upstream.Dialect.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -1,15 +1,20 @@
 // Package meta reads and writes the meta commands of the memcache text
-// protocol that clients, the proxy and cache nodes speak. It knows no sockets:
-// it takes single lines, without their CRLF, and tells how long a value follows.
+// protocol that clients, the proxy and cache nodes speak, as requests and answers.
+// It knows no sockets.
 package meta
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
+
+	"wrenroute/internal/request"
 )
 
 // The bounds of what is accepted.
@@ -21,33 +26,12 @@
 	maxWait  = time.Hour
 )
 
-// Verb is a command's kind.
-type Verb uint8
-
-// The commands of a client.
-const (
-	Get  Verb = iota // mg
-	Set              // ms
-	Noop             // mn
-)
-
-// Command is a client's command. Its texts are parts of one line.
+// Command is a client's command: a request, or a Noop. Of a Set the value is yet
+// to come.
 type Command struct {
-	Verb   Verb
-	Key    string
-	ID     string // of flag O
-	Size   int    // of a Set's value
-	Class  string
-	Tenant string
-	Wait   time.Duration // how long the client waits; negative if it did not say
-	Retry  bool
-	Keyed  bool // it has an idempotency key
-	// Idempotency is that key, the figure of k.
-	Idempotency string
-
-	line       string
-	from, to   int  // place of d's figure in line, or where it would go
-	insertWait bool // no d yet
+	request.Request
+	Noop bool // mn
+	Size int  // of a Set's value
 }
 
 // ErrUnknown is the error of a command that is none of the known.
@@ -65,29 +49,29 @@
 
 // ParseCommand reads a command's line.
 func ParseCommand(line string) (Command, error) {
-	c := Command{line: line, Wait: -1}
+	c := Command{Request: request.Request{Wait: -1, Raw: request.Raw{Line: line}}}
 	if !utf8.ValidString(line) {
 		return c, ErrUnknown
 	}
 	verb, rest := word(line)
 	switch verb {
 	case "mn":
-		c.Verb = Noop
+		c.Noop = true
 		if rest != "" {
 			return c, &ClientError{Reason: "bad mn"}
 		}
 		return c, nil
 	case "mg":
-		c.Verb = Get
+		c.Verb = request.Get
 	case "ms":
-		c.Verb = Set
+		c.Verb = request.Set
 	default:
 		return c, ErrUnknown
 	}
 	skip := 0
 	bad := func(reason string) (Command, error) { return c, &ClientError{Reason: reason, Skip: skip} }
 	c.Key, rest = word(rest)
-	if c.Verb == Set {
+	if c.Verb == request.Set {
 		var size string
 		size, rest = word(rest)
 		n, ok := length(size)
@@ -105,7 +89,7 @@
 		var flag string
 		flag, rest = word(rest)
 		switch {
-		case flag == "v" && c.Verb == Get && !value:
+		case flag == "v" && c.Verb == request.Get && !value:
 			value = true
 		case len(flag) > 1 && flag[0] == 'O' && c.ID == "" && len(flag)-1 <= MaxID && printable(flag):
 			c.ID = flag[1:]
@@ -123,7 +107,7 @@
 		return bad("missing O")
 	case c.Class == "":
 		return bad("missing class")
-	case c.Verb == Get && !value:
+	case c.Verb == request.Get && !value:
 		return bad("missing v")
 	}
 	return c, nil
@@ -132,10 +116,11 @@
 // params reads the list of flag P, which ends before place end of the line
 // (and a space, if the line goes on).
 func (c *Command) params(list string, end int) string {
-	if end < len(c.line) || strings.HasSuffix(c.line, " ") {
+	raw := &c.Raw
+	if end < len(raw.Line) || strings.HasSuffix(raw.Line, " ") {
 		end--
 	}
-	c.from, c.to, c.insertWait = end, end, true
+	raw.From, raw.To, raw.InsertWait = end, end, true
 	seen := ""
 	for at := end - len(list); list != ""; {
 		pair, rest, _ := strings.Cut(list, ",")
@@ -157,14 +142,14 @@
 		case "r":
 			c.Retry = figure == "1"
 		case "k":
-			c.Keyed, c.Idempotency = true, figure
+			c.Idempotency = figure
 		case "d":
 			ms, err := strconv.ParseFloat(figure, 64)
 			if err != nil || strings.Trim(figure, "0123456789.") != "" || ms > float64(maxWait/time.Millisecond) {
 				return "bad d"
 			}
 			c.Wait = time.Duration(ms * float64(time.Millisecond))
-			c.from, c.to, c.insertWait = at+2, at+len(pair), false
+			raw.From, raw.To, raw.InsertWait = at+2, at+len(pair), false
 		}
 		at += len(pair) + 1
 		list = rest
@@ -172,32 +157,96 @@
 	return ""
 }
 
-// AppendForward appends the command's line as a cache node gets it: unchanged
-// but for the time that the proxy will wait.
-func (c *Command) AppendForward(dst []byte, wait time.Duration) []byte {
-	dst = append(dst, c.line[:c.from]...)
-	if c.insertWait {
+// Node is the dialect towards cache nodes.
+type Node struct{}
+
+// AppendHead appends a request up to its value: the line of its client unchanged but
+// for the time that the proxy will wait, or one of its own.
+func (Node) AppendHead(dst []byte, r *request.Request, wait time.Duration) []byte {
+	ms := max(int64(wait/time.Millisecond), 1)
+	raw := &r.Raw
+	if raw.Line == "" {
+		return appendRequest(dst, r, ms)
+	}
+	dst = append(dst, raw.Line[:raw.From]...)
+	if raw.InsertWait {
 		dst = append(dst, ",d="...)
 	}
-	dst = strconv.AppendInt(dst, max(int64(wait/time.Millisecond), 1), 10)
-	return append(append(dst, c.line[c.to:]...), '\r', '\n')
+	dst = strconv.AppendInt(dst, ms, 10)
+	return append(append(dst, raw.Line[raw.To:]...), '\r', '\n')
+}
+
+// appendRequest appends the line of a request whose client wrote none.
+func appendRequest(dst []byte, r *request.Request, ms int64) []byte {
+	if r.Verb == request.Set {
+		dst = append(append(append(dst, "ms "...), r.Key...), ' ')
+		dst = append(strconv.AppendInt(dst, int64(len(r.Value)), 10), " O"...)
+	} else {
+		dst = append(append(append(dst, "mg "...), r.Key...), " v O"...)
+	}
+	dst = append(append(append(dst, r.ID...), " Pc="...), r.Class...)
+	if r.Tenant != "" {
+		dst = append(append(dst, ",t="...), r.Tenant...)
+	}
+	dst = strconv.AppendInt(append(dst, ",d="...), ms, 10)
+	if r.Idempotency != "" {
+		dst = append(append(dst, ",k="...), r.Idempotency...)
+	}
+	return append(dst, '\r', '\n')
 }
 
-// AnswerKind is the kind of a cache node's answer.
-type AnswerKind uint8
+// AppendTail appends what follows a request's value.
+func (Node) AppendTail(dst []byte, r *request.Request) []byte {
+	if r.Verb == request.Set {
+		dst = append(dst, '\r', '\n')
+	}
+	return dst
+}
 
-// The answers of a cache node.
-const (
-	Value  AnswerKind = iota // VA
-	Stored                   // HD
-	Busy                     // SERVER_ERROR busy
-	Failed                   // any other error
-)
+// ErrAnswer is the error of what is no answer, or not that of the request.
+var ErrAnswer = errors.New("malformed answer")
 
-// Answer is the first line of a cache node's answer. Its texts are parts of
+// ReadAnswer reads the answer to a request. After an error where the next answer
+// begins can't be known.
+func (Node) ReadAnswer(in *bufio.Reader, r *request.Request) (a request.Answer, err error) {
+	line, err := in.ReadSlice('\n')
+	if err != nil {
+		return a, err
+	}
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok || len(line) > MaxLine {
+		return a, ErrAnswer
+	}
+	first, err := ParseAnswer(line)
+	if err != nil {
+		return a, err
+	}
+	served := first.Kind == request.Value || first.Kind == request.Stored
+	// Passing on another request's answer would be worse than losing the connection.
+	if served && string(first.ID) != r.ID || len(first.ID) > 0 && string(first.ID) != r.ID {
+		return a, fmt.Errorf("%w: answer to %q where %q is due", ErrAnswer, first.ID, r.ID)
+	}
+	if served && (first.Kind == request.Value) != (r.Verb == request.Get) {
+		return a, fmt.Errorf("%w: answer to another kind of command", ErrAnswer)
+	}
+	a = request.Answer{Kind: first.Kind, Hit: first.Hit, Miss: first.Miss, Shared: first.Shared, Receipt: string(first.Receipt),
+		Load: bytes.Clone(first.Load)} // the line lies in the reader's buffer
+	if first.Kind == request.Value {
+		a.NewValue(r.Room, first.Size)
+		if _, err := io.ReadFull(in, a.Whole()); err != nil {
+			return a, err
+		}
+		if string(a.Tail()) != "\r\n" {
+			return a, ErrAnswer
+		}
+	}
+	return a, nil
+}
+
+// Line is the first line of a cache node's answer. Its texts are parts of
 // that line.
-type Answer struct {
-	Kind    AnswerKind
+type Line struct {
+	Kind    request.Kind
 	Size    int // of a Value
 	ID      []byte
 	Receipt []byte // of flag c
@@ -207,12 +256,9 @@
 	Load    []byte // of flag L
 }
 
-// ErrAnswer is the error of a line that is no answer.
-var ErrAnswer = errors.New("malformed answer")
-
 // ParseAnswer reads an answer's first line.
-func ParseAnswer(line []byte) (Answer, error) {
-	var a Answer
+func ParseAnswer(line []byte) (Line, error) {
+	var a Line
 	verb, rest := cut(line)
 	switch string(verb) {
 	case "VA":
@@ -222,17 +268,17 @@
 		if !ok {
 			return a, ErrAnswer
 		}
-		a.Kind, a.Size = Value, n
+		a.Kind, a.Size = request.Value, n
 	case "HD":
-		a.Kind = Stored
+		a.Kind = request.Stored
 	case "SERVER_ERROR":
-		a.Kind = Failed
+		a.Kind = request.Failed
 		var what []byte
 		if what, rest = cut(rest); string(what) == "busy" {
-			a.Kind = Busy
+			a.Kind = request.Busy
 		}
 	case "CLIENT_ERROR", "ERROR": // no use, but whole: nothing behind it is lost
-		a.Kind = Failed
+		a.Kind = request.Failed
 		return a, nil
 	default:
 		return a, ErrAnswer
@@ -255,33 +301,40 @@
 		case 'Z':
 			a.Shared = len(text) == 0
 		default: // an error's words, or what a later node may tell
-			if a.Kind == Busy { // it promises that nothing ran, so it must be that and no other
-				a.Kind = Failed
+			if a.Kind == request.Busy { // it promises that nothing ran, so it must be that and no other
+				a.Kind = request.Failed
 			}
 		}
 	}
 	return a, nil
 }
 
-// AppendValue appends the first line of a served value as a client gets it.
-func AppendValue(dst []byte, size int, id string) []byte {
-	dst = strconv.AppendInt(append(dst, "VA "...), int64(size), 10)
-	return append(append(append(dst, " O"...), id...), '\r', '\n')
-}
+// Room is what AppendAnswer puts before a value, at the most, for an id.
+func Room(id string) int { return len("VA 65536 O\r\n") + len(id) }
 
-// AppendStored appends the answer to a served write.
-func AppendStored(dst []byte, id string, receipt []byte) []byte {
-	dst = append(append(dst, "HD O"...), id...)
-	return append(append(append(dst, " c"...), receipt...), '\r', '\n')
-}
-
-// AppendBusy appends a refusal, with advice when to come again if after is positive.
-func AppendBusy(dst []byte, after time.Duration) []byte {
-	dst = append(dst, "SERVER_ERROR busy"...)
-	if after > 0 {
-		dst = strconv.AppendInt(append(dst, ' '), max(after.Milliseconds(), 1), 10)
+// Append returns the answer to a client's request. Of one with a value the
+// result is the value's own buffer.
+func Append(a *request.Answer, id string) []byte {
+	switch a.Kind {
+	case request.Value:
+		head := make([]byte, 0, len("VA 65536 O\r\n")+MaxID)
+		head = strconv.AppendInt(append(head, "VA "...), int64(a.Size()), 10)
+		head = append(append(append(head, " O"...), id...), '\r', '\n')
+		return a.Frame(head, []byte("\r\n"))
+	case request.Stored:
+		dst := make([]byte, 0, len(id)+len(a.Receipt)+len("HD O c\r\n"))
+		dst = append(append(dst, "HD O"...), id...)
+		return append(append(append(dst, " c"...), a.Receipt...), '\r', '\n')
+	case request.Busy:
+		dst := append(make([]byte, 0, len("SERVER_ERROR busy 1234567\r\n")), "SERVER_ERROR busy"...)
+		if a.After > 0 {
+			dst = strconv.AppendInt(append(dst, ' '), max(a.After.Milliseconds(), 1), 10)
+		}
+		return append(dst, '\r', '\n')
+	case request.Bad:
+		return []byte("CLIENT_ERROR " + a.Reason + "\r\n")
 	}
-	return append(dst, '\r', '\n')
+	return []byte("SERVER_ERROR failed\r\n")
 }
 
 // EachLoad calls f with each figure of a load report until one is malformed.
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
 	"wrenroute/internal/upstream"
 )
 
@@ -62,9 +63,11 @@
 // reply is the place of one command's answer among those of its connection.
 // It is guarded by client.mu.
 type reply struct {
-	client  *client
-	request *request // of a command that became one
-	text    []byte   // nil until it is answered
+	client *client
+	id     string // of a command that is a request
+	size   int    // of its value, as budgeted
+	held   *held  // of a command that became a request
+	text   []byte // nil until it is answered
 }
 
 func newClient(s *Server, socket *net.TCPConn) *client {
@@ -88,7 +91,13 @@
 	c.mu.Unlock()
 	c.socket.Close()
 	writer.Wait()
-	c.server.core.leave(c.replies)
+	var unanswered []*held
+	for _, r := range c.replies {
+		if r.held != nil {
+			unanswered = append(unanswered, r.held)
+		}
+	}
+	c.server.core.leave(unanswered)
 }
 
 // read takes commands until the client leaves. It returns true when what
@@ -145,19 +154,19 @@
 		c.bad++
 		c.refuse("ERROR\r\n")
 		return false, nil
-	case command.Verb == meta.Noop:
+	case command.Noop:
 		c.bad = 0
 		c.add().finish([]byte("MN\r\n"))
 		return false, nil
 	}
 	var body []byte
-	if command.Verb == meta.Set {
+	if command.Verb == request.Set {
 		size := command.Size + 2
 		if !c.server.bodies.try(size) {
 			if _, err := c.in.Discard(size); err != nil {
 				return false, err
 			}
-			c.add().finish(meta.AppendBusy(nil, 0))
+			c.add().Finish(&request.Answer{Kind: request.Busy})
 			return false, nil
 		}
 		body = make([]byte, size)
@@ -169,10 +178,12 @@
 			c.server.bodies.give(size)
 			return c.refuse("CLIENT_ERROR bad data chunk\r\n"), nil
 		}
+		command.Value = body[:command.Size]
 	}
 	reply := c.add()
-	if reply.request = c.server.core.arrive(command, body, reply); reply.request == nil {
-		c.server.bodies.give(len(body))
+	reply.id, reply.size, command.Room = command.ID, len(body), meta.Room(command.ID)
+	if reply.held = c.server.core.arrive(&command.Request, reply); reply.held == nil {
+		reply.Release()
 		c.bad++
 	} else {
 		c.bad = 0
@@ -360,6 +371,12 @@
 	return c.writing
 }
 
+// Finish implements Reply.
+func (r *reply) Finish(a *request.Answer) { r.finish(meta.Append(a, r.id)) }
+
+// Release implements Reply.
+func (r *reply) Release() { r.client.server.bodies.give(r.size) }
+
 // finish sets the answer of a command. One that finds no room among those held
 // for clients slow to take theirs becomes a failure.
 func (r *reply) finish(text []byte) {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -10,18 +10,26 @@
 
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
 	"wrenroute/internal/upstream"
 	"wrenroute/policy"
 )
 
-// request is a client's request that the proxy holds. It is guarded by Core.mu.
-type request struct {
+// Reply is where a request's answer goes.
+type Reply interface {
+	// Finish takes the one answer to the request.
+	Finish(a *request.Answer)
+	// Release tells that nothing holds the request's value any more.
+	Release()
+}
+
+// held is a client's request that the proxy holds. It is guarded by Core.mu.
+type held struct {
 	id       uint64
-	command  meta.Command
-	body     []byte
+	request  *request.Request
 	deadline time.Duration
 	expires  time.Time // the same
-	reply    *reply
+	reply    Reply
 	attempts []*attempt
 	open     int  // attempts that have not ended
 	over     bool // answered, or its client has left
@@ -54,7 +62,7 @@
 	actions   []policy.Action
 	events    []policy.Event // that carrying out actions has brought
 	handling  bool
-	requests  map[uint64]*request
+	requests  map[uint64]*held
 	open      map[string]struct{} // the clients' ids of requests
 	last      uint64              // request's number
 	version   uint64              // of the list
@@ -93,9 +101,9 @@
 	}
 	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds,
 		rules: newRules(config), log: log, registry: config.Place.Open(), start: time.Now(), known: make(chan struct{}),
-		balancer: balancer, requests: make(map[uint64]*request), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
+		balancer: balancer, requests: make(map[uint64]*held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
-	c.nodes = upstream.New(config.Upstream, c, log)
+	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
 	c.learn(c.registry, config.Known, policy.ListStored)
 	return c, nil
 }
@@ -169,11 +177,11 @@
 		}
 	case policy.Refuse:
 		if r := c.requests[a.ID]; r != nil {
-			c.answer(r, meta.AppendBusy(nil, a.After))
+			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After})
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
-			c.answer(r, []byte("SERVER_ERROR failed\r\n"))
+			c.answer(r, &request.Answer{Kind: request.Failed})
 		}
 	case policy.SetTimer:
 		c.setTimer(timer{at: c.now() + a.After, id: a.Token, attempt: moduleTimer})
@@ -195,50 +203,50 @@
 }
 
 // arrive takes a request whose last byte has come. The answer goes to reply.
-func (c *Core) arrive(command meta.Command, body []byte, reply *reply) *request {
+func (c *Core) arrive(in *request.Request, reply Reply) *held {
+	bad := func(reason string) *held {
+		reply.Finish(&request.Answer{Kind: request.Bad, Reason: reason})
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rules := c.rules
-	class, known := rules.classes[command.Class]
+	class, known := rules.classes[in.Class]
 	if !known {
-		reply.finish([]byte("CLIENT_ERROR unknown class\r\n"))
-		return nil
+		return bad("unknown class")
 	}
 	tenant := 0
 	if len(rules.tenants) > 0 {
-		if tenant, known = rules.tenants[command.Tenant]; !known {
-			reply.finish([]byte("CLIENT_ERROR unknown tenant\r\n"))
-			return nil
+		if tenant, known = rules.tenants[in.Tenant]; !known {
+			return bad("unknown tenant")
 		}
 	}
-	if rules.set.Classes[class].Effect == policy.Keyed && !command.Keyed {
-		reply.finish([]byte("CLIENT_ERROR missing k\r\n")) // nothing could drop its repeats
-		return nil
+	if rules.set.Classes[class].Effect == policy.Keyed && in.Idempotency == "" {
+		return bad("missing k") // nothing could drop its repeats
 	}
 	// Nobody waits longer than the class allows; a request that claims to would
 	// hold its place and its timers for as long.
 	wait := rules.set.Classes[class].Deadline
-	if command.Wait >= 0 {
-		wait = min(wait, command.Wait)
+	if in.Wait >= 0 {
+		wait = min(wait, in.Wait)
 	}
 	// Answers are told apart by the id alone, and so are copies.
-	if _, taken := c.open[command.ID]; taken {
-		reply.finish([]byte("CLIENT_ERROR id in use\r\n"))
-		return nil
+	if _, taken := c.open[in.ID]; taken {
+		return bad("id in use")
 	}
 	if len(c.requests) >= rules.mostHeld {
-		reply.finish(meta.AppendBusy(nil, 0))
+		reply.Finish(&request.Answer{Kind: request.Busy})
 		return nil
 	}
 	c.last++
 	now := c.now()
-	r := &request{id: c.last, command: command, body: body, reply: reply, deadline: now + wait,
+	r := &held{id: c.last, request: in, reply: reply, deadline: now + wait,
 		expires: time.Now().Add(wait)}
 	c.requests[r.id] = r
-	c.open[command.ID] = struct{}{}
+	c.open[in.ID] = struct{}{}
 	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
-	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: command.Key, Deadline: r.deadline,
-		Write: command.Verb == meta.Set, Repeat: command.Retry})
+	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: in.Key, Deadline: r.deadline,
+		Write: in.Verb == request.Set, Repeat: in.Retry})
 	return r
 }
 
@@ -255,11 +263,11 @@
 }
 
 // leave ends the requests of a client that has gone.
-func (c *Core) leave(unwritten []*reply) {
+func (c *Core) leave(unanswered []*held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, reply := range unwritten {
-		if r := reply.request; r != nil && !r.over {
+	for _, r := range unanswered {
+		if !r.over {
 			r.over = true
 			c.handle(policy.Departure{ID: r.id})
 			c.drop(r)
@@ -268,22 +276,22 @@
 }
 
 // answer ends a request, once.
-func (c *Core) answer(r *request, text []byte) {
+func (c *Core) answer(r *held, a *request.Answer) {
 	if r.over {
 		return
 	}
 	r.over = true
-	r.reply.finish(text)
+	r.reply.Finish(a)
 	c.drop(r)
 }
 
-// drop forgets a request that is over and has nothing out.
-func (c *Core) drop(r *request) {
-	if r.over && r.open == 0 {
+// drop forgets a request that is over and has nothing out, once: what ends its last
+// attempt may do so from within the end of another.
+func (c *Core) drop(r *held) {
+	if r.over && r.open == 0 && c.requests[r.id] == r {
 		delete(c.requests, r.id)
-		delete(c.open, r.command.ID)
-		r.reply.client.server.bodies.give(len(r.body))
-		r.body = nil
+		delete(c.open, r.request.ID)
+		r.reply.Release()
 	}
 }
 
@@ -293,8 +301,8 @@
 		return
 	}
 	now := c.now()
-	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{Request: r.id,
-		Number: len(r.attempts), Command: &r.command, Body: r.body, Deadline: r.expires}}
+	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{ID: r.id,
+		Number: len(r.attempts), Request: r.request, Deadline: r.expires}}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	switch {
@@ -311,7 +319,7 @@
 }
 
 // giveUp stops waiting for an attempt.
-func (c *Core) giveUp(r *request, a *attempt, as policy.Result) {
+func (c *Core) giveUp(r *held, a *attempt, as policy.Result) {
 	if a.ended {
 		return
 	}
@@ -322,7 +330,7 @@
 }
 
 // end tells the module how an attempt ended, once.
-func (c *Core) end(r *request, a *attempt, result policy.Result, answer *meta.Answer) {
+func (c *Core) end(r *held, a *attempt, result policy.Result, answer *request.Answer) {
 	if a.ended {
 		return
 	}
@@ -378,8 +386,8 @@
 }
 
 // find returns an attempt that has not ended, and its request.
-func (c *Core) find(u *upstream.Attempt) (*request, *attempt) {
-	r := c.requests[u.Request]
+func (c *Core) find(u *upstream.Attempt) (*held, *attempt) {
+	r := c.requests[u.ID]
 	if r == nil || r.attempts[u.Number].ended {
 		return nil, nil
 	}
@@ -407,17 +415,17 @@
 }
 
 // Answered implements upstream.Handler.
-func (c *Core) Answered(u *upstream.Attempt, answer *meta.Answer, text []byte) {
+func (c *Core) Answered(u *upstream.Attempt, answer *request.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, a := c.find(u); r != nil {
-		c.answer(r, text)
+		c.answer(r, answer)
 		c.end(r, a, policy.Served, answer)
 	}
 }
 
 // Ended implements upstream.Handler.
-func (c *Core) Ended(u *upstream.Attempt, answer *meta.Answer, result upstream.Result) {
+func (c *Core) Ended(u *upstream.Attempt, answer *request.Answer, result upstream.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, a := c.find(u)
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,109 @@
+// Package request is the program's own idea of a request and of its answer. Fronts
+// make the one of what clients send and say the other in their clients' dialect;
+// upstream does the same towards nodes. What lies between knows no dialect.
+//
+// Invariants:
+//
+//  1. A value passes from node to client without a copy: it is read into a buffer
+//     that has room for the client's frame, which is put round it in place.
+//  2. What a client of a text dialect wrote goes on to a node of the same dialect
+//     unchanged, but for the time that the proxy waits.
+package request
+
+import "time"
+
+// Verb is a request's kind.
+type Verb uint8
+
+// The kinds of requests.
+const (
+	Get Verb = iota // reads a key
+	Set             // writes one
+)
+
+// Request is a client's request.
+type Request struct {
+	Verb        Verb
+	Key         string
+	ID          string // of this try, never again; tells its answer from others
+	Value       []byte // of a Set
+	Class       string
+	Tenant      string
+	Idempotency string        // "" for none
+	Wait        time.Duration // how long the client waits; negative if it did not say
+	Retry       bool          // marked by the client as a repetition
+	Room        int           // bytes that the client's front puts before a value, at the most
+	Raw         Raw
+}
+
+// Raw is a request's line as its client wrote it, with the place of the figure that
+// tells the client's wait, or where it would go. It is empty for requests of
+// dialects that have no such line.
+type Raw struct {
+	Line       string
+	From, To   int
+	InsertWait bool // there is no such figure yet
+}
+
+// Kind is the kind of an answer.
+type Kind uint8
+
+// The kinds of answers. A node gives the first four; Bad is a front's or the
+// core's to a request that can't be meant.
+const (
+	Value  Kind = iota // a read's value
+	Stored             // a write's receipt
+	Busy               // refused: trying again is harmless
+	Failed             // it may have run
+	Bad                // never sent on
+)
+
+// Answer is the answer to a request.
+type Answer struct {
+	Kind    Kind
+	Receipt string        // of Stored
+	After   time.Duration // of Busy: when to come again, 0 for no advice
+	Reason  string        // of Bad
+	Hit     bool          // the node had a copy
+	Miss    bool          // it had none
+	Shared  bool          // another fetch of the key was out
+	Load    []byte        // the node's load report; nil for none
+
+	buf      []byte
+	from, to int
+}
+
+// tailRoom is what a value's buffer has behind it.
+const tailRoom = 2
+
+// NewValue makes room for a value of so many bytes, and for a frame round it. What
+// it returns is to be filled.
+func (a *Answer) NewValue(room, size int) []byte {
+	a.Kind, a.buf, a.from, a.to = Value, make([]byte, room+size+tailRoom), room, room+size
+	return a.Value()
+}
+
+// Value returns the value of a read.
+func (a *Answer) Value() []byte { return a.buf[a.from:a.to:a.to] }
+
+// Tail returns the room behind a value, two bytes: a reader whose dialect ends
+// values with as much may read it in one go, see [Answer.Whole].
+func (a *Answer) Tail() []byte { return a.buf[a.to:] }
+
+// Whole returns a value with the room behind it.
+func (a *Answer) Whole() []byte { return a.buf[a.from:] }
+
+// Frame puts a head before the value and a tail of two bytes at most behind it, in place
+// where there is room, and returns all of it. It is called once.
+func (a *Answer) Frame(head, tail []byte) []byte {
+	if len(head) > a.from || len(tail) > tailRoom {
+		return append(append(append(make([]byte, 0, len(head)+a.to-a.from+len(tail)), head...), a.Value()...), tail...)
+	}
+	start := a.from - len(head)
+	copy(a.buf[start:], head)
+	n := copy(a.buf[a.to:], tail)
+	return a.buf[start : a.to+n]
+}
+
+// Size is the length of a read's value in bytes.
+func (a *Answer) Size() int { return a.to - a.from }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"log/slog"
 	"net"
@@ -11,7 +12,7 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
 )
 
 // Result is how an attempt ended without a served answer.
@@ -26,14 +27,13 @@
 	Spoilt                  // what came instead of its answer can't be read
 )
 
-// Attempt is one sending of a command. Each is written at most once and has
+// Attempt is one sending of a request. Each is written at most once and has
 // exactly one end, told to the Handler, unless it was withdrawn.
 type Attempt struct {
-	Request  uint64 // these two name it to the handler
+	ID       uint64 // these two name it to the handler
 	Number   int
-	Command  *meta.Command
-	Body     []byte    // a Set's value with its CRLF
-	Deadline time.Time // when the proxy stops waiting
+	Request  *request.Request // not to be changed any more
+	Deadline time.Time        // when the proxy stops waiting
 
 	node      string
 	end       int  // its place in the batch in writing
@@ -47,11 +47,21 @@
 	// Begin drops the attempts of a batch whose first byte must not be written
 	// any more, and returns the others. Those dropped have ended.
 	Begin(batch []*Attempt) []*Attempt
-	// Answered ends an attempt with a served answer, all of which is in text:
-	// the lines as a client gets them.
-	Answered(a *Attempt, answer *meta.Answer, text []byte)
-	// Ended ends an attempt.
-	Ended(a *Attempt, answer *meta.Answer, result Result)
+	// Answered ends an attempt with a served answer, which is the handler's from then on.
+	Answered(a *Attempt, answer *request.Answer)
+	// Ended ends an attempt; answer is nil where none came.
+	Ended(a *Attempt, answer *request.Answer, result Result)
+}
+
+// Dialect is how requests are said to nodes, and their answers read. It has no state.
+type Dialect interface {
+	// AppendHead appends a request up to its value, AppendTail what follows it.
+	AppendHead(dst []byte, r *request.Request, wait time.Duration) []byte
+	AppendTail(dst []byte, r *request.Request) []byte
+	// ReadAnswer reads the next answer, which must be that to r. After an error
+	// where the next one begins can't be known; one of the network's is a
+	// *net.OpError, io.EOF or io.ErrUnexpectedEOF.
+	ReadAnswer(in *bufio.Reader, r *request.Request) (request.Answer, error)
 }
 
 // Limits bound the connections.
@@ -80,6 +90,7 @@
 
 // Nodes holds the connections to all cache nodes.
 type Nodes struct {
+	dialect Dialect
 	handler Handler
 	log     *slog.Logger
 
@@ -115,8 +126,8 @@
 }
 
 // New returns an empty Nodes. Run must be called too.
-func New(limits Limits, handler Handler, log *slog.Logger) *Nodes {
-	return &Nodes{limits: limits, handler: handler, log: log, nodes: make(map[string]*node)}
+func New(limits Limits, dialect Dialect, handler Handler, log *slog.Logger) *Nodes {
+	return &Nodes{limits: limits, dialect: dialect, handler: handler, log: log, nodes: make(map[string]*node)}
 }
 
 // Set adds nodes or changes what is known of them. Connections to an old
