--- /dev/null
+++ b/internal/binary/binary.go
@@ -0,0 +1,232 @@
+// Package binary reads and writes the headers of the memcached binary protocol, as the
+// memcached project's description has it (Binary Protocol Revamped, and SASL in it).
+// It knows no sockets and nobody else: fronts and nodes read a header of 24 bytes, ask
+// what it is fit for, and only then make room for what follows.
+//
+// Invariants:
+//
+//  1. No length of a header is believed before [Header.Check] has: it tells how much may
+//     be read, and how much has to be skipped to keep the framing.
+//  2. Every opcode has a [Fate]; one that is not known is skipped as a whole.
+//  3. What Append makes, Parse reads as the same.
+package binary
+
+import (
+	"encoding/binary"
+	"errors"
+	"strconv"
+)
+
+// The bounds of what is accepted.
+const (
+	HeaderLen = 24
+	MaxKey    = 250
+	MaxValue  = 64 << 10
+	maxExtras = 20
+	// MaxBody is the longest body that can be meant.
+	MaxBody = maxExtras + MaxKey + MaxValue
+	// MaxSkip is the longest body that is passed over to keep the framing. A header
+	// that promises more ends its connection: no client of ours has so much to say.
+	MaxSkip = 1 << 20
+)
+
+// The first bytes of requests and responses.
+const (
+	RequestMagic  = 0x80
+	ResponseMagic = 0x81
+)
+
+// Opcode is a command.
+type Opcode uint8
+
+// The commands that are told apart.
+const (
+	Get        Opcode = 0x00
+	Set        Opcode = 0x01
+	Add        Opcode = 0x02
+	Replace    Opcode = 0x03
+	Delete     Opcode = 0x04
+	Increment  Opcode = 0x05
+	Decrement  Opcode = 0x06
+	Quit       Opcode = 0x07
+	Flush      Opcode = 0x08
+	GetQ       Opcode = 0x09
+	Noop       Opcode = 0x0a
+	Version    Opcode = 0x0b
+	GetK       Opcode = 0x0c
+	GetKQ      Opcode = 0x0d
+	Append     Opcode = 0x0e
+	Prepend    Opcode = 0x0f
+	Stat       Opcode = 0x10
+	SetQ       Opcode = 0x11
+	AddQ       Opcode = 0x12
+	ReplaceQ   Opcode = 0x13
+	DeleteQ    Opcode = 0x14
+	IncrementQ Opcode = 0x15
+	DecrementQ Opcode = 0x16
+	QuitQ      Opcode = 0x17
+	FlushQ     Opcode = 0x18
+	AppendQ    Opcode = 0x19
+	PrependQ   Opcode = 0x1a
+	Touch      Opcode = 0x1c
+	GAT        Opcode = 0x1d
+	GATQ       Opcode = 0x1e
+	SASLList   Opcode = 0x20
+	SASLAuth   Opcode = 0x21
+	SASLStep   Opcode = 0x22
+)
+
+// Status is how a response says that a request ended.
+type Status uint16
+
+// The statuses that are used.
+const (
+	OK             Status = 0x0000
+	NotFound       Status = 0x0001
+	Exists         Status = 0x0002
+	TooLarge       Status = 0x0003
+	Invalid        Status = 0x0004
+	AuthError      Status = 0x0020
+	AuthContinue   Status = 0x0021
+	UnknownCommand Status = 0x0081
+	NotSupported   Status = 0x0083
+	Internal       Status = 0x0084
+	Busy           Status = 0x0085
+	Temporary      Status = 0x0086
+)
+
+var statusTexts = map[Status]string{NotFound: "Not found", Exists: "Data exists for key", TooLarge: "Too large",
+	Invalid: "Invalid arguments", AuthError: "Auth failure", AuthContinue: "Continue", UnknownCommand: "Unknown command",
+	NotSupported: "Not supported", Internal: "Internal error", Busy: "Busy", Temporary: "Temporary failure"}
+
+// String is the text that a response with the status has for a value.
+func (s Status) String() string { return statusTexts[s] }
+
+// Fate is what becomes of a command at a proxy.
+type Fate uint8
+
+// The fates. Unsupported commands need what a read-through node can't carry out under
+// the rules: a condition on what is stored, or a change of it that has no key to
+// drop its repeats by.
+const (
+	Unknown     Fate = iota // no such command
+	Unsupported             // known, and never sent on
+	Served                  // a request of a node's
+	Own                     // answered by the proxy itself
+)
+
+// form is what a command's header must look like.
+type form struct {
+	fate       Fate
+	quiet      bool // a success (of a get: a miss) is not told
+	extras     int
+	optional   bool // extras may be left out
+	key, value bool // it has one
+	either     bool // it may have either, or not
+}
+
+var forms = map[Opcode]form{
+	Get:  {fate: Served, key: true},
+	GetQ: {fate: Served, key: true, quiet: true}, GetK: {fate: Served, key: true}, GetKQ: {fate: Served, key: true, quiet: true},
+	Set: {fate: Served, extras: 8, key: true, value: true}, SetQ: {fate: Served, extras: 8, key: true, value: true, quiet: true},
+	Noop: {fate: Own}, Version: {fate: Own}, Quit: {fate: Own}, QuitQ: {fate: Own, quiet: true}, Stat: {fate: Own, either: true},
+	SASLList: {fate: Own}, SASLAuth: {fate: Own, key: true, value: true}, SASLStep: {fate: Own, key: true, value: true},
+	Add: {fate: Unsupported, extras: 8, key: true, value: true}, AddQ: {fate: Unsupported, extras: 8, key: true, value: true, quiet: true},
+	Replace: {fate: Unsupported, extras: 8, key: true, value: true}, ReplaceQ: {fate: Unsupported, extras: 8, key: true, value: true, quiet: true},
+	Delete: {fate: Unsupported, key: true}, DeleteQ: {fate: Unsupported, key: true, quiet: true},
+	Increment: {fate: Unsupported, extras: 20, key: true}, IncrementQ: {fate: Unsupported, extras: 20, key: true, quiet: true},
+	Decrement: {fate: Unsupported, extras: 20, key: true}, DecrementQ: {fate: Unsupported, extras: 20, key: true, quiet: true},
+	Append: {fate: Unsupported, key: true, value: true}, AppendQ: {fate: Unsupported, key: true, value: true, quiet: true},
+	Prepend: {fate: Unsupported, key: true, value: true}, PrependQ: {fate: Unsupported, key: true, value: true, quiet: true},
+	Flush: {fate: Unsupported, extras: 4, optional: true}, FlushQ: {fate: Unsupported, extras: 4, optional: true, quiet: true},
+	Touch: {fate: Unsupported, extras: 4, key: true}, GAT: {fate: Unsupported, extras: 4, key: true}, GATQ: {fate: Unsupported, extras: 4, key: true, quiet: true},
+}
+
+// Fate returns what becomes of a command.
+func (o Opcode) Fate() Fate { return forms[o].fate }
+
+// Quiet tells whether a command's success is left unsaid.
+func (o Opcode) Quiet() bool { return forms[o].quiet }
+
+// NamesKey tells whether the answer to a get holds its key.
+func (o Opcode) NamesKey() bool { return o == GetK || o == GetKQ }
+
+// Header is the head of a request or a response.
+type Header struct {
+	Opcode   Opcode
+	Key      int // bytes
+	Extras   int
+	DataType uint8
+	Status   Status // of a response; a request's vbucket
+	Body     int    // bytes of extras, key and value together
+	Opaque   uint32 // goes back as it came
+	CAS      uint64
+}
+
+// Errors of what is no header at all. The connection can't be read on after them.
+var (
+	ErrMagic  = errors.New("binary: not the first byte of a header")
+	ErrLength = errors.New("binary: a length that cannot be")
+)
+
+// Parse reads the HeaderLen bytes of a header that begins with magic. With ErrLength
+// the header is returned too, as its sender can be told.
+func Parse(b []byte, magic byte) (Header, error) {
+	if len(b) < HeaderLen || b[0] != magic {
+		return Header{}, ErrMagic
+	}
+	body := binary.BigEndian.Uint32(b[8:])
+	h := Header{Opcode: Opcode(b[1]), Key: int(binary.BigEndian.Uint16(b[2:])), Extras: int(b[4]), DataType: b[5],
+		Status: Status(binary.BigEndian.Uint16(b[6:])), Opaque: binary.BigEndian.Uint32(b[12:]), CAS: binary.BigEndian.Uint64(b[16:])}
+	if int64(body) > MaxSkip || h.Key+h.Extras > int(body) {
+		return h, ErrLength
+	}
+	h.Body = int(body)
+	return h, nil
+}
+
+// Value is the length of a value in bytes.
+func (h *Header) Value() int { return h.Body - h.Key - h.Extras }
+
+// Check tells whether a request can be what its opcode stands for: OK, or the status of
+// its answer. Its body is then to be skipped.
+func (h *Header) Check() Status {
+	f, known := forms[h.Opcode]
+	switch {
+	case !known:
+		return UnknownCommand
+	case h.Value() > MaxValue:
+		return TooLarge
+	case h.DataType != 0, h.Key > MaxKey, h.Extras != f.extras && (!f.optional || h.Extras != 0):
+		return Invalid
+	case f.either:
+	case (h.Key > 0) != f.key, h.Value() > 0 && !f.value:
+		return Invalid
+	}
+	if f.fate == Unsupported {
+		return NotSupported
+	}
+	return OK
+}
+
+// Append appends the header with the magic of a request or a response.
+func (h *Header) Append(dst []byte, magic byte) []byte {
+	dst = append(dst, magic, byte(h.Opcode))
+	dst = binary.BigEndian.AppendUint16(dst, uint16(h.Key))
+	dst = append(dst, byte(h.Extras), h.DataType)
+	dst = binary.BigEndian.AppendUint16(dst, uint16(h.Status))
+	dst = binary.BigEndian.AppendUint32(dst, uint32(h.Body))
+	dst = binary.BigEndian.AppendUint32(dst, h.Opaque)
+	return binary.BigEndian.AppendUint64(dst, h.CAS)
+}
+
+// AppendStatus appends a whole response to a request that says no more than how it
+// ended. Advice when to come again, in ms, is part of a Busy's text if it is positive.
+func AppendStatus(dst []byte, to *Header, status Status, advice int64) []byte {
+	text := status.String()
+	if status == Busy && advice > 0 {
+		text += " " + strconv.FormatInt(advice, 10)
+	}
+	h := Header{Opcode: to.Opcode, Status: status, Body: len(text), Opaque: to.Opaque}
+	return append(h.Append(dst, ResponseMagic), text...)
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,116 @@
+// Package route decides which class, tenant and wait a request has whose dialect can't
+// say so. It does no I/O and reads no clock.
+//
+// Invariants:
+//
+//  1. The first rule that fits decides; a request that none fits is not served.
+//  2. A table is whole: each rule names a class that there is and that can carry the
+//     rule's verb, and every rule can be reached.
+//  3. A route never waits longer than its class's deadline.
+package route
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"wrenroute/internal/request"
+)
+
+// Verb is what a rule fits: reads, writes or both.
+type Verb uint8
+
+// The verbs of rules.
+const (
+	Any Verb = iota
+	Reads
+	Writes
+)
+
+// Rule routes the requests that fit all it names; what is empty fits all.
+type Rule struct {
+	Prefix   string // of the key
+	Verb     Verb
+	Listener string // name of the listener that the client came to
+	User     string // that the client has proved to be
+
+	Class  string
+	Tenant string
+	Wait   time.Duration // 0 for the class's deadline
+}
+
+// Class is what the table must know of a class.
+type Class struct {
+	Deadline time.Duration
+	Safe     bool // to repeat: fit for reads
+}
+
+// Table is a routing table. It is not changed after New, and safe for concurrent use.
+type Table struct{ rules []Rule }
+
+// New returns a table of rules in their order. Its error joins one error a
+// defect, each by the number of its rule.
+func New(rules []Rule, classes map[string]Class, tenants map[string]bool) (*Table, error) {
+	var errs []error
+	wrong := func(i int, format string, a ...any) {
+		errs = append(errs, fmt.Errorf("route[%d].%s", i, fmt.Sprintf(format, a...)))
+	}
+	t := &Table{rules: append([]Rule(nil), rules...)}
+	for i := range t.rules {
+		r := &t.rules[i]
+		class, known := classes[r.Class]
+		switch {
+		case !known:
+			wrong(i, "class cannot be %q: want a class that there is", r.Class)
+		case !class.Safe && r.Verb != Writes:
+			wrong(i, "class cannot be %q: reads want a class that is safe to repeat; or name verb write", r.Class)
+		case r.Wait < 0 || r.Wait > class.Deadline:
+			wrong(i, "wait cannot be %v: want no more than the deadline of class %s, %v", r.Wait, r.Class, class.Deadline)
+		case r.Wait == 0:
+			r.Wait = class.Deadline
+		}
+		switch {
+		case len(tenants) > 0 && !tenants[r.Tenant]:
+			wrong(i, "tenant cannot be %q: want a tenant that there is", r.Tenant)
+		case len(tenants) == 0 && r.Tenant != "":
+			wrong(i, "tenant cannot be %q: there are no tenants", r.Tenant)
+		}
+		for j := range rules[:i] {
+			if rules[j].covers(r) {
+				wrong(i, "prefix: the rule is never reached, as route[%d] fits all that it does", j)
+				break
+			}
+		}
+	}
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
+	}
+	return t, nil
+}
+
+// covers tells whether all that fits s fits r too.
+func (r *Rule) covers(s *Rule) bool {
+	return strings.HasPrefix(s.Prefix, r.Prefix) && (r.Verb == Any || r.Verb == s.Verb) &&
+		(r.Listener == "" || r.Listener == s.Listener) && (r.User == "" || r.User == s.User)
+}
+
+// Client is where a request came from.
+type Client struct{ Listener, User string }
+
+// Route sets a request's class, tenant and wait. It returns false, and sets nothing,
+// where no rule fits.
+func (t *Table) Route(r *request.Request, from Client) bool {
+	verb := Reads
+	if r.Verb == request.Set {
+		verb = Writes
+	}
+	asked := Rule{Prefix: r.Key, Verb: verb, Listener: from.Listener, User: from.User}
+	for i := range t.rules {
+		if rule := &t.rules[i]; rule.covers(&asked) {
+			r.Class, r.Tenant, r.Wait = rule.Class, rule.Tenant, rule.Wait
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"wrenroute/internal/request"
+)
+
+var (
+	classes = map[string]Class{"read": {Deadline: 2 * time.Second, Safe: true}, "put": {Deadline: 2500 * time.Millisecond}}
+	tenants = map[string]bool{"north": true, "south": true}
+)
+
+func TestFirstRuleThatFitsDecides(t *testing.T) {
+	table, err := New([]Rule{
+		{Prefix: "order:", User: "till", Verb: Reads, Class: "read", Tenant: "south", Wait: time.Second},
+		{Prefix: "order:", Verb: Reads, Class: "read", Tenant: "north"},
+		{Prefix: "done:", Verb: Writes, Class: "put", Tenant: "north"},
+		{Listener: "old", Class: "read", Tenant: "south"},
+	}, classes, tenants)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		verb          request.Verb
+		key           string
+		from          Client
+		class, tenant string
+		wait          time.Duration
+	}{
+		{request.Get, "order:7", Client{User: "till"}, "read", "south", time.Second},
+		{request.Get, "order:7", Client{User: "other"}, "read", "north", 2 * time.Second},
+		{request.Get, "order", Client{}, "", "", 0},
+		{request.Set, "order:7", Client{User: "till"}, "", "", 0},
+		{request.Set, "done:7", Client{}, "put", "north", 2500 * time.Millisecond},
+		{request.Get, "done:7", Client{}, "", "", 0},
+		{request.Get, "done:7", Client{Listener: "old"}, "read", "south", 2 * time.Second},
+		{request.Set, "x", Client{Listener: "old"}, "read", "south", 2 * time.Second},
+	} {
+		r := request.Request{Verb: c.verb, Key: c.key}
+		if ok := table.Route(&r, c.from); ok != (c.class != "") || r.Class != c.class || r.Tenant != c.tenant || r.Wait != c.wait {
+			t.Errorf("%+v: routed %v to %s, %s, %v", c, ok, r.Class, r.Tenant, r.Wait)
+		}
+	}
+}
+
+func TestBadTablesAreNamed(t *testing.T) {
+	for want, rules := range map[string][]Rule{
+		`route[0].class cannot be "none"`:                         {{Class: "none", Tenant: "north"}},
+		`route[0].class cannot be "put": reads want`:              {{Class: "put", Tenant: "north"}},
+		`route[0].wait cannot be 3s`:                              {{Class: "read", Tenant: "north", Wait: 3 * time.Second}},
+		`route[0].wait cannot be -1s`:                             {{Class: "read", Tenant: "north", Wait: -time.Second}},
+		`route[0].tenant cannot be ""`:                            {{Class: "read"}},
+		`route[1].prefix: the rule is never reached, as route[0]`: {{Class: "read", Tenant: "north"}, {Prefix: "a", Class: "read", Tenant: "south"}},
+	} {
+		if table, err := New(rules, classes, tenants); err == nil || table != nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	if _, err := New([]Rule{{Class: "read", Tenant: "north"}}, classes, nil); err == nil {
+		t.Error("a tenant was taken where there are none")
+	}
+}
+
+// TestRoutesAgreeWithAPlainReading guards the invariants on random tables: the first
+// rule that fits by a plain reading decides, and no wait is over its class's.
+func TestRoutesAgreeWithAPlainReading(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	pick := func(list ...string) string { return list[rng.IntN(len(list))] }
+	built := 0
+	for range 20000 {
+		var rules []Rule
+		for range 1 + rng.IntN(4) {
+			rules = append(rules, Rule{Prefix: pick("", "a", "ab", "b"), Verb: Verb(rng.IntN(3)), Listener: pick("", "l"), User: pick("", "u"),
+				Class: pick("read", "put"), Tenant: pick("north", "south"), Wait: time.Duration(rng.IntN(3)) * time.Second})
+		}
+		table, err := New(rules, classes, tenants)
+		if err != nil {
+			continue
+		}
+		built++
+		r := request.Request{Verb: request.Verb(rng.IntN(2)), Key: pick("a", "ab", "abc", "b", "c")}
+		from := Client{Listener: pick("", "l", "m"), User: pick("", "u", "v")}
+		var want *Rule
+		for i := len(rules) - 1; i >= 0; i-- {
+			x := &rules[i]
+			if strings.HasPrefix(r.Key, x.Prefix) && (x.Verb == Any || (x.Verb == Writes) == (r.Verb == request.Set)) &&
+				(x.Listener == "" || x.Listener == from.Listener) && (x.User == "" || x.User == from.User) {
+				want = x
+			}
+		}
+		ok := table.Route(&r, from)
+		if ok != (want != nil) || ok && (r.Class != want.Class || r.Tenant != want.Tenant || r.Wait > classes[r.Class].Deadline || r.Wait <= 0) {
+			t.Fatalf("%+v routes %+v from %+v as %v, want %+v", rules, r, from, ok, want)
+		}
+	}
+	if built < 1000 {
+		t.Errorf("only %d tables were good", built)
+	}
+}
