Put a read configuration into force though another hangup has come

Cause: hangups that came faster than a configuration is read kept every reload from being put into force.

--- a/cmd/yarrowspan/daemon_test.go
+++ b/cmd/yarrowspan/daemon_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -450,6 +451,45 @@
 	r.end()
 }
 
+// TestHangupsFromTheFirstMoment guards the way in which no hangup is lost, nor deadly,
+// from exec on: started with SIGHUP ignored, the program takes it over as soon as
+// it can, and reads its configuration after that.
+func TestHangupsFromTheFirstMoment(t *testing.T) {
+	r := newRig(t, node.Config{})
+	for range 5 {
+		r.configure("")
+		r.cmd = exec.Command(os.Args[0], "serve", "--config", r.path)
+		r.cmd.Env = append(os.Environ(), "YARROWSPAN_RUN=1", "GW_CONFIG=")
+		signal.Ignore(syscall.SIGHUP) // and so does what is started
+		r.run()
+		signal.Reset(syscall.SIGHUP)
+		ready := make(chan struct{})
+		hung := make(chan struct{})
+		go func() { // without a pause, from before the exec until it serves
+			defer close(hung)
+			for {
+				select {
+				case <-ready:
+					return
+				default:
+					r.cmd.Process.Signal(syscall.SIGHUP)
+				}
+			}
+		}()
+		r.configure("[[class]]\nname = \"new\"\n")
+		waitLine(t, r.lines, "listening")
+		waitLine(t, r.lines, "reloaded")
+		close(ready)
+		<-hung
+		c := r.call()
+		c.send("mg k v O1 Pc=new,d=2000\r\n")
+		c.expect("VA ")
+		c.socket.Close()
+		r.signal(syscall.SIGTERM)
+		r.end()
+	}
+}
+
 // TestSecondTerminationEndsWithWhatIsOpen guards against a hurried end that drops
 // what was taken, or that still takes more.
 func TestSecondTerminationEndsWithWhatIsOpen(t *testing.T) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -121,7 +121,7 @@
 		Terminate:   on(Draining, TellStopping, Drain),
 		Started:     on(ReloadingAgain),
 		StartFailed: on(Stopped, ExitFailed),
-		ReadGood:    on(Reloading, Discard, Read),
+		ReadGood:    on(Reloading, Apply, Read), // or hangups without a pause would keep all of them from being heeded
 		ReadBad:     on(Reloading, Read),
 		Answered:    on(Stopped, ExitFailed),
 		Ping:        on(ReloadingAgain, TellAlive),
