Part the core from the fronts, and a connection's life from its dialect

Need: a second dialect of clients. Connections, their reading of meta commands, the listener and the core that feeds the decision module were one package.

Change: internal/core (a request's life), internal/front (a connection's life, with a Session as the one thing a dialect fills in), internal/front/meta, and internal/proxy with what is left: listener, all connections, configuration.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,8 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{Proxy: &proxy.Config{Seed: rand.Uint64()}}
+	c := &Config{Proxy: &proxy.Config{}}
 	p := c.Proxy
+	p.Seed = rand.Uint64()
 	p.Name = top.text("name", "yarrowspan", printable)
 	p.Listen = top.text("listen", "", isAddress)
 	if !top.has("listen") {
--- a/internal/proxy/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,6 @@
-// Package proxy is the proxy proper: it takes clients' commands, asks the
-// decision module what to do with each and does it.
-package proxy
+// Package core takes requests from fronts, asks the decision module what to do with
+// each and does it. It knows no dialect of clients.
+package core
 
 import (
 	"context"
@@ -23,8 +23,20 @@
 	Release()
 }
 
-// held is a client's request that the proxy holds. It is guarded by Core.mu.
-type held struct {
+// Config is what a core is told.
+type Config struct {
+	Place discovery.Place // of the list of nodes
+	// Patient takes silence of the list's source for no news rather than its loss.
+	Patient  bool
+	Seed     uint64
+	Known    discovery.List
+	Policy   policy.Settings
+	Upstream upstream.Limits
+	MostHeld int // requests at a time
+}
+
+// Held is a client's request that the core holds. It is guarded by Core.mu.
+type Held struct {
 	id       uint64
 	request  *request.Request
 	deadline time.Duration
@@ -62,7 +74,7 @@
 	actions   []policy.Action
 	events    []policy.Event // that carrying out actions has brought
 	handling  bool
-	requests  map[uint64]*held
+	requests  map[uint64]*Held
 	open      map[string]struct{} // the clients' ids of requests
 	last      uint64              // request's number
 	version   uint64              // of the list
@@ -93,24 +105,24 @@
 	return r
 }
 
-// newCore returns a core that knows the nodes of the stored list.
-func newCore(config *Config, log *slog.Logger) (*Core, error) {
+// New returns a core that knows the nodes of the stored list.
+func New(config *Config, log *slog.Logger) (*Core, error) {
 	balancer, err := policy.New(config.Policy, config.Seed)
 	if err != nil {
 		return nil, err
 	}
 	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds,
 		rules: newRules(config), log: log, registry: config.Place.Open(), start: time.Now(), known: make(chan struct{}),
-		balancer: balancer, requests: make(map[uint64]*held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
+		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
 	c.learn(c.registry, config.Known, policy.ListStored)
 	return c, nil
 }
 
-// reconfigure puts next's rules into force for what comes from now on. Either
+// Reconfigure puts next's rules into force for what comes from now on. Either
 // all of them are, or none and the error says why.
-func (c *Core) reconfigure(next *Config) error {
+func (c *Core) Reconfigure(next *Config) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.balancer.Reconfigure(next.Policy); err != nil {
@@ -127,8 +139,8 @@
 	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
 }
 
-// run keeps the timers and the watch until ctx ends.
-func (c *Core) run(ctx context.Context) {
+// Run keeps the timers and the watch until ctx ends.
+func (c *Core) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.nodes.Run(ctx) })
 	tasks.Go(func() { c.keepTime(ctx) })
@@ -202,9 +214,9 @@
 	}
 }
 
-// arrive takes a request whose last byte has come. The answer goes to reply.
-func (c *Core) arrive(in *request.Request, reply Reply) *held {
-	bad := func(reason string) *held {
+// Arrive takes a request whose last byte has come. The answer goes to reply.
+func (c *Core) Arrive(in *request.Request, reply Reply) *Held {
+	bad := func(reason string) *Held {
 		reply.Finish(&request.Answer{Kind: request.Bad, Reason: reason})
 		return nil
 	}
@@ -240,7 +252,7 @@
 	}
 	c.last++
 	now := c.now()
-	r := &held{id: c.last, request: in, reply: reply, deadline: now + wait,
+	r := &Held{id: c.last, request: in, reply: reply, deadline: now + wait,
 		expires: time.Now().Add(wait)}
 	c.requests[r.id] = r
 	c.open[in.ID] = struct{}{}
@@ -250,8 +262,18 @@
 	return r
 }
 
-// openFor returns how long the last of the open requests may yet take.
-func (c *Core) openFor() (longest time.Duration) {
+// Known is closed once the source has told its list of nodes.
+func (c *Core) Known() <-chan struct{} { return c.known }
+
+// Open counts the requests that are open.
+func (c *Core) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.requests)
+}
+
+// OpenFor returns how long the last of the open requests may yet take.
+func (c *Core) OpenFor() (longest time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.requests {
@@ -262,8 +284,8 @@
 	return longest
 }
 
-// leave ends the requests of a client that has gone.
-func (c *Core) leave(unanswered []*held) {
+// Leave ends the requests of a client that has gone.
+func (c *Core) Leave(unanswered []*Held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range unanswered {
@@ -276,7 +298,7 @@
 }
 
 // answer ends a request, once.
-func (c *Core) answer(r *held, a *request.Answer) {
+func (c *Core) answer(r *Held, a *request.Answer) {
 	if r.over {
 		return
 	}
@@ -287,7 +309,7 @@
 
 // drop forgets a request that is over and has nothing out, once: what ends its last
 // attempt may do so from within the end of another.
-func (c *Core) drop(r *held) {
+func (c *Core) drop(r *Held) {
 	if r.over && r.open == 0 && c.requests[r.id] == r {
 		delete(c.requests, r.id)
 		delete(c.open, r.request.ID)
@@ -319,7 +341,7 @@
 }
 
 // giveUp stops waiting for an attempt.
-func (c *Core) giveUp(r *held, a *attempt, as policy.Result) {
+func (c *Core) giveUp(r *Held, a *attempt, as policy.Result) {
 	if a.ended {
 		return
 	}
@@ -330,7 +352,7 @@
 }
 
 // end tells the module how an attempt ended, once.
-func (c *Core) end(r *held, a *attempt, result policy.Result, answer *request.Answer) {
+func (c *Core) end(r *Held, a *attempt, result policy.Result, answer *request.Answer) {
 	if a.ended {
 		return
 	}
@@ -386,7 +408,7 @@
 }
 
 // find returns an attempt that has not ended, and its request.
-func (c *Core) find(u *upstream.Attempt) (*held, *attempt) {
+func (c *Core) find(u *upstream.Attempt) (*Held, *attempt) {
 	r := c.requests[u.ID]
 	if r == nil || r.attempts[u.Number].ended {
 		return nil, nil
@@ -594,8 +616,8 @@
 	return c.registry, c.version
 }
 
-// move makes place the one of the list.
-func (c *Core) move(place discovery.Place) {
+// Move makes place the one of the list.
+func (c *Core) Move(place discovery.Place) {
 	c.mu.Lock()
 	c.registry, c.version = place.Open(), 0
 	c.mu.Unlock()
--- a/internal/proxy/timers.go
+++ b/internal/core/timers.go
@@ -1,4 +1,4 @@
-package proxy
+package core
 
 // timers is a heap, the earliest first. (container/heap would box each.)
 type timers []timer
--- a/internal/proxy/client.go
+++ b/internal/front/conn.go
@@ -1,17 +1,25 @@
-package proxy
+// Package front is a client's connection through its life, whatever dialect is spoken
+// on it: who reads and writes it, when it idles and how it ends. A dialect's
+// [Session] reads its commands and says its answers.
+//
+// Invariants:
+//
+//  1. The reader alone ends a connection between commands; a command that has come is
+//     never closed over.
+//  2. Answers go out in the order of their commands, each once.
+//  3. Every connection ends: one that idles, stops half way in a command or takes no
+//     answer is closed within a bound.
+package front
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
+	"wrenroute/internal/core"
 	"wrenroute/internal/upstream"
 )
 
@@ -25,30 +33,46 @@
 	// A connection without a request is closed after so long. It meets clients
 	// that connect and say nothing, or ask once and stay; whoever comes back
 	// later pays for a new connection.
-	idleTime = 2100 * time.Millisecond
+	IdleTime = 2100 * time.Millisecond
 	// What a client may still send after its connection was half closed is
 	// read for so long, and so much of it: closing with unread bytes would reset
 	// the connection, and the reset can overtake the last answer. An endless
 	// sender is reset all the same, after it was told.
-	lingerTime  = 300 * time.Millisecond
+	LingerTime  = 300 * time.Millisecond
 	lingerBytes = 256 << 10
-	// A connection that sends so many commands in a row that can't be meant is
-	// noise: it is told so and closed.
-	badCommands = 8
 	writeMost   = 64 << 10 // bytes in one write
 	smallAnswer = 512      // an answer up to this size is not budgeted
 )
 
-// client is a client's connection.
-type client struct {
-	server *Server
-	socket *net.TCPConn
-	in     *bufio.Reader
-	bad    int // commands in a row that can't be meant
+// Host is what the connections of a proxy have in common.
+type Host struct {
+	Core    *core.Core
+	Bodies  *Budget // of writes being read or held
+	Answers *Budget // of values that clients have yet to take
+	// Session begins the dialect of a connection whose client sent this byte first.
+	Session func(c *Conn, first byte) Session
+}
+
+// Session is a dialect on one connection. Its methods are called by the
+// connection's reader only.
+type Session interface {
+	// Command carries out one command, of which the first byte has come. It returns
+	// true when what follows can't be read as commands, or is not to be.
+	Command() (lost bool, err error)
+	// Slow is what a client is told whose command took too long; nil for nothing.
+	Slow() []byte
+}
+
+// Conn is a client's connection.
+type Conn struct {
+	In      *bufio.Reader // for the session only
+	host    *Host
+	socket  *net.TCPConn
+	session Session // nil until the first command
 
 	mu       sync.Mutex
 	changed  sync.Cond // of what follows
-	replies  []*reply  // in the order of the commands
+	replies  []*Slot   // in the order of the commands
 	busy     bool      // within a command
 	asked    bool      // a command has begun on it, ever
 	closing  bool      // to be closed if it idles still
@@ -60,29 +84,27 @@
 	writing  time.Time // since when a write has been out, zero for none
 }
 
-// reply is the place of one command's answer among those of its connection.
-// It is guarded by client.mu.
-type reply struct {
-	client *client
-	id     string // of a command that is a request
-	size   int    // of its value, as budgeted
-	held   *held  // of a command that became a request
-	text   []byte // nil until it is answered
+// Slot is the place of one command's answer among those of its connection.
+type Slot struct {
+	Held *core.Held // of a command that became a request; set by the session at once
+	conn *Conn
+	text []byte // nil until it is answered; under conn.mu
 }
 
-func newClient(s *Server, socket *net.TCPConn) *client {
-	c := &client{server: s, socket: socket, in: bufio.NewReaderSize(socket, clientBuffer), since: time.Now()}
+// New returns a connection that is yet to be served.
+func New(host *Host, socket *net.TCPConn) *Conn {
+	c := &Conn{host: host, socket: socket, In: bufio.NewReaderSize(socket, clientBuffer), since: time.Now()}
 	c.changed.L = &c.mu
 	return c
 }
 
-// serve runs a connection to its end.
-func (c *client) serve() {
+// Serve runs a connection to its end.
+func (c *Conn) Serve() {
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	if c.read() {
 		// Framing is lost: say so and go, but only after all that was asked before.
-		c.end()
+		c.End()
 		c.linger()
 	}
 	c.mu.Lock()
@@ -91,110 +113,45 @@
 	c.mu.Unlock()
 	c.socket.Close()
 	writer.Wait()
-	var unanswered []*held
+	var unanswered []*core.Held
 	for _, r := range c.replies {
-		if r.held != nil {
-			unanswered = append(unanswered, r.held)
+		if r.Held != nil {
+			unanswered = append(unanswered, r.Held)
 		}
 	}
-	c.server.core.leave(unanswered)
+	c.host.Core.Leave(unanswered)
 }
 
 // read takes commands until the client leaves. It returns true when what
 // follows cannot be read as commands.
-func (c *client) read() bool {
+func (c *Conn) read() bool {
 	for {
 		if !c.await() {
 			return false
 		}
 		c.limitCommand()
-		if lost, err := c.readCommand(); isTimeout(err) {
-			return c.refuse("CLIENT_ERROR command took too long\r\n")
-		} else if lost || err != nil {
-			return lost
-		}
-		if c.bad >= badCommands {
-			return c.refuse("CLIENT_ERROR too many bad commands\r\n")
-		}
-	}
-}
-
-// refuse answers what can't be read on from. It returns true.
-func (c *client) refuse(text string) bool {
-	c.add().finish([]byte(text))
-	return true
-}
-
-// readCommand carries out one command. It returns true when framing is lost.
-func (c *client) readCommand() (lost bool, err error) {
-	text, err := c.in.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) || err == nil && len(text) > meta.MaxLine {
-		return c.refuse("CLIENT_ERROR line too long\r\n"), nil
-	}
-	if err != nil {
-		return false, err
-	}
-	line, ok := strings.CutSuffix(string(text), "\r\n")
-	if !ok {
-		return c.refuse("CLIENT_ERROR line does not end in CRLF\r\n"), nil
-	}
-	command, err := meta.ParseCommand(line)
-	var bad *meta.ClientError
-	switch {
-	case errors.As(err, &bad):
-		if bad.Skip > 0 {
-			if _, err := c.in.Discard(bad.Skip); err != nil {
-				return false, err
+		if c.session == nil {
+			first, err := c.In.Peek(1)
+			if err != nil {
+				return false
 			}
+			c.session = c.host.Session(c, first[0])
 		}
-		c.bad++
-		c.refuse("CLIENT_ERROR " + bad.Reason + "\r\n")
-		return bad.Skip < 0, nil
-	case err != nil:
-		c.bad++
-		c.refuse("ERROR\r\n")
-		return false, nil
-	case command.Noop:
-		c.bad = 0
-		c.add().finish([]byte("MN\r\n"))
-		return false, nil
-	}
-	var body []byte
-	if command.Verb == request.Set {
-		size := command.Size + 2
-		if !c.server.bodies.try(size) {
-			if _, err := c.in.Discard(size); err != nil {
-				return false, err
+		if lost, err := c.session.Command(); isTimeout(err) {
+			if text := c.session.Slow(); text != nil {
+				c.Add(new(Slot)).Finish(text)
 			}
-			c.add().Finish(&request.Answer{Kind: request.Busy})
-			return false, nil
-		}
-		body = make([]byte, size)
-		if _, err := io.ReadFull(c.in, body); err != nil {
-			c.server.bodies.give(size)
-			return false, err
-		}
-		if !bytes.HasSuffix(body, []byte("\r\n")) {
-			c.server.bodies.give(size)
-			return c.refuse("CLIENT_ERROR bad data chunk\r\n"), nil
+			return true
+		} else if lost || err != nil {
+			return lost
 		}
-		command.Value = body[:command.Size]
 	}
-	reply := c.add()
-	reply.id, reply.size, command.Room = command.ID, len(body), meta.Room(command.ID)
-	if reply.held = c.server.core.arrive(&command.Request, reply); reply.held == nil {
-		reply.Release()
-		c.bad++
-	} else {
-		c.bad = 0
-	}
-	return false, nil
 }
 
 // limitCommand bounds the time of a command that has begun. One that comes in
 // while its connection ends is whole soon, or is never taken: what is taken late
 // in a drain could not be answered before its end.
-func (c *client) limitCommand() {
+func (c *Conn) limitCommand() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := time.Now().Add(commandTime)
@@ -204,9 +161,9 @@
 	c.socket.SetReadDeadline(until)
 }
 
-// add makes a place for the next answer, and waits while there are too many.
-func (c *client) add() *reply {
-	r := &reply{client: c}
+// Add makes r the place of the next answer, and waits while there are too many.
+func (c *Conn) Add(r *Slot) *Slot {
+	r.conn = c
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.replies) >= pipelined && !c.gone {
@@ -221,7 +178,7 @@
 // The reader alone ends a connection between commands. Whoever else wants it ended
 // says so and wakes the reader: a command may have been read that nobody knows of
 // yet, and closing over it would lose it.
-func (c *client) await() bool {
+func (c *Conn) await() bool {
 	for {
 		switch c.rest() {
 		case resting:
@@ -231,7 +188,7 @@
 		case closed:
 			return false
 		}
-		_, err := c.in.Peek(1)
+		_, err := c.In.Peek(1)
 		if err == nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -256,7 +213,7 @@
 // rest decides on the connection as the reader comes to its next command. One that
 // has come already, but is not read yet, is taken first, as far as time allows:
 // the proxy may have been short of its core for a while.
-func (c *client) rest() between {
+func (c *Conn) rest() between {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
@@ -267,7 +224,7 @@
 	switch {
 	case c.late():
 		return ending
-	case c.in.Buffered() > 0 || !c.quiet() || upstream.Pending(c.socket):
+	case c.In.Buffered() > 0 || !c.quiet() || upstream.Pending(c.socket):
 	case c.closing:
 		c.socket.Close() // its last answer has long been taken: nothing to linger for
 		return closed
@@ -288,35 +245,38 @@
 
 // quiet tells whether all commands that were read are answered, and the answers
 // written. c.mu is held.
-func (c *client) quiet() bool { return len(c.replies) == 0 && c.writing.IsZero() }
+func (c *Conn) quiet() bool { return len(c.replies) == 0 && c.writing.IsZero() }
 
 // wake has a reader that waits for a command decide anew. c.mu is held.
-func (c *client) wake() {
+func (c *Conn) wake() {
 	if !c.busy && !c.finished {
 		c.socket.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// end closes the connection as soon as nothing is under way on it. A client that
+// Close cuts the connection, whatever is under way on it.
+func (c *Conn) Close() { c.socket.Close() }
+
+// End closes the connection as soon as nothing is under way on it. A client that
 // always has a command out would never let it come to that: what it sends
 // after a moment more is not read, and it asks elsewhere.
-func (c *client) end() {
+func (c *Conn) End() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ending {
-		c.endBy(time.Now().Add(lingerTime / 3))
+		c.endBy(time.Now().Add(LingerTime / 3))
 	}
 }
 
-// hurry ends the connection and takes no further command.
-func (c *client) hurry() {
+// Hurry ends the connection and takes no further command.
+func (c *Conn) Hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endBy(time.Now())
 }
 
 // endBy is what end and hurry have in common. c.mu is held.
-func (c *client) endBy(until time.Time) {
+func (c *Conn) endBy(until time.Time) {
 	c.ending, c.until = true, until
 	if c.busy && !c.finished { // a command that is half there
 		c.socket.SetReadDeadline(until)
@@ -325,11 +285,11 @@
 }
 
 // late tells whether commands come too late to be taken. c.mu is held.
-func (c *client) late() bool { return c.ending && !time.Now().Before(c.until) }
+func (c *Conn) late() bool { return c.ending && !time.Now().Before(c.until) }
 
 // linger answers what was read, half closes the connection, and reads on until the
 // client closes too.
-func (c *client) linger() {
+func (c *Conn) linger() {
 	c.mu.Lock()
 	c.busy = false
 	for !c.quiet() && !c.gone {
@@ -338,12 +298,12 @@
 	c.finished = true
 	c.mu.Unlock()
 	c.socket.CloseWrite()
-	c.socket.SetReadDeadline(time.Now().Add(lingerTime))
-	io.CopyN(io.Discard, c.in, lingerBytes)
+	c.socket.SetReadDeadline(time.Now().Add(LingerTime))
+	io.CopyN(io.Discard, c.In, lingerBytes)
 }
 
-// idleSince tells whether the connection may be closed, and since when it has idled.
-func (c *client) idleSince() (time.Time, bool) {
+// IdleSince tells whether the connection may be closed, and since when it has idled.
+func (c *Conn) IdleSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.since, c.idles()
@@ -352,10 +312,10 @@
 // idles tells whether nothing is under way on the connection, nor will it end by
 // itself. An answer in writing is under way: the writer may wait for its
 // client, or for the core. c.mu is held.
-func (c *client) idles() bool { return !c.busy && c.quiet() && !c.ending && !c.closing }
+func (c *Conn) idles() bool { return !c.busy && c.quiet() && !c.ending && !c.closing }
 
-// closeIdle closes a connection that idles, if the reader finds that it still does.
-func (c *client) closeIdle() {
+// CloseIdle closes a connection that idles, if the reader finds that it still does.
+func (c *Conn) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idles() {
@@ -364,29 +324,23 @@
 	}
 }
 
-// stuckSince tells since when the client has taken nothing of what is being written.
-func (c *client) stuckSince() time.Time {
+// StuckSince tells since when the client has taken nothing of what is being written.
+func (c *Conn) StuckSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.writing
 }
 
-// Finish implements Reply.
-func (r *reply) Finish(a *request.Answer) { r.finish(meta.Append(a, r.id)) }
-
-// Release implements Reply.
-func (r *reply) Release() { r.client.server.bodies.give(r.size) }
-
-// finish sets the answer of a command. One that finds no room among those held
+// Finish sets the answer of a command. One that finds no room among those held
 // for clients slow to take theirs becomes a failure.
-func (r *reply) finish(text []byte) {
-	c := r.client
+func (r *Slot) Finish(text []byte) {
+	c := r.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone {
 		return
 	}
-	if len(text) > smallAnswer && !c.server.answers.try(len(text)) {
+	if len(text) > smallAnswer && !c.host.Answers.Try(len(text)) {
 		text = []byte("SERVER_ERROR out of memory\r\n")
 	}
 	r.text = text
@@ -394,27 +348,27 @@
 }
 
 // release gives back what held answers took of the budget.
-func (s *Server) release(texts net.Buffers) {
+func (h *Host) release(texts net.Buffers) {
 	held := 0
 	for _, text := range texts {
 		if len(text) > smallAnswer {
 			held += len(text)
 		}
 	}
-	s.answers.give(held)
+	h.Answers.Give(held)
 }
 
 // write sends answers in the order of the commands.
-func (c *client) write() {
+func (c *Conn) write() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
 		texts := c.ready()
 		switch {
 		case c.gone:
-			c.server.release(texts)
+			c.host.release(texts)
 			for _, r := range c.replies {
-				c.server.release(net.Buffers{r.text})
+				c.host.release(net.Buffers{r.text})
 			}
 			return
 		case len(texts) == 0:
@@ -424,7 +378,7 @@
 			c.mu.Unlock()
 			left := append(net.Buffers(nil), texts...) // WriteTo eats its receiver
 			_, err := left.WriteTo(c.socket)
-			c.server.release(texts)
+			c.host.release(texts)
 			c.mu.Lock()
 			c.since, c.writing = time.Now(), time.Time{}
 			if err != nil {
@@ -440,7 +394,7 @@
 }
 
 // ready takes the answers that can be written now off the replies.
-func (c *client) ready() (texts net.Buffers) {
+func (c *Conn) ready() (texts net.Buffers) {
 	for size := 0; len(c.replies) > 0 && c.replies[0].text != nil && size < writeMost; {
 		text := c.replies[0].text
 		texts, size = append(texts, text), size+len(text)
@@ -449,3 +403,8 @@
 	}
 	return texts
 }
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/front/meta/meta.go
@@ -0,0 +1,128 @@
+// Package meta is the front for clients that speak the meta commands.
+package meta
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"wrenroute/internal/front"
+	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
+)
+
+// A connection that sends so many commands in a row that can't be meant is noise: it
+// is told so and closed.
+const badCommands = 8
+
+// session is the dialect on one connection.
+type session struct {
+	host *front.Host
+	conn *front.Conn
+	bad  int // commands in a row that can't be meant
+}
+
+// New begins a session.
+func New(host *front.Host, c *front.Conn) front.Session { return &session{host: host, conn: c} }
+
+// reply is the place of a request's answer.
+type reply struct {
+	front.Slot
+	host *front.Host
+	id   string
+	size int // of its value, as budgeted
+}
+
+// Finish implements core.Reply.
+func (r *reply) Finish(a *request.Answer) { r.Slot.Finish(meta.Append(a, r.id)) }
+
+// Release implements core.Reply.
+func (r *reply) Release() { r.host.Bodies.Give(r.size) }
+
+// Slow implements front.Session.
+func (s *session) Slow() []byte { return []byte("CLIENT_ERROR command took too long\r\n") }
+
+func (s *session) say(text string) { s.conn.Add(new(front.Slot)).Finish([]byte(text)) }
+
+// refuse answers what can't be read on from. It returns true.
+func (s *session) refuse(text string) bool {
+	s.say(text)
+	return true
+}
+
+// Command implements front.Session.
+func (s *session) Command() (lost bool, err error) {
+	if lost, err = s.command(); lost || err != nil || s.bad < badCommands {
+		return lost, err
+	}
+	return s.refuse("CLIENT_ERROR too many bad commands\r\n"), nil
+}
+
+func (s *session) command() (lost bool, err error) {
+	in := s.conn.In
+	text, err := in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || err == nil && len(text) > meta.MaxLine {
+		return s.refuse("CLIENT_ERROR line too long\r\n"), nil
+	}
+	if err != nil {
+		return false, err
+	}
+	line, ok := strings.CutSuffix(string(text), "\r\n")
+	if !ok {
+		return s.refuse("CLIENT_ERROR line does not end in CRLF\r\n"), nil
+	}
+	command, err := meta.ParseCommand(line)
+	var bad *meta.ClientError
+	switch {
+	case errors.As(err, &bad):
+		if bad.Skip > 0 {
+			if _, err := in.Discard(bad.Skip); err != nil {
+				return false, err
+			}
+		}
+		s.bad++
+		s.say("CLIENT_ERROR " + bad.Reason + "\r\n")
+		return bad.Skip < 0, nil
+	case err != nil:
+		s.bad++
+		s.say("ERROR\r\n")
+		return false, nil
+	case command.Noop:
+		s.bad = 0
+		s.say("MN\r\n")
+		return false, nil
+	}
+	var body []byte
+	if command.Verb == request.Set {
+		size := command.Size + 2
+		if !s.host.Bodies.Try(size) {
+			if _, err := in.Discard(size); err != nil {
+				return false, err
+			}
+			s.say(string(meta.Append(&request.Answer{Kind: request.Busy}, "")))
+			return false, nil
+		}
+		body = make([]byte, size)
+		if _, err := io.ReadFull(in, body); err != nil {
+			s.host.Bodies.Give(size)
+			return false, err
+		}
+		if !bytes.HasSuffix(body, []byte("\r\n")) {
+			s.host.Bodies.Give(size)
+			return s.refuse("CLIENT_ERROR bad data chunk\r\n"), nil
+		}
+		command.Value = body[:command.Size]
+	}
+	r := &reply{host: s.host, id: command.ID, size: len(body)}
+	s.conn.Add(&r.Slot)
+	command.Room = meta.Room(command.ID)
+	if r.Held = s.host.Core.Arrive(&command.Request, r); r.Held == nil {
+		r.Release()
+		s.bad++
+	} else {
+		s.bad = 0
+	}
+	return false, nil
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -1,3 +1,5 @@
+// Package proxy is the proxy proper: its listeners, the connections of its clients
+// through their lives, and its configuration.
 package proxy
 
 import (
@@ -12,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"wrenroute/internal/core"
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/upstream"
 	"wrenroute/internal/wire"
@@ -22,22 +25,14 @@
 // platform's file here and of the daemon's own in package config, fill it in and
 // end with Share.
 type Config struct {
+	core.Config
 	Name, Listen string
-	Place        discovery.Place // of the list of nodes
-	// Patient takes silence of the list's source for no news rather than its loss.
-	Patient bool
-	Seed    uint64
-	Cores   float64
-	Memory  int // bytes
-	Sockets int // descriptors
-
-	Known       discovery.List
-	Policy      policy.Settings
-	Upstream    upstream.Limits
-	MostHeld    int // requests at a time
-	Clients     int // connections at most
-	BodyBytes   int
-	AnswerBytes int
+	Cores        float64
+	Memory       int // bytes
+	Sockets      int // descriptors
+	Clients      int // connections at most
+	BodyBytes    int
+	AnswerBytes  int
 }
 
 const (
@@ -74,8 +69,9 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Place: discovery.Place{Address: in.Discovery}, Cores: in.Limits.Cores,
-		Memory: in.Limits.MemoryMB << 20, Sockets: in.Limits.Sockets}
+	c := &Config{Name: in.Name, Listen: in.Listen, Cores: in.Limits.Cores, Memory: in.Limits.MemoryMB << 20,
+		Sockets: in.Limits.Sockets}
+	c.Place.Address = in.Discovery
 	if v := getenv("GW_LISTEN"); v != "" {
 		c.Listen = v
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -12,6 +12,10 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wrenroute/internal/core"
+	"wrenroute/internal/front"
+	"wrenroute/internal/front/meta"
 )
 
 const (
@@ -29,19 +33,18 @@
 
 // Server is a proxy at work.
 type Server struct {
-	core    *Core
-	config  *Config // in force; written by Reload only
-	log     *slog.Logger
-	most    int     // clients
-	bodies  *budget // of writes being read or held
-	answers *budget // of values that clients have yet to take
+	core   *core.Core
+	host   *front.Host
+	config *Config // in force; written by Reload only
+	log    *slog.Logger
+	most   int // clients
 
 	listener *net.TCPListener
 	shared   bool // another process holds the listener too
 
 	mu       sync.Mutex
 	changed  sync.Cond
-	clients  map[*client]struct{}
+	clients  map[*front.Conn]struct{}
 	longest  time.Duration // deadline of any request that may be open
 	hurried  bool
 	draining bool
@@ -52,13 +55,14 @@
 // a listener it takes that, which another process may hold too, in place of
 // opening config.Listen.
 func Listen(config *Config, listener *net.TCPListener, log *slog.Logger) (*Server, error) {
-	core, err := newCore(config, log)
+	core, err := core.New(&config.Config, log)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{core: core, config: config, log: log, most: config.Clients, bodies: newBudget(config.BodyBytes),
-		answers: newBudget(config.AnswerBytes), clients: make(map[*client]struct{}), listener: listener,
-		shared: listener != nil, longest: longestDeadline(&config.Policy)}
+	s := &Server{core: core, config: config, log: log, most: config.Clients, clients: make(map[*front.Conn]struct{}),
+		listener: listener, shared: listener != nil, longest: longestDeadline(&config.Policy)}
+	s.host = &front.Host{Core: core, Bodies: front.NewBudget(config.BodyBytes), Answers: front.NewBudget(config.AnswerBytes),
+		Session: func(c *front.Conn, _ byte) front.Session { return meta.New(s.host, c) }}
 	s.changed.L = &s.mu
 	if s.shared {
 		return s, nil
@@ -73,16 +77,14 @@
 }
 
 // Known is closed once the source has told its list of nodes.
-func (s *Server) Known() <-chan struct{} { return s.core.known }
+func (s *Server) Known() <-chan struct{} { return s.core.Known() }
 
 // Load counts the connections of clients and the requests that are open.
 func (s *Server) Load() (clients, open int) {
 	s.mu.Lock()
 	clients = len(s.clients)
 	s.mu.Unlock()
-	s.core.mu.Lock()
-	defer s.core.mu.Unlock()
-	return clients, len(s.core.requests)
+	return clients, s.core.Open()
 }
 
 // Address returns the address that clients connect to.
@@ -127,7 +129,7 @@
 	if len(fixed) > 0 {
 		return fmt.Errorf("%w: %s", ErrFixed, strings.Join(fixed, ", "))
 	}
-	if err := s.core.reconfigure(next); err != nil {
+	if err := s.core.Reconfigure(&next.Config); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -143,7 +145,7 @@
 	moved := next.Place != s.config.Place
 	s.config = next
 	if moved {
-		s.core.move(next.Place)
+		s.core.Move(next.Place)
 	}
 }
 
@@ -152,7 +154,7 @@
 func (s *Server) Serve(ctx context.Context) {
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks sync.WaitGroup
-	tasks.Go(func() { s.core.run(working) })
+	tasks.Go(func() { s.core.Run(working) })
 	tasks.Go(func() { s.sweep(working) })
 	var accepting sync.WaitGroup
 	accepting.Go(func() { s.accept() })
@@ -224,10 +226,10 @@
 		s.listener.SetDeadline(time.Now())
 	}
 	for c := range s.clients {
-		c.hurry()
+		c.Hurry()
 	}
 	if s.late != nil {
-		s.late.Reset(s.core.openFor() + lingerTime/3)
+		s.late.Reset(s.core.OpenFor() + front.LingerTime/3)
 	}
 }
 
@@ -249,12 +251,12 @@
 
 // admit takes a client's connection. It ends with the client, or with drain.
 func (s *Server) admit(socket *net.TCPConn) {
-	c := newClient(s, socket)
+	c := front.New(s.host, socket)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
 	go func() {
-		c.serve()
+		c.Serve()
 		s.mu.Lock()
 		delete(s.clients, c)
 		s.changed.Broadcast()
@@ -275,15 +277,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.clients) >= s.most-headroom {
-		var oldest *client
+		var oldest *front.Conn
 		since := time.Now().Add(-idleLeast)
 		for c := range s.clients {
-			if at, idle := c.idleSince(); idle && at.Before(since) {
+			if at, idle := c.IdleSince(); idle && at.Before(since) {
 				oldest, since = c, at
 			}
 		}
 		if oldest != nil {
-			oldest.closeIdle()
+			oldest.CloseIdle()
 		}
 		if len(s.clients) < s.most {
 			return
@@ -312,27 +314,27 @@
 // request and then hold it would fill the places of all, here or at their own
 // end, and makeRoom frees only as many as come. It should cover fronts and
 // pools with a limit of their own as well. It costs a connection anew where more
-// clients than that come back within idleTime.
+// clients than that come back within front.IdleTime.
 func (s *Server) tidy(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	type idler struct {
-		client *client
+		client *front.Conn
 		since  time.Time
 	}
 	var idlers []idler
 	for c := range s.clients {
-		if at := c.stuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
-			c.socket.Close()
-		} else if at, idle := c.idleSince(); idle && now.Sub(at) > idleTime {
-			c.closeIdle()
+		if at := c.StuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
+			c.Close()
+		} else if at, idle := c.IdleSince(); idle && now.Sub(at) > front.IdleTime {
+			c.CloseIdle()
 		} else if idle {
 			idlers = append(idlers, idler{c, at})
 		}
 	}
 	slices.SortFunc(idlers, func(x, y idler) int { return x.since.Compare(y.since) })
 	for i := 0; i < len(idlers)-s.most/idlePart && now.Sub(idlers[i].since) >= idleLeast; i++ {
-		idlers[i].client.closeIdle()
+		idlers[i].client.CloseIdle()
 	}
 	s.changed.Broadcast() // an idle client may have come up for closing
 }
@@ -342,19 +344,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.clients {
-		if c.end(); s.hurried {
-			c.hurry()
+		if c.End(); s.hurried {
+			c.Hurry()
 		}
 	}
 	wait := s.longest
 	if s.hurried {
-		wait = s.core.openFor()
+		wait = s.core.OpenFor()
 	}
-	s.late = time.AfterFunc(wait+lingerTime/3, func() {
+	s.late = time.AfterFunc(wait+front.LingerTime/3, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.clients {
-			c.socket.Close()
+			c.Close()
 		}
 	})
 	defer s.late.Stop()
