--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -40,6 +40,7 @@
   --json FILE      write the report there too
   --keep FOLDER    keep configurations and logs there
   --quiet          tell no progress
+  --binary         one client and one node in four speak the binary protocol
 Exit: 0 the rules held, 1 one broke or the rehearsal failed, 2 bad usage.
 `
 
@@ -67,7 +68,7 @@
 // settings are the flags of all commands.
 type settings struct {
 	program, json, keep, scenario, fault string
-	short, quiet                         bool
+	short, quiet, binary                 bool
 	runs, requests, every                int
 }
 
@@ -100,6 +101,7 @@
 	flags.StringVar(&s.scenario, "scenario", "up", "")
 	flags.StringVar(&s.fault, "fault", "", "")
 	flags.BoolVar(&s.short, "short", false, "")
+	flags.BoolVar(&s.binary, "binary", false, "")
 	flags.BoolVar(&s.quiet, "quiet", false, "")
 	flags.IntVar(&s.runs, "runs", 5, "")
 	flags.IntVar(&s.requests, "requests", 20000, "")
@@ -154,6 +156,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errUsage, err)
 		}
+		if s.binary {
+			scenario.WithBinary()
+		}
 		return rehearse.Up(ctx, scenario, o, func(line string) { fmt.Fprintln(out, line) })
 	case "cost":
 		self, err := os.Executable()
@@ -246,6 +251,9 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
+	if s.binary {
+		scenario.WithBinary()
+	}
 	report, err := rehearse.Play(ctx, scenario, o)
 	if err != nil {
 		return err
--- a/cmd/yarrowspan/daemon_test.go
+++ b/cmd/yarrowspan/daemon_test.go
@@ -48,7 +48,7 @@
 	for i := range 2 {
 		c := n
 		c.Name, c.Origin, c.Group, c.Slots, c.Queue = fmt.Sprint("n", i), r.center, group, 64, 1024
-		c.Arrived = func(_, id string, _ time.Time) {
+		c.Arrived = func(_, id, _ string, _ time.Time) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.seen[id]++
--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bufio"
+	"crypto/rand"
 	"errors"
 	"flag"
 	"fmt"
@@ -11,17 +13,20 @@
 	"os/signal"
 	"runtime/debug"
 	"runtime/pprof"
+	"strings"
 	"syscall"
 	"time"
 
 	"wrenroute/internal/config"
 	"wrenroute/internal/daemon"
 	"wrenroute/internal/proxy"
+	"wrenroute/internal/sasl"
 )
 
 const usage = `Usage:
   yarrowspan serve --config FILE   serve clients until SIGTERM
   yarrowspan check --config FILE   tell all that is wrong with a configuration
+  yarrowspan secret --user NAME    read a secret and print its line for a file of users
   yarrowspan version               tell the version
 With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
 `
@@ -85,6 +90,7 @@
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	flags.SetOutput(io.Discard)
 	file := flags.String("config", "", "")
+	user := flags.String("user", "", "")
 	profile := flags.String("cpuprofile", "", "") // for measurements
 	if err := flags.Parse(args[1:]); err != nil {
 		return fmt.Errorf("%w: %s: %w", errUsage, args[0], err)
@@ -96,6 +102,8 @@
 	case args[0] == "version":
 		fmt.Fprintln(out, "yarrowspan", version())
 		return nil
+	case args[0] == "secret":
+		return secret(*user, os.Stdin, out)
 	case args[0] != "serve" && args[0] != "check":
 		return fmt.Errorf("%w: there is no command %q", errUsage, args[0])
 	case *file == "":
@@ -125,6 +133,22 @@
 	return daemon.Run(o)
 }
 
+// secret prints the line of a user whose secret is the first line of in.
+func secret(user string, in io.Reader, out io.Writer) error {
+	text, err := bufio.NewReader(io.LimitReader(in, sasl.MaxSecret+2)).ReadString('\n')
+	if err != nil && err != io.EOF {
+		return err
+	}
+	var salt [16]byte
+	rand.Read(salt[:])
+	line, err := sasl.Line(user, strings.TrimRight(text, "\r\n"), sasl.Iterations, salt)
+	if err != nil {
+		return fmt.Errorf("%w: secret: %w", errUsage, err)
+	}
+	fmt.Fprintln(out, line)
+	return nil
+}
+
 // platform reads the platform's configuration. Environment variables go before
 // the file at the start only: they can't have changed since, so at a reload the
 // file alone counts.
--- a/internal/binary/binary.go
+++ b/internal/binary/binary.go
@@ -178,10 +178,10 @@
 	body := binary.BigEndian.Uint32(b[8:])
 	h := Header{Opcode: Opcode(b[1]), Key: int(binary.BigEndian.Uint16(b[2:])), Extras: int(b[4]), DataType: b[5],
 		Status: Status(binary.BigEndian.Uint16(b[6:])), Opaque: binary.BigEndian.Uint32(b[12:]), CAS: binary.BigEndian.Uint64(b[16:])}
+	h.Body = int(body)
 	if int64(body) > MaxSkip || h.Key+h.Extras > int(body) {
 		return h, ErrLength
 	}
-	h.Body = int(body)
 	return h, nil
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	crand "crypto/rand"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -15,7 +16,11 @@
 	"time"
 
 	"wrenroute/internal/discovery"
+	"wrenroute/internal/front/binary"
 	"wrenroute/internal/proxy"
+	"wrenroute/internal/route"
+	"wrenroute/internal/sasl"
+	"wrenroute/internal/ticket"
 	"wrenroute/policy"
 )
 
@@ -107,6 +112,7 @@
 	c.nodes(top, filepath.Dir(path))
 	classes(top, set)
 	tenants(top, set)
+	c.binary(top, filepath.Dir(path))
 
 	l := top.table("limits")
 	p.Cores = l.number("cores", 1, 0.01, 1024)
@@ -205,11 +211,122 @@
 	}
 }
 
-// Without classes there are these two.
+// binary reads how the binary protocol is spoken, to clients and to nodes.
+func (c *Config) binary(top *table, folder string) {
+	t := top.table("binary")
+	p := c.Proxy
+	clients := t.yes("clients", top.has("binary"))
+	b := &proxy.Binary{Listen: t.text("listen", "", isAddress), Rules: binary.Rules{Windows: make(map[string]time.Duration)}}
+	users := t.text("users", "", anything)
+	p.BinaryNodes.Names = t.texts("nodes", nil, printable)
+	p.BinaryNodes.Types = t.texts("types", nil, oneOf(p.Policy.Kinds...))
+	t.end()
+	rules := routes(top)
+	if !clients {
+		for _, key := range []string{"listen", "users"} {
+			if t.has(key) {
+				t.d.add(t.key(key), "is for binary.clients = true only")
+			}
+		}
+		if top.has("route") {
+			t.d.add("route", "is for binary.clients = true only")
+		}
+		return
+	}
+	if t.has("users") {
+		if !filepath.IsAbs(users) {
+			users = filepath.Join(folder, users)
+		}
+		text, err := load(users)
+		if err == nil {
+			key := make([]byte, 32)
+			crand.Read(key)
+			b.Rules.Users, err = sasl.Parse(text, key)
+		}
+		for _, err := range Errors(err) {
+			if err != nil {
+				t.d.add(t.key("users"), "cannot be %q: %v", users, err)
+			}
+		}
+	}
+	classes := make(map[string]route.Class)
+	for _, k := range p.Policy.Classes {
+		classes[k.Name] = route.Class{Deadline: k.Deadline, Safe: k.Effect == policy.Safe, Window: k.Window,
+			Parts: k.Effect == policy.Keyed && k.Group != policy.GroupAll}
+		if k.Effect == policy.Keyed {
+			b.Rules.Windows[k.Name] = k.Window
+		}
+	}
+	tenants := make(map[string]bool)
+	for _, n := range p.Policy.Tenants {
+		tenants[n.Name] = true
+	}
+	if !top.has("route") {
+		if rules = usualRoutes(p.Policy.Classes); len(tenants) > 0 {
+			t.d.add("route", "is missing: binary clients name no tenant, so each route must")
+			return
+		}
+	}
+	for i, r := range rules {
+		if r.Listener == proxy.BinaryListener && b.Listen == "" || r.Listener == proxy.MainListener && b.Listen != "" {
+			t.d.add(fmt.Sprintf("route[%d].listener", i), "cannot be %q: no binary client comes there", r.Listener)
+		}
+		if r.User != "" && b.Rules.Users == nil {
+			t.d.add(fmt.Sprintf("route[%d].user", i), "cannot be %q: there is no file of users", r.User)
+		}
+	}
+	table, err := route.New(rules, classes, tenants)
+	for _, err := range Errors(err) {
+		if err != nil {
+			t.d.list = append(t.d.list, fmt.Errorf("%s: %w", t.d.file, err))
+		}
+	}
+	b.Rules.Routes = table
+	p.Binary = b
+}
+
+var verbs = map[string]route.Verb{"read": route.Reads, "write": route.Writes, "ticketed": route.Ticketed, "plain": route.Plain}
+
+// routes reads the routing table; whether it is whole is checked later.
+func routes(top *table) (rules []route.Rule) {
+	for _, t := range top.tables("route") {
+		r := route.Rule{
+			Prefix:   t.text("prefix", "", anything),
+			Verb:     verbs[t.text("verb", "read", oneOf("read", "write", "ticketed", "plain"))],
+			Listener: t.text("listener", "", oneOf(proxy.MainListener, proxy.BinaryListener)),
+			User:     t.text("user", "", anything),
+			Class:    t.text("class", "", anything),
+			Tenant:   t.text("tenant", "", anything),
+			Wait:     t.duration("wait", 0, time.Millisecond, longest),
+		}
+		t.end()
+		rules = append(rules, r)
+	}
+	return rules
+}
+
+// usualRoutes are those without any [[route]]: the first class that is fit for each verb.
+func usualRoutes(classes []policy.Class) (rules []route.Rule) {
+	for _, u := range []struct {
+		verb   route.Verb
+		effect policy.Effect
+	}{{route.Reads, policy.Safe}, {route.Ticketed, policy.Keyed}, {route.Plain, policy.Unsafe}} {
+		i := slices.IndexFunc(classes, func(k policy.Class) bool {
+			return k.Effect == u.effect && (k.Effect != policy.Keyed || k.Group == policy.GroupAll && k.Window > 2*ticket.Margin)
+		})
+		if i >= 0 {
+			rules = append(rules, route.Rule{Verb: u.verb, Class: classes[i].Name})
+		}
+	}
+	return rules
+}
+
+// Without classes there are these.
 var usual = []policy.Class{
 	{Name: "read", Effect: policy.Safe, Aim: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Late: 0.3},
 	{Name: "write", Effect: policy.Keyed, Window: 1500 * time.Millisecond, Aim: 750 * time.Millisecond,
 		Deadline: 2500 * time.Millisecond, Worth: 2, Late: 0.3},
+	{Name: "plain", Effect: policy.Unsafe, Aim: 750 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 2, Late: 0.3},
 }
 
 var (
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,7 +30,7 @@
 	if p.Listen != "127.0.0.1:11211" || p.Place.Fixed != "127.0.0.1:1,127.0.0.1:2" || len(p.Known.Endpoints) != 2 {
 		t.Errorf("listens at %s for %v, knows %v", p.Listen, p.Place, p.Known)
 	}
-	if len(p.Policy.Classes) != 2 || p.Policy.Classes[1].Effect != policy.Keyed || p.Policy.Classes[1].Window != 1500*time.Millisecond {
+	if len(p.Policy.Classes) != 3 || p.Binary != nil || p.Policy.Classes[1].Effect != policy.Keyed || p.Policy.Classes[1].Window != 1500*time.Millisecond {
 		t.Errorf("classes %+v", p.Policy.Classes)
 	}
 	if p.Memory != 64<<20 || p.Clients <= 0 || p.MostHeld <= 0 || p.Upstream.PerNode != 4 {
@@ -95,6 +95,18 @@
 		{head + nodes + "[class]\nname = \"a\"\n", "want tables [[class]]"},
 		{head + nodes + "[[tenant]]\nquota = 3\n", "tenant[0].name is missing"},
 		{head + nodes + "[[tenant]]\nname = \"a\"\nquota = -3\n", "tenant[0].quota cannot be -3: want a number from 0"},
+		{head + nodes + "[binary]\nlisten = \"x\"\n", `binary.listen cannot be "x": want HOST:PORT`},
+		{head + nodes + "[binary]\nusers = \"none\"\n", "binary.users cannot be"},
+		{head + nodes + "[binary]\ntypes = [\"b1\"]\n", `binary.types[0] cannot be "b1"`},
+		{head + nodes + "[binary]\nclients = false\nusers = \"none\"\n", "binary.users is for binary.clients = true only"},
+		{head + nodes + "[[route]]\nclass = \"read\"\n", "route is for binary.clients = true only"},
+		{head + nodes + "[binary]\n[[route]]\nclass = \"none\"\n", `route[0].class cannot be "none"`},
+		{head + nodes + "[binary]\n[[route]]\nclass = \"read\"\nverb = \"rade\"\n", `route[0].verb cannot be "rade"`},
+		{head + nodes + "[binary]\n[[route]]\nclass = \"read\"\nwait = \"3s\"\n", "route[0].wait cannot be 3s"},
+		{head + nodes + "[binary]\n[[route]]\nclass = \"read\"\nlistener = \"binary\"\n", `route[0].listener cannot be "binary": no binary client`},
+		{head + nodes + "[binary]\n[[route]]\nclass = \"read\"\nuser = \"till\"\n", `route[0].user cannot be "till": there is no file`},
+		{head + nodes + "[binary]\n[[tenant]]\nname = \"a\"\n", "route is missing: binary clients name no tenant"},
+		{head + nodes + "[binary]\n[[class]]\nname = \"z\"\neffect = \"keyed\"\ngroup = \"zone\"\nwindow = \"2s\"\n[[route]]\nclass = \"z\"\nverb = \"ticketed\"\n", "drop repeats in parts"},
 		{head + "tenants = 3\n" + nodes, "tenants is unknown: want one of"},
 	} {
 		path := write(t, c.text)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
+	"wrenroute/internal/binary"
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
@@ -27,12 +29,22 @@
 type Config struct {
 	Place discovery.Place // of the list of nodes
 	// Patient takes silence of the list's source for no news rather than its loss.
-	Patient  bool
-	Seed     uint64
-	Known    discovery.List
-	Policy   policy.Settings
-	Upstream upstream.Limits
-	MostHeld int // requests at a time
+	Patient     bool
+	Seed        uint64
+	Known       discovery.List
+	Policy      policy.Settings
+	Upstream    upstream.Limits
+	MostHeld    int // requests at a time
+	BinaryNodes Speakers
+}
+
+// Speakers names the nodes that speak the binary protocol: by their own names, and by
+// their types.
+type Speakers struct{ Names, Types []string }
+
+// has tells whether a node is one of them.
+func (s *Speakers) has(e *discovery.Endpoint) bool {
+	return slices.Contains(s.Names, e.Name) || slices.Contains(s.Types, e.Type)
 }
 
 // Held is a client's request that the core holds. It is guarded by Core.mu.
@@ -52,6 +64,7 @@
 	server string
 	sent   time.Duration
 	ended  bool
+	mayRun bool
 }
 
 // Core holds the decision module and carries out what it decides. All events
@@ -61,6 +74,7 @@
 	patient bool
 	zones   []string // what the list's names are the indices of
 	kinds   []string
+	binary  Speakers
 	log     *slog.Logger
 	nodes   *upstream.Nodes
 	start   time.Time
@@ -111,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds,
+	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds, binary: config.BinaryNodes,
 		rules: newRules(config), log: log, registry: config.Place.Open(), start: time.Now(), known: make(chan struct{}),
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
@@ -189,7 +203,8 @@
 		}
 	case policy.Refuse:
 		if r := c.requests[a.ID]; r != nil {
-			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After})
+			ran := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
+			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After, Ran: ran})
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
@@ -251,6 +266,7 @@
 		return nil
 	}
 	c.last++
+	in.Serial = uint32(c.last)
 	now := c.now()
 	r := &Held{id: c.last, request: in, reply: reply, deadline: now + wait,
 		expires: time.Now().Add(wait)}
@@ -323,7 +339,7 @@
 		return
 	}
 	now := c.now()
-	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{ID: r.id,
+	a := &attempt{server: action.Server, sent: now, mayRun: true, Attempt: upstream.Attempt{ID: r.id,
 		Number: len(r.attempts), Request: r.request, Deadline: r.expires}}
 	r.attempts = append(r.attempts, a)
 	r.open++
@@ -356,7 +372,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.mayRun = true, policy.MayHaveRun(result)
 	r.open--
 	o := policy.Outcome{ID: r.id, Attempt: a.Number, Server: a.server, Result: result, Took: c.now() - a.sent,
 		Final: r.over}
@@ -645,6 +661,14 @@
 	if kind == policy.ListStored {
 		update.Kind = kind
 	}
+	for i := range l.Endpoints {
+		if e := &l.Endpoints[i]; c.binary.has(e) {
+			update.Members[i].Keyless = true // its dialect has no room for an idempotency key
+			if j := slices.IndexFunc(there, func(n upstream.Node) bool { return n.Name == e.Name }); j >= 0 {
+				there[j].Dialect = binary.Node{}
+			}
+		}
+	}
 	if update.Kind != policy.ListChanges {
 		listed := make(map[string]bool, len(there))
 		for _, n := range there {
--- /dev/null
+++ b/internal/front/binary/binary.go
@@ -0,0 +1,448 @@
+// Package binary is the front for clients that speak the memcached binary protocol. What
+// such a client can't say (class, tenant, wait, id, idempotency key) comes from the
+// routing table and, for writes, from the ticket that its last read brought.
+//
+// Invariants:
+//
+//  1. Answers come in the order of the commands. A quiet command's success (of a get: its
+//     miss) is not told, all else is.
+//  2. A write reaches a keyed class only with a ticket that lives, under a key made of it;
+//     so its repeat through any proxy is dropped or refused.
+//  3. Where users are configured, nothing but SASL, VERSION, NOOP and QUIT is carried out
+//     for a client that has not proved to be one of them, as the file in force has them.
+//  4. No length is believed before the codec has checked it, and a body is read only
+//     within the budget.
+package binary
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
+
+	codec "wrenroute/internal/binary"
+	"wrenroute/internal/front"
+	"wrenroute/internal/request"
+	"wrenroute/internal/route"
+	"wrenroute/internal/sasl"
+	"wrenroute/internal/ticket"
+)
+
+// Rules are what a configuration says of binary clients. They are replaced whole.
+type Rules struct {
+	Routes  *route.Table
+	Windows map[string]time.Duration // of keyed classes, by name
+	Users   *sasl.Users              // nil where anybody may come
+}
+
+const (
+	// A response of PLAIN is no longer than a name, a secret and what is between them.
+	maxResponse = 2*sasl.MaxName + sasl.MaxSecret + 2
+	// A connection that guesses wrong so often is closed.
+	mostGuesses = 3
+	// Logins that wait for the one being looked at. Each costs milliseconds of a
+	// proxy's one core: guessers must not keep it from requests, and tills that find
+	// no place are told to come again.
+	mostLogins = 16
+)
+
+// Front is what all binary clients of a proxy have in common.
+type Front struct {
+	rules  atomic.Pointer[Rules]
+	prefix string // of ids: no other proxy's, nor another run's of this one
+	serial atomic.Uint64
+	stats  func() (clients, open int)
+	begun  time.Time
+
+	mu    sync.Mutex
+	guard *sasl.Guard
+
+	logins  chan struct{} // one place
+	waiting atomic.Int32
+}
+
+// New returns a Front without rules, which serves nobody yet. stats counts connections
+// and open requests.
+func New(stats func() (clients, open int)) *Front {
+	var random [8]byte
+	crand.Read(random[:])
+	return &Front{prefix: "b" + hex.EncodeToString(random[:]) + "-", stats: stats, begun: time.Now(), guard: sasl.NewGuard(),
+		logins: make(chan struct{}, 1)}
+}
+
+// Put puts rules into force for what comes from now on; nil turns the front off.
+func (f *Front) Put(r *Rules) { f.rules.Store(r) }
+
+// On tells whether the front serves anybody.
+func (f *Front) On() bool { return f.rules.Load() != nil }
+
+// session is the dialect on one connection.
+type session struct {
+	front    *Front
+	host     *front.Host
+	conn     *front.Conn
+	listener string
+	user     *sasl.User // nil until it has proved to be one
+	guesses  int
+}
+
+// Session begins a session of a client that came to a listener.
+func (f *Front) Session(host *front.Host, c *front.Conn, listener string) front.Session {
+	return &session{front: f, host: host, conn: c, listener: listener}
+}
+
+// Slow implements front.Session. Half a command has no opaque to answer by.
+func (s *session) Slow() []byte { return nil }
+
+// reply is the place of a request's answer.
+type reply struct {
+	front.Slot
+	host     *front.Host
+	head     codec.Header // of the command
+	key      string       // of a get that its answer names
+	size     int          // of its body, as budgeted
+	ticketed bool
+}
+
+// Release implements core.Reply.
+func (r *reply) Release() { r.host.Bodies.Give(r.size) }
+
+// Finish implements core.Reply.
+func (r *reply) Finish(a *request.Answer) {
+	quiet := r.head.Opcode.Quiet()
+	switch a.Kind {
+	case request.Value:
+		var room [codec.HeaderLen + 4 + codec.MaxKey]byte
+		h := codec.Header{Opcode: r.head.Opcode, Key: len(r.key), Extras: 4, Body: 4 + len(r.key) + a.Size(), Opaque: r.head.Opaque,
+			CAS: ticket.New(time.Now(), rand.Uint64())}
+		head := binary.BigEndian.AppendUint32(h.Append(room[:0], codec.ResponseMagic), a.Flags)
+		r.Slot.Finish(a.Frame(append(head, r.key...), nil))
+	case request.Stored:
+		if quiet {
+			r.Silence()
+			return
+		}
+		h := codec.Header{Opcode: r.head.Opcode, Opaque: r.head.Opaque, CAS: receipt(a.Receipt)}
+		r.Slot.Finish(h.Append(nil, codec.ResponseMagic))
+	case request.Missing:
+		switch {
+		case quiet:
+			r.Silence()
+		case r.key != "":
+			h := codec.Header{Opcode: r.head.Opcode, Key: len(r.key), Status: codec.NotFound, Body: len(r.key), Opaque: r.head.Opaque}
+			r.Slot.Finish(append(h.Append(nil, codec.ResponseMagic), r.key...))
+		default:
+			r.status(codec.NotFound, 0)
+		}
+	case request.Busy:
+		if r.ticketed && a.Ran {
+			// It is harmless to repeat with this ticket alone. Who reads anew and writes
+			// again would do it twice, so it must not pass for never done.
+			r.status(codec.Temporary, 0)
+			return
+		}
+		r.status(codec.Busy, a.After)
+	case request.Bad:
+		r.status(codec.Invalid, 0)
+	default:
+		r.status(codec.Internal, 0)
+	}
+}
+
+func (r *reply) status(status codec.Status, after time.Duration) {
+	r.Slot.Finish(codec.AppendStatus(nil, &r.head, status, advice(after)))
+}
+
+// advice is a wait in whole milliseconds, 0 for none.
+func advice(after time.Duration) int64 {
+	if after <= 0 {
+		return 0
+	}
+	return max(after.Milliseconds(), 1)
+}
+
+// receipt is a receipt as a CAS has room for it: its number, if it is one.
+func receipt(text string) uint64 {
+	if n, err := strconv.ParseUint(text, 10, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+func (s *session) say(text []byte) { s.conn.Add(new(front.Slot)).Finish(text) }
+
+// refuse passes over a command's body and answers by a status.
+func (s *session) refuse(h *codec.Header, status codec.Status) (bool, error) {
+	if _, err := s.conn.In.Discard(h.Body); err != nil {
+		return false, err
+	}
+	s.say(codec.AppendStatus(nil, h, status, 0))
+	return false, nil
+}
+
+// mayCome tells whether a command is carried out for whoever sends it.
+func mayCome(o codec.Opcode) bool {
+	switch o {
+	case codec.SASLList, codec.SASLAuth, codec.SASLStep, codec.Version, codec.Noop, codec.Quit, codec.QuitQ:
+		return true
+	}
+	return false
+}
+
+// Command implements front.Session.
+func (s *session) Command() (lost bool, err error) {
+	in := s.conn.In
+	first, err := in.Peek(1)
+	if err != nil {
+		return false, err
+	}
+	if first[0] != codec.RequestMagic {
+		return true, nil // no command, and nothing that it could be answered by
+	}
+	b, err := in.Peek(codec.HeaderLen)
+	if err != nil {
+		return false, err
+	}
+	h, err := codec.Parse(b, codec.RequestMagic)
+	in.Discard(codec.HeaderLen) // it has been peeked at
+	if errors.Is(err, codec.ErrLength) {
+		status := codec.Invalid
+		if h.Body > codec.MaxSkip {
+			status = codec.TooLarge
+		}
+		s.say(codec.AppendStatus(nil, &h, status, 0))
+		return true, nil
+	} else if err != nil {
+		return true, nil
+	}
+	rules := s.front.rules.Load()
+	if rules == nil { // turned off since
+		_, err := s.refuse(&h, codec.NotSupported)
+		return true, err
+	}
+	if rules.Users != nil && !mayCome(h.Opcode) {
+		if s.user != nil {
+			s.user = rules.Users.Find(s.user) // its secret may have changed, or it may be gone
+		}
+		if s.user == nil {
+			return s.refuse(&h, codec.AuthError)
+		}
+	}
+	if status := h.Check(); status != codec.OK {
+		return s.refuse(&h, status)
+	}
+	switch h.Opcode {
+	case codec.Get, codec.GetQ, codec.GetK, codec.GetKQ:
+		return false, s.get(&h, rules)
+	case codec.Set, codec.SetQ:
+		return false, s.set(&h, rules)
+	case codec.Noop:
+		return s.refuse(&h, codec.OK)
+	case codec.Version:
+		s.value(&h, "1.6.0") // clients look at it for what the protocol has
+		return false, nil
+	case codec.Quit:
+		_, err := s.refuse(&h, codec.OK)
+		return true, err
+	case codec.QuitQ:
+		return true, nil
+	case codec.Stat:
+		return false, s.stat(&h)
+	case codec.SASLList:
+		s.value(&h, "PLAIN")
+		return false, nil
+	}
+	return s.login(&h, rules)
+}
+
+// value answers a command by a text.
+func (s *session) value(h *codec.Header, text string) {
+	out := codec.Header{Opcode: h.Opcode, Body: len(text), Opaque: h.Opaque}
+	s.say(append(out.Append(nil, codec.ResponseMagic), text...))
+}
+
+// stat answers by one response a figure, and an empty one.
+func (s *session) stat(h *codec.Header) error {
+	if h.Body > 0 { // there are no figures of one kind
+		_, err := s.refuse(h, codec.NotFound)
+		return err
+	}
+	clients, open := s.front.stats()
+	var out []byte
+	for _, x := range []struct {
+		name   string
+		figure int
+	}{{"uptime", int(time.Since(s.front.begun).Seconds())}, {"curr_connections", clients}, {"open_requests", open}} {
+		text := strconv.Itoa(x.figure)
+		one := codec.Header{Opcode: h.Opcode, Key: len(x.name), Body: len(x.name) + len(text), Opaque: h.Opaque}
+		out = append(append(one.Append(out, codec.ResponseMagic), x.name...), text...)
+	}
+	last := codec.Header{Opcode: h.Opcode, Opaque: h.Opaque}
+	s.say(last.Append(out, codec.ResponseMagic))
+	return nil
+}
+
+// fits tells whether a key can be said in every dialect of a node.
+func fits(key string) bool {
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] == 0x7f {
+			return false
+		}
+	}
+	return utf8.ValidString(key)
+}
+
+// from is where the session's requests come from.
+func (s *session) from() route.Client {
+	c := route.Client{Listener: s.listener}
+	if s.user != nil {
+		c.User = s.user.Name
+	}
+	return c
+}
+
+func (s *session) get(h *codec.Header, rules *Rules) error {
+	var room [codec.MaxKey]byte
+	if _, err := io.ReadFull(s.conn.In, room[:h.Key]); err != nil {
+		return err
+	}
+	r := &reply{host: s.host, head: *h}
+	in := &request.Request{Verb: request.Get, Key: string(room[:h.Key]), Room: codec.HeaderLen + 4}
+	if h.Opcode.NamesKey() {
+		r.key = in.Key
+		in.Room += len(in.Key)
+	}
+	if !fits(in.Key) {
+		s.say(codec.AppendStatus(nil, h, codec.Invalid, 0))
+		return nil
+	}
+	if !rules.Routes.Route(in, false, s.from()) {
+		s.say(codec.AppendStatus(nil, h, codec.NotSupported, 0))
+		return nil
+	}
+	s.arrive(in, r)
+	return nil
+}
+
+func (s *session) set(h *codec.Header, rules *Rules) error {
+	if !s.host.Bodies.Try(h.Body) {
+		_, err := s.refuse(h, codec.Busy)
+		return err
+	}
+	r := &reply{host: s.host, head: *h, size: h.Body, ticketed: h.CAS != 0}
+	body := make([]byte, h.Body)
+	if _, err := io.ReadFull(s.conn.In, body); err != nil {
+		r.Release()
+		return err
+	}
+	in := &request.Request{Verb: request.Set, Flags: binary.BigEndian.Uint32(body), Key: string(body[h.Extras : h.Extras+h.Key]),
+		Value: body[h.Extras+h.Key:]}
+	if status := s.routeSet(in, h.CAS, rules); status != codec.OK {
+		r.Release()
+		s.say(codec.AppendStatus(nil, h, status, 0))
+		return nil
+	}
+	s.arrive(in, r)
+	return nil
+}
+
+// routeSet finds where a write belongs, and its key if it has a ticket. What can't be
+// carried out is told by another status than OK.
+func (s *session) routeSet(in *request.Request, cas uint64, rules *Rules) codec.Status {
+	if !fits(in.Key) {
+		return codec.Invalid
+	}
+	if !rules.Routes.Route(in, cas != 0, s.from()) {
+		return codec.NotSupported
+	}
+	window := rules.Windows[in.Class]
+	switch {
+	case window == 0 && cas != 0:
+		return codec.NotSupported // no node of ours compares
+	case window == 0:
+		return codec.OK
+	case cas == 0:
+		return codec.Invalid // nothing could drop its repeats
+	}
+	left := ticket.Left(cas, time.Now(), window)
+	if left <= 0 {
+		return codec.Exists // a late repeat, for all that can be told: read, and see
+	}
+	in.Wait = min(in.Wait, left)
+	in.Idempotency = ticket.Key(cas, in.Key, in.Value)
+	return codec.OK
+}
+
+func (s *session) arrive(in *request.Request, r *reply) {
+	in.ID = s.front.prefix + strconv.FormatUint(s.front.serial.Add(1), 36)
+	s.conn.Add(&r.Slot)
+	if r.Held = s.host.Core.Arrive(in, r); r.Held == nil {
+		r.Release()
+	}
+}
+
+// login looks at a client's proof. Three wrong ones end the connection, and how many are
+// looked at is bounded by their source.
+func (s *session) login(h *codec.Header, rules *Rules) (lost bool, err error) {
+	if h.Value() > maxResponse {
+		return s.refuse(h, codec.AuthError)
+	}
+	body := make([]byte, h.Body)
+	if _, err := io.ReadFull(s.conn.In, body); err != nil {
+		return false, err
+	}
+	status := codec.AuthError
+	name, secret, ok := sasl.Plain(body[h.Key:])
+	if ok && h.Opcode == codec.SASLAuth && string(body[:h.Key]) == "PLAIN" && rules.Users != nil {
+		status = s.check(rules.Users, name, secret)
+	}
+	switch status {
+	case codec.OK:
+		s.value(h, "Authenticated")
+		return false, nil
+	case codec.AuthError:
+		s.guesses++
+	}
+	s.say(codec.AppendStatus(nil, h, status, advice(loginPause)))
+	return s.guesses >= mostGuesses, nil
+}
+
+// loginPause is when a login that found no place may come again.
+const loginPause = 200 * time.Millisecond
+
+func (s *session) check(users *sasl.Users, name, secret string) codec.Status {
+	f, source := s.front, s.conn.Peer()
+	s.user = nil
+	if f.waiting.Add(1) > mostLogins {
+		f.waiting.Add(-1)
+		return codec.Busy
+	}
+	f.logins <- struct{}{} // each before it ends within one derivation
+	defer func() {
+		<-f.logins
+		f.waiting.Add(-1)
+	}()
+	f.mu.Lock()
+	allowed := f.guard.Allow(time.Now(), source)
+	f.mu.Unlock()
+	if !allowed {
+		return codec.AuthError
+	}
+	if s.user = users.Check(name, secret); s.user == nil {
+		return codec.AuthError
+	}
+	f.mu.Lock()
+	f.guard.Good(time.Now(), source)
+	f.mu.Unlock()
+	return codec.OK
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -40,6 +40,9 @@
 	// sender is reset all the same, after it was told.
 	LingerTime  = 300 * time.Millisecond
 	lingerBytes = 256 << 10
+	// A client whose last command was answered by silence has its answer only with
+	// the next one that speaks: it is waited for so long, also in a drain.
+	owedTime    = 2500 * time.Millisecond
 	writeMost   = 64 << 10 // bytes in one write
 	smallAnswer = 512      // an answer up to this size is not budgeted
 )
@@ -81,6 +84,7 @@
 	finished bool      // half closed: nothing more is answered
 	gone     bool      // nothing can be written any more
 	since    time.Time // of the last answer
+	owed     time.Time // when the first silent answer was had that nothing has followed; zero for none
 	writing  time.Time // since when a write has been out, zero for none
 }
 
@@ -91,6 +95,12 @@
 	text []byte // nil until it is answered; under conn.mu
 }
 
+// Peer returns the host that the client's connection comes from.
+func (c *Conn) Peer() string {
+	host, _, _ := net.SplitHostPort(c.socket.RemoteAddr().String())
+	return host
+}
+
 // New returns a connection that is yet to be served.
 func New(host *Host, socket *net.TCPConn) *Conn {
 	c := &Conn{host: host, socket: socket, In: bufio.NewReaderSize(socket, clientBuffer), since: time.Now()}
@@ -155,8 +165,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := time.Now().Add(commandTime)
-	if c.ending && c.until.Before(until) {
-		until = c.until
+	if cutoff := c.cutoff(); c.ending && cutoff.Before(until) {
+		until = cutoff
 	}
 	c.socket.SetReadDeadline(until)
 }
@@ -224,7 +234,7 @@
 	switch {
 	case c.late():
 		return ending
-	case c.In.Buffered() > 0 || !c.quiet() || upstream.Pending(c.socket):
+	case c.In.Buffered() > 0 || !c.quiet() || upstream.Pending(c.socket) || c.owing(time.Now()):
 	case c.closing:
 		c.socket.Close() // its last answer has long been taken: nothing to linger for
 		return closed
@@ -237,7 +247,7 @@
 	c.closing = false
 	var until time.Time
 	if c.ending {
-		until = c.until
+		until = c.cutoff()
 	}
 	c.socket.SetReadDeadline(until)
 	return resting
@@ -279,13 +289,25 @@
 func (c *Conn) endBy(until time.Time) {
 	c.ending, c.until = true, until
 	if c.busy && !c.finished { // a command that is half there
-		c.socket.SetReadDeadline(until)
+		c.socket.SetReadDeadline(c.cutoff())
 	}
 	c.wake()
 }
 
 // late tells whether commands come too late to be taken. c.mu is held.
-func (c *Conn) late() bool { return c.ending && !time.Now().Before(c.until) }
+func (c *Conn) late() bool { return c.ending && !time.Now().Before(c.cutoff()) }
+
+// cutoff is when an ending connection takes no more commands. c.mu is held.
+func (c *Conn) cutoff() time.Time {
+	if now := time.Now(); c.owing(now) && c.until.Before(c.owed.Add(owedTime)) {
+		return c.owed.Add(owedTime)
+	}
+	return c.until
+}
+
+// owing tells whether the client waits for a sign that what was answered by silence is
+// done: closing now would leave it without any answer. c.mu is held.
+func (c *Conn) owing(now time.Time) bool { return !c.owed.IsZero() && now.Sub(c.owed) < owedTime }
 
 // linger answers what was read, half closes the connection, and reads on until the
 // client closes too.
@@ -312,7 +334,9 @@
 // idles tells whether nothing is under way on the connection, nor will it end by
 // itself. An answer in writing is under way: the writer may wait for its
 // client, or for the core. c.mu is held.
-func (c *Conn) idles() bool { return !c.busy && c.quiet() && !c.ending && !c.closing }
+func (c *Conn) idles() bool {
+	return !c.busy && c.quiet() && !c.ending && !c.closing && !c.owing(time.Now())
+}
 
 // CloseIdle closes a connection that idles, if the reader finds that it still does.
 func (c *Conn) CloseIdle() {
@@ -331,6 +355,9 @@
 	return c.writing
 }
 
+// Silence answers a command by nothing.
+func (r *Slot) Silence() { r.Finish([]byte{}) }
+
 // Finish sets the answer of a command. One that finds no room among those held
 // for clients slow to take theirs becomes a failure.
 func (r *Slot) Finish(text []byte) {
@@ -363,7 +390,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
-		texts := c.ready()
+		texts, taken := c.ready()
 		switch {
 		case c.gone:
 			c.host.release(texts)
@@ -371,6 +398,12 @@
 				c.host.release(net.Buffers{r.text})
 			}
 			return
+		case len(texts) == 0 && taken:
+			c.since = time.Now()
+			if c.ending && c.quiet() {
+				c.wake()
+			}
+			c.changed.Broadcast()
 		case len(texts) == 0:
 			c.changed.Wait()
 		default:
@@ -393,15 +426,19 @@
 	}
 }
 
-// ready takes the answers that can be written now off the replies.
-func (c *Conn) ready() (texts net.Buffers) {
-	for size := 0; len(c.replies) > 0 && c.replies[0].text != nil && size < writeMost; {
-		text := c.replies[0].text
-		texts, size = append(texts, text), size+len(text)
+// ready takes the answers that can be written now off the replies, and tells whether
+// there were any, silent ones among them. c.mu is held.
+func (c *Conn) ready() (texts net.Buffers, taken bool) {
+	for size := 0; len(c.replies) > 0 && c.replies[0].text != nil && size < writeMost; taken = true {
+		if text := c.replies[0].text; len(text) > 0 {
+			texts, size, c.owed = append(texts, text), size+len(text), time.Time{}
+		} else if c.owed.IsZero() {
+			c.owed = time.Now()
+		}
 		c.replies[0] = nil
 		c.replies = c.replies[1:]
 	}
-	return texts
+	return texts, taken
 }
 
 func isTimeout(err error) bool {
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -192,6 +192,9 @@
 	if r.Idempotency != "" {
 		dst = append(append(dst, ",k="...), r.Idempotency...)
 	}
+	if r.Flags != 0 { // nodes that keep them say so (memcached's meta commands); others turn it away
+		dst = strconv.AppendUint(append(dst, " F"...), uint64(r.Flags), 10)
+	}
 	return append(dst, '\r', '\n')
 }
 
@@ -226,7 +229,7 @@
 	if served && string(first.ID) != r.ID || len(first.ID) > 0 && string(first.ID) != r.ID {
 		return a, fmt.Errorf("%w: answer to %q where %q is due", ErrAnswer, first.ID, r.ID)
 	}
-	if served && (first.Kind == request.Value) != (r.Verb == request.Get) {
+	if served && (first.Kind == request.Value) != (r.Verb == request.Get) || first.Kind == request.Missing && r.Verb != request.Get {
 		return a, fmt.Errorf("%w: answer to another kind of command", ErrAnswer)
 	}
 	a = request.Answer{Kind: first.Kind, Hit: first.Hit, Miss: first.Miss, Shared: first.Shared, Receipt: string(first.Receipt),
@@ -271,6 +274,11 @@
 		a.Kind, a.Size = request.Value, n
 	case "HD":
 		a.Kind = request.Stored
+	case "EN":
+		if a.Kind = request.Missing; len(rest) > 0 {
+			return a, ErrAnswer
+		}
+		return a, nil
 	case "SERVER_ERROR":
 		a.Kind = request.Failed
 		var what []byte
@@ -331,6 +339,8 @@
 			dst = strconv.AppendInt(append(dst, ' '), max(a.After.Milliseconds(), 1), 10)
 		}
 		return append(dst, '\r', '\n')
+	case request.Missing:
+		return []byte("EN\r\n")
 	case request.Bad:
 		return []byte("CLIENT_ERROR " + a.Reason + "\r\n")
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -16,6 +16,7 @@
 
 	"wrenroute/internal/core"
 	"wrenroute/internal/discovery"
+	"wrenroute/internal/front/binary"
 	"wrenroute/internal/upstream"
 	"wrenroute/internal/wire"
 	"wrenroute/policy"
@@ -33,6 +34,37 @@
 	Clients      int // connections at most
 	BodyBytes    int
 	AnswerBytes  int
+	Binary       *Binary // nil where no binary clients are served
+}
+
+// Binary says how clients of the binary protocol are served.
+type Binary struct {
+	// Listen is an address of their own; "" if they come to that of all, where the first
+	// byte tells them.
+	Listen string
+	Rules  binary.Rules
+}
+
+// The names of the listeners, as routes have them.
+const (
+	MainListener   = "main"
+	BinaryListener = "binary"
+)
+
+// binaryListen is the address of binary clients' own listener, "" for none.
+func (c *Config) binaryListen() string {
+	if c.Binary == nil {
+		return ""
+	}
+	return c.Binary.Listen
+}
+
+// binaryRules are those of binary clients, nil for none.
+func (c *Config) binaryRules() *binary.Rules {
+	if c.Binary == nil {
+		return nil
+	}
+	return &c.Binary.Rules
 }
 
 const (
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -324,7 +324,7 @@
 		}
 		c.answer("VA %d O%s h1\r\n%s\r\n", len(value), c.id, value)
 	}))
-	f.server.host.Answers.Try(f.server.host.Answers.Free() - 150000)
+	f.server.doors[0].host.Answers.Try(f.server.doors[0].host.Answers.Free() - 150000)
 	u := f.connect()
 	u.read("slow")
 	<-waiting
@@ -332,7 +332,7 @@
 		u.read(fmt.Sprint(i))
 	}
 	other := f.connect() // its turn comes when the three before it are answered
-	for f.server.host.Answers.Free() > 60000 {
+	for f.server.doors[0].host.Answers.Free() > 60000 {
 		other.send("mn\r\n")
 		other.expect("MN")
 	}
@@ -351,7 +351,7 @@
 	}
 	u.send("mn\r\n")
 	u.expect("MN")
-	if free := f.server.host.Answers.Free(); free != 150000 {
+	if free := f.server.doors[0].host.Answers.Free(); free != 150000 {
 		t.Errorf("%d bytes of 150000 free when all is written", free)
 	}
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -13,8 +13,10 @@
 	"syscall"
 	"time"
 
+	codec "wrenroute/internal/binary"
 	"wrenroute/internal/core"
 	"wrenroute/internal/front"
+	"wrenroute/internal/front/binary"
 	"wrenroute/internal/front/meta"
 )
 
@@ -34,13 +36,12 @@
 // Server is a proxy at work.
 type Server struct {
 	core   *core.Core
-	host   *front.Host
+	binary *binary.Front
 	config *Config // in force; written by Reload only
 	log    *slog.Logger
 	most   int // clients
 
-	listener *net.TCPListener
-	shared   bool // another process holds the listener too
+	doors []*door // the main one first
 
 	mu       sync.Mutex
 	changed  sync.Cond
@@ -51,6 +52,13 @@
 	late     *time.Timer // ends the drain
 }
 
+// door is a listener and what its clients have in common.
+type door struct {
+	*net.TCPListener
+	shared bool // another process holds it too
+	host   *front.Host
+}
+
 // Listen returns a Server that has its address; Serve puts it to work. With
 // a listener it takes that, which another process may hold too, in place of
 // opening config.Listen.
@@ -60,19 +68,46 @@
 		return nil, err
 	}
 	s := &Server{core: core, config: config, log: log, most: config.Clients, clients: make(map[*front.Conn]struct{}),
-		listener: listener, shared: listener != nil, longest: longestDeadline(&config.Policy)}
-	s.host = &front.Host{Core: core, Bodies: front.NewBudget(config.BodyBytes), Answers: front.NewBudget(config.AnswerBytes),
-		Session: func(c *front.Conn, _ byte) front.Session { return meta.New(s.host, c) }}
+		longest: longestDeadline(&config.Policy)}
 	s.changed.L = &s.mu
-	if s.shared {
-		return s, nil
+	s.binary = binary.New(s.Load)
+	s.binary.Put(config.binaryRules())
+	bodies, answers := front.NewBudget(config.BodyBytes), front.NewBudget(config.AnswerBytes)
+	open := func(address string, listener *net.TCPListener, session func(*front.Host, *front.Conn, byte) front.Session) error {
+		d := &door{TCPListener: listener, shared: listener != nil}
+		d.host = &front.Host{Core: core, Bodies: bodies, Answers: answers}
+		d.host.Session = func(c *front.Conn, first byte) front.Session { return session(d.host, c, first) }
+		if !d.shared {
+			lc := net.ListenConfig{KeepAlive: -1}
+			opened, err := lc.Listen(context.Background(), "tcp", address)
+			if err != nil {
+				return fmt.Errorf("listen: %w", err)
+			}
+			d.TCPListener = opened.(*net.TCPListener)
+		}
+		s.doors = append(s.doors, d)
+		return nil
+	}
+	own := config.binaryListen()
+	err = open(config.Listen, listener, func(host *front.Host, c *front.Conn, first byte) front.Session {
+		if first == codec.RequestMagic && own == "" && s.binary.On() {
+			return s.binary.Session(host, c, MainListener)
+		}
+		return meta.New(host, c)
+	})
+	if err == nil && own != "" {
+		err = open(own, nil, func(host *front.Host, c *front.Conn, _ byte) front.Session {
+			return s.binary.Session(host, c, BinaryListener)
+		})
 	}
-	lc := net.ListenConfig{KeepAlive: -1}
-	opened, err := lc.Listen(context.Background(), "tcp", config.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		for _, d := range s.doors {
+			if !d.shared {
+				d.Close()
+			}
+		}
+		return nil, err
 	}
-	s.listener = opened.(*net.TCPListener)
 	return s, nil
 }
 
@@ -88,7 +123,15 @@
 }
 
 // Address returns the address that clients connect to.
-func (s *Server) Address() net.Addr { return s.listener.Addr() }
+func (s *Server) Address() net.Addr { return s.doors[0].Addr() }
+
+// BinaryAddress returns the address of binary clients' own listener, nil for none.
+func (s *Server) BinaryAddress() net.Addr {
+	if len(s.doors) < 2 {
+		return nil
+	}
+	return s.doors[1].Addr()
+}
 
 // Follow takes of a new configuration what the platform changes in service: the
 // place of the list. What else differs is named in the log and waits for a
@@ -118,6 +161,9 @@
 	}{
 		{"name", now.Name, next.Name},
 		{"listen", now.Listen, next.Listen},
+		{"binary.listen", now.binaryListen(), next.binaryListen()},
+		{"binary.nodes", strings.Join(now.BinaryNodes.Names, ","), strings.Join(next.BinaryNodes.Names, ",")},
+		{"binary.types", strings.Join(now.BinaryNodes.Types, ","), strings.Join(next.BinaryNodes.Types, ",")},
 		{"limits.cores", now.Cores, next.Cores},
 		{"limits.memory_mb", now.Memory >> 20, next.Memory >> 20},
 		{"limits.sockets", now.Sockets, next.Sockets},
@@ -136,6 +182,7 @@
 	// Requests under the old rules may be open for as long as those allow.
 	s.longest = max(s.longest, longestDeadline(&next.Policy))
 	s.mu.Unlock()
+	s.binary.Put(next.binaryRules())
 	s.put(next)
 	return nil
 }
@@ -157,14 +204,18 @@
 	tasks.Go(func() { s.core.Run(working) })
 	tasks.Go(func() { s.sweep(working) })
 	var accepting sync.WaitGroup
-	accepting.Go(func() { s.accept() })
+	for _, d := range s.doors {
+		accepting.Go(func() { s.accept(d) })
+	}
 	<-ctx.Done()
 	s.endAccepting()
 	accepting.Wait()
-	if s.shared {
-		s.listener.Close() // what the backlog holds is for the other process
-	} else {
-		s.closeListener()
+	for _, d := range s.doors {
+		if d.shared {
+			d.Close() // what the backlog holds is for the other process
+		} else {
+			s.closeDoor(d)
+		}
 	}
 	s.drain()
 	stop()
@@ -178,29 +229,31 @@
 	defer s.mu.Unlock()
 	s.draining = true
 	// Accept returns what the backlog holds before it heeds a deadline to come.
-	until := time.Now().Add(acceptTime)
-	if s.shared || s.hurried {
-		until = time.Now()
+	for _, d := range s.doors {
+		until := time.Now().Add(acceptTime)
+		if d.shared || s.hurried {
+			until = time.Now()
+		}
+		d.SetDeadline(until)
 	}
-	s.listener.SetDeadline(until)
 }
 
-// closeListener takes what the backlog still holds and closes at once: what comes up
+// closeDoor takes what the backlog still holds and closes at once: what comes up
 // in between is reset with its request, so there must be nothing in between. Some
 // microseconds are left; a listener that the service manager holds leaves none.
-func (s *Server) closeListener() {
-	raw, err := s.listener.SyscallConn()
+func (s *Server) closeDoor(d *door) {
+	raw, err := d.SyscallConn()
 	if err == nil {
 		for more := true; more; {
-			raw.Control(func(fd uintptr) { more = s.acceptFrom(int(fd)) })
+			raw.Control(func(fd uintptr) { more = s.acceptFrom(d, int(fd)) })
 		}
 	}
-	s.listener.Close()
+	d.Close()
 }
 
-// acceptFrom takes a connection from a listener's descriptor without waiting for
+// acceptFrom takes a connection from a door's descriptor without waiting for
 // one, and tells whether there was one.
-func (s *Server) acceptFrom(fd int) bool {
+func (s *Server) acceptFrom(d *door, fd int) bool {
 	accepted, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR)
@@ -208,7 +261,7 @@
 	file := os.NewFile(uintptr(accepted), "")
 	defer file.Close()
 	if socket, err := net.FileConn(file); err == nil {
-		s.admit(socket.(*net.TCPConn))
+		s.admit(d, socket.(*net.TCPConn))
 	}
 	return true
 }
@@ -223,7 +276,9 @@
 	}
 	s.hurried = true
 	if s.draining {
-		s.listener.SetDeadline(time.Now())
+		for _, d := range s.doors {
+			d.SetDeadline(time.Now())
+		}
 	}
 	for c := range s.clients {
 		c.Hurry()
@@ -233,13 +288,13 @@
 	}
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(d *door) {
 	for {
 		s.makeRoom()
-		socket, err := s.listener.AcceptTCP()
+		socket, err := d.AcceptTCP()
 		switch {
 		case err == nil:
-			s.admit(socket)
+			s.admit(d, socket)
 		case errors.Is(err, net.ErrClosed) || isTimeout(err):
 			return
 		default: // short of descriptors or buffers: what waits stays in the backlog
@@ -250,8 +305,8 @@
 }
 
 // admit takes a client's connection. It ends with the client, or with drain.
-func (s *Server) admit(socket *net.TCPConn) {
-	c := front.New(s.host, socket)
+func (s *Server) admit(d *door, socket *net.TCPConn) {
+	c := front.New(d.host, socket)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/rehearse/binary.go
@@ -0,0 +1,196 @@
+package rehearse
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	codec "wrenroute/internal/binary"
+	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
+)
+
+// This file holds the clients that speak the binary protocol. What they send has no id:
+// a write is known by its value, and a read that crossed a close by nothing.
+
+// appendGet appends a get, or another command that is nothing but a key.
+func appendGet(dst []byte, op codec.Opcode, key string, opaque uint32) []byte {
+	h := codec.Header{Opcode: op, Key: len(key), Body: len(key), Opaque: opaque}
+	return append(h.Append(dst, codec.RequestMagic), key...)
+}
+
+// appendSet appends a set.
+func appendSet(dst []byte, op codec.Opcode, key, value string, opaque uint32, cas uint64) []byte {
+	h := codec.Header{Opcode: op, Key: len(key), Extras: 8, Body: 8 + len(key) + len(value), Opaque: opaque, CAS: cas}
+	dst = append(h.Append(dst, codec.RequestMagic), 0, 0, 0, 0, 0, 0, 0, 0)
+	return append(append(dst, key...), value...)
+}
+
+// command is a request's text, and what a node would know it by.
+func (l *link) command(e *errand) (text []byte, id string) {
+	l.opaque++
+	if e.kind.write {
+		return appendSet(nil, codec.Set, e.key, e.value, l.opaque, e.ticket), e.value
+	}
+	return appendGet(nil, codec.Get, e.key, l.opaque), fmt.Sprintf("opaque-%d", l.opaque)
+}
+
+// response is a whole response.
+type response struct {
+	codec.Header
+	key, value string
+}
+
+func readResponse(in io.Reader) (r response, err error) {
+	var head [codec.HeaderLen]byte
+	if _, err = io.ReadFull(in, head[:]); err != nil {
+		return r, err
+	}
+	if r.Header, err = codec.Parse(head[:], codec.ResponseMagic); err != nil {
+		return r, fmt.Errorf("%w: %w", meta.ErrAnswer, err)
+	}
+	body := make([]byte, r.Body)
+	if _, err = io.ReadFull(in, body); err != nil {
+		return r, err
+	}
+	r.key, r.value = string(body[r.Extras:r.Extras+r.Key]), string(body[r.Extras+r.Key:])
+	return r, nil
+}
+
+// binaryAnswer reads the answer to the last command as one of the other dialect would
+// be read. A ticket that lives no more is of kind Bad.
+func (l *link) binaryAnswer() (a meta.Line, value []byte, cas uint64, err error) {
+	r, err := readResponse(l.in)
+	if err != nil {
+		return a, nil, 0, err
+	}
+	if r.Opaque != l.opaque {
+		return a, nil, 0, fmt.Errorf("%w: opaque %d where %d is due", meta.ErrAnswer, r.Opaque, l.opaque)
+	}
+	a.Kind = request.Failed
+	switch r.Status {
+	case codec.OK:
+		a.Kind, a.Receipt = request.Stored, binary.BigEndian.AppendUint64(nil, r.CAS)
+		if r.Opcode == codec.Get {
+			a.Kind = request.Value
+		}
+	case codec.NotFound:
+		a.Kind = request.Missing
+	case codec.Exists:
+		a.Kind = request.Bad
+	case codec.Busy:
+		a.Kind = request.Busy
+		if _, ms, ok := strings.Cut(r.value, " "); ok {
+			a.Size, _ = strconv.Atoi(ms)
+		}
+	}
+	return a, []byte(r.value), r.CAS, nil
+}
+
+// fetchTicket reads the record that a write is for, as a till does.
+func (c *clients) fetchTicket(d *proxyDoor, l *link, e *errand, wait time.Duration) ending {
+	l.opaque++
+	sent := time.Now()
+	c.tally.sent()
+	l.socket.SetDeadline(sent.Add(wait))
+	_, err := l.socket.Write(appendGet(nil, codec.Get, e.key, l.opaque))
+	if err == nil {
+		var a meta.Line
+		var value []byte
+		var cas uint64
+		if a, value, cas, err = l.binaryAnswer(); err == nil {
+			if a.Kind == request.Value && !strings.HasPrefix(string(value), e.key+" ") {
+				l.socket.Close()
+				c.tally.wrong("proxy %d answered a read of %s with %q", d.index, e.key, value)
+				return refused
+			}
+			if a.Kind == request.Value {
+				e.ticket = cas
+				return served
+			}
+			c.keep(d, l)
+			return refused // nothing was written
+		}
+	}
+	as, _ := c.silence(d, l, fmt.Sprintf("opaque-%d", l.opaque), sent, wait, err)
+	if as == silent || as == failed {
+		return refused // it was but a read
+	}
+	return as
+}
+
+// quietPipeline is a client that writes many quiet reads and the NOOP that ends them
+// at once, over and over, as pipeline does it in the other dialect. Misses, which are
+// silent, are among them where the origin lacks keys.
+func (c *clients) quietPipeline(ctx context.Context, number int) {
+	for ctx.Err() == nil {
+		d := c.pick()
+		if d == nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		l, err := dial(d.address)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		l.binary = true
+		for err == nil && ctx.Err() == nil {
+			err = c.quietRound(d, l, number)
+		}
+		l.socket.Close()
+	}
+}
+
+// quietRound is one round of a quiet pipeline.
+func (c *clients) quietRound(d *proxyDoor, l *link, number int) error {
+	var text []byte
+	keys := map[uint32]string{}
+	from := l.opaque
+	for i := range c.load.Depth {
+		l.opaque++
+		key := fmt.Sprintf("quiet%d.%d", number, i)
+		if lacks := c.fleet.scenario.Fleet.Lacks; lacks != "" && i%4 == 3 {
+			key = lacks + key
+		}
+		keys[l.opaque] = key
+		text = appendGet(text, codec.GetKQ, key, l.opaque)
+		c.tally.sent()
+	}
+	l.opaque++
+	text = appendGet(text, codec.Noop, "", l.opaque)
+	wait := c.kinds[0].deadline
+	l.socket.SetDeadline(time.Now().Add(wait + watchTime + c.tally.slackNow()))
+	_, err := l.socket.Write(text)
+	for last := from; err == nil; {
+		var r response
+		if r, err = readResponse(l.in); err != nil {
+			break
+		}
+		if r.Opaque <= last || r.Opaque > l.opaque {
+			c.tally.wrong("proxy %d answered opaque %d after %d in a quiet pipeline", d.index, r.Opaque, last)
+			return meta.ErrAnswer
+		}
+		if last = r.Opaque; r.Opcode == codec.Noop {
+			l.used = true
+			return nil
+		}
+		key := keys[r.Opaque]
+		if lacks := c.fleet.scenario.Fleet.Lacks; r.Status == codec.NotFound || r.Status == codec.OK &&
+			(r.key != key || !strings.HasPrefix(r.value, key+" ") || lacks != "" && strings.HasPrefix(key, lacks)) {
+			c.tally.wrong("proxy %d answered %q of a quiet pipeline with status %d and %q", d.index, key, r.Status, r.value)
+			return meta.ErrAnswer
+		}
+	}
+	if isTimeout(err) {
+		c.tally.lose("proxy %d never answered the end of a quiet pipeline", d.index)
+		return err
+	}
+	l.used = true // what the proxy has not read is asked for elsewhere
+	c.broken(d, l, "", time.Now(), err)
+	return err
+}
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -48,7 +48,7 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	zipf  *rand.Zipf
-	pools [][]*link // by proxy, idle, the latest last
+	pools [][]*link // by proxy and dialect, idle, the latest last
 }
 
 // link is a client's connection to a proxy.
@@ -58,13 +58,15 @@
 	opened time.Time
 	idle   time.Time
 	used   bool // it has carried a request
+	binary bool
+	opaque uint32 // of the last command, if it is binary
 }
 
 func newClients(f *fleet, t *tally) *clients {
 	l := f.scenario.Load
 	rng := rand.New(rand.NewPCG(f.scenario.Seed, 5))
 	return &clients{fleet: f, load: l, tally: t, rng: rng, zipf: rand.NewZipf(rng, l.Skew, 4, uint64(l.Keys-1)),
-		pools: make([][]*link, len(f.proxies)),
+		pools: make([][]*link, 2*len(f.proxies)),
 		kinds: [2]kind{{name: "read", aim: 500 * time.Millisecond, deadline: 2 * time.Second},
 			{name: "write", write: true, aim: 750 * time.Millisecond, deadline: 2500 * time.Millisecond,
 				window: time.Duration(f.scenario.Fleet.Window)}}}
@@ -76,6 +78,9 @@
 	key, idempotency, tenant string
 	share                    float64 // of the deadline that a try waits
 	marked                   bool
+	value                    string // of a write: no other has it
+	binary                   bool
+	ticket                   uint64 // of a binary write; 0 for none yet
 }
 
 // draw makes up the next request, and the time until the one after it.
@@ -85,11 +90,13 @@
 	r := c.rng
 	e := &errand{plan: plan{kind: c.kinds[0], retries: c.load.Retries, pause: time.Duration(20+r.IntN(140)) * time.Millisecond,
 		honour: r.Float64() < c.load.Honour}, share: 0.3 + r.Float64()*0.25, marked: r.Float64() < c.load.Marked}
+	e.binary = c.load.Binary > 0 && r.Float64() < c.load.Binary
 	switch {
 	case r.Float64() < c.load.Handovers:
 		e.kind = c.kinds[1]
 		e.key = fmt.Sprint("h", r.IntN(c.load.Keys))
 		e.idempotency = fmt.Sprintf("%x", c.serial.Add(1))
+		e.value = "h" + e.idempotency
 	case r.Float64() < c.load.OneOff:
 		e.key = fmt.Sprint("once", c.serial.Add(1))
 	default:
@@ -104,6 +111,10 @@
 // run sends requests until ctx ends, and returns when all of them are over.
 func (c *clients) run(ctx context.Context) {
 	for i := range c.load.Pipelines {
+		if c.load.Binary > 0 && i%2 == 1 {
+			c.tasks.Go(func() { c.quietPipeline(ctx, i) })
+			continue
+		}
 		c.tasks.Go(func() { c.pipeline(ctx, i) })
 	}
 	if c.load.Rate > 0 {
@@ -182,22 +193,35 @@
 }
 
 // connect returns a kept connection to a proxy, or a new one.
-func (c *clients) connect(d *proxyDoor) (*link, error) {
+func (c *clients) connect(d *proxyDoor, binary bool) (*link, error) {
 	c.mu.Lock()
-	pool := c.pools[d.index]
+	place := poolOf(d, binary)
+	pool := c.pools[place]
 	for len(pool) > 0 {
 		l := pool[len(pool)-1]
 		pool = pool[:len(pool)-1]
 		if time.Since(l.idle) < keepTime {
-			c.pools[d.index] = pool
+			c.pools[place] = pool
 			c.mu.Unlock()
 			return l, nil
 		}
 		l.socket.Close()
 	}
-	c.pools[d.index] = pool
+	c.pools[place] = pool
 	c.mu.Unlock()
-	return dial(d.address)
+	l, err := dial(d.address)
+	if err == nil {
+		l.binary = binary
+	}
+	return l, err
+}
+
+// poolOf is the pool of a proxy's connections of one dialect.
+func poolOf(d *proxyDoor, binary bool) int {
+	if binary {
+		return 2*d.index + 1
+	}
+	return 2 * d.index
 }
 
 func dial(address string) (*link, error) {
@@ -212,7 +236,8 @@
 	l.idle, l.used = time.Now(), true
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pools[d.index] = append(c.pools[d.index], l)
+	place := poolOf(d, l.binary)
+	c.pools[place] = append(c.pools[place], l)
 }
 
 // command is a request's text for a proxy, and the id that it was given.
@@ -220,7 +245,7 @@
 	id = fmt.Sprintf("p%d-%x", proxy, c.serial.Add(1))
 	var b bytes.Buffer
 	if e.kind.write {
-		fmt.Fprintf(&b, "ms %s 5 O%s Pc=%s", e.key, id, e.kind.name)
+		fmt.Fprintf(&b, "ms %s %d O%s Pc=%s", e.key, len(e.value), id, e.kind.name)
 	} else {
 		fmt.Fprintf(&b, "mg %s v O%s Pc=%s", e.key, id, e.kind.name)
 	}
@@ -236,7 +261,7 @@
 	}
 	b.WriteString("\r\n")
 	if e.kind.write {
-		b.WriteString("hello\r\n")
+		b.WriteString(e.value + "\r\n")
 	}
 	return b.Bytes(), id
 }
@@ -247,12 +272,20 @@
 	if d == nil {
 		return unopened, 0
 	}
-	l, err := c.connect(d)
+	l, err := c.connect(d, e.binary)
 	if err != nil {
 		c.tally.unopened()
 		return unopened, 0
 	}
+	if e.binary && e.kind.write && e.ticket == 0 {
+		if as := c.fetchTicket(d, l, e, wait); as != served {
+			return as, 0
+		}
+	}
 	text, id := c.command(e, d.index, wait, repeat)
+	if e.binary {
+		text, id = l.command(e)
+	}
 	sent := time.Now()
 	c.tally.sent()
 	l.socket.SetDeadline(sent.Add(wait))
@@ -260,11 +293,20 @@
 		var answer meta.Line
 		var value []byte
 		if answer, value, err = l.answer(); err == nil {
+			if e.binary && answer.Kind == request.Bad && !e.mayRun {
+				e.ticket = 0 // too old, and nothing was done under it: the next try reads anew
+				c.keep(d, l)
+				return refused, 0
+			}
 			return c.judge(d, l, e, id, &answer, value)
 		}
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	return c.silence(d, l, id, sent, wait, err)
+}
+
+// silence judges a try whose answer did not come whole.
+func (c *clients) silence(d *proxyDoor, l *link, id string, sent time.Time, wait time.Duration, err error) (ending, time.Duration) {
+	if isTimeout(err) {
 		// The client gives up, and what comes yet is watched for.
 		c.tasks.Go(func() { c.late(d, l, id, sent.Add(wait)) })
 		return silent, 0
@@ -277,6 +319,11 @@
 	return c.broken(d, l, id, sent, err), 0
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // broken judges a connection that ended with a request out.
 func (c *clients) broken(d *proxyDoor, l *link, id string, sent time.Time, err error) ending {
 	took := time.Since(sent)
@@ -329,6 +376,9 @@
 		return failed, 0
 	}
 	isRead := !e.kind.write
+	if l.binary {
+		a.ID = []byte(id) // its opaque was the command's
+	}
 	switch {
 	case a.Kind == request.Value && isRead && string(a.ID) == id && bytes.HasPrefix(value, append([]byte(e.key), ' ')),
 		a.Kind == request.Stored && !isRead && string(a.ID) == id && len(a.Receipt) > 0:
@@ -348,6 +398,10 @@
 
 // answer reads one answer. Of a refusal, Size is the advice in milliseconds.
 func (l *link) answer() (meta.Line, []byte, error) {
+	if l.binary {
+		a, value, _, err := l.binaryAnswer()
+		return a, value, err
+	}
 	line, err := l.in.ReadSlice('\n')
 	if err != nil {
 		return meta.Line{}, nil, err
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -81,13 +81,13 @@
 	for i := range p.Nodes {
 		n, err := node.Start(node.Config{Name: fmt.Sprintf("n%d", i), Slots: p.Slots, Queue: p.Queue, Work: time.Duration(p.Work),
 			Capacity: p.Capacity, Conns: p.Connections, Report: true, Seed: s.Seed + uint64(i), Origin: f.origin, Group: f.group,
-			Arrived: f.arrived})
+			Arrived: f.arrived, ByValue: true, Lacks: p.Lacks, Binary: f.speaksBinary(i)})
 		if err != nil {
 			f.close()
 			return nil, err
 		}
 		f.nodes = append(f.nodes, n)
-		f.entries = append(f.entries, list.Entry{Name: n.Name(), Address: n.Address(), Zone: p.Zones[i%len(p.Zones)], Type: "m1",
+		f.entries = append(f.entries, list.Entry{Name: n.Name(), Address: n.Address(), Zone: p.Zones[i%len(p.Zones)], Type: f.kind(i),
 			Group: i % 3, Status: "up", Weight: 1})
 	}
 	f.list = list.New(f.entries)
@@ -112,6 +112,20 @@
 	return f, nil
 }
 
+// speaksBinary tells whether a node does: the last of each so many.
+func (f *fleet) speaksBinary(i int) bool {
+	every := f.scenario.Fleet.BinaryNodes
+	return every > 0 && i%every == every-1
+}
+
+// kind is a node's type, from which proxies know its dialect.
+func (f *fleet) kind(i int) string {
+	if f.speaksBinary(i) {
+		return "b1"
+	}
+	return "m1"
+}
+
 func (f *fleet) newDoor(i int) (*proxyDoor, error) {
 	d := &proxyDoor{fleet: f, index: i, config: filepath.Join(f.folder, fmt.Sprintf("p%d.toml", i)), quota: 1000}
 	listener, err := net.Listen("tcp", proxyHost+":0")
@@ -139,7 +153,7 @@
 	if with == "fixed" {
 		sockets *= 2
 	}
-	fmt.Fprintf(&b, "name = \"p%d\"\nlisten = %q\nzones = %s\nzone = %q\ntypes = [\"m1\"]\n", d.index, d.address, quoted(p.Zones),
+	fmt.Fprintf(&b, "name = \"p%d\"\nlisten = %q\nzones = %s\nzone = %q\ntypes = [\"m1\", \"b1\"]\n", d.index, d.address, quoted(p.Zones),
 		p.Zones[d.index%len(p.Zones)])
 	if with == "broken" {
 		fmt.Fprintln(&b, "zone = \"nowhere")
@@ -149,6 +163,14 @@
 	for _, t := range s.Load.Tenants {
 		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
 	}
+	if p.Binary || p.BinaryNodes > 0 {
+		fmt.Fprintf(&b, "[binary]\nclients = %v\ntypes = [\"b1\"]\n", p.Binary)
+		for _, t := range s.Load.Tenants[:min(len(s.Load.Tenants), 1)] { // without tenants the usual routes will do
+			for _, r := range [][2]string{{"read", "read"}, {"ticketed", "write"}, {"plain", "plain"}} {
+				fmt.Fprintf(&b, "[[route]]\nverb = %q\nclass = %q\ntenant = %q\n", r[0], r[1], t)
+			}
+		}
+	}
 	text := b.Bytes()
 	if with == "half" {
 		text = text[:len(text)/3]
@@ -166,22 +188,47 @@
 	return "[" + strings.Join(texts, ", ") + "]"
 }
 
-// arrived is told each request that comes to a node.
-func (f *fleet) arrived(name, id string, at time.Time) {
+// arrived is told each request that comes to a node. Of one that a binary client
+// sent, or that came to a binary node, neither id nor proxy is known: a write is known by
+// its value then, and a drain counts as told when the last proxy was.
+func (f *fleet) arrived(name, id, value string, at time.Time) {
 	proxy := proxyOf(id)
-	told, draining := f.list.DrainTold(proxy, name)
+	if proxy < 0 {
+		id = value
+	}
+	told, draining := f.drainTold(proxy, name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.Sub(f.turned) > seenTime {
 		f.seen[0], f.seen[1], f.turned = f.seen[1], make(map[string]struct{}), at
 	}
-	f.seen[1][id] = struct{}{}
+	if id != "" {
+		f.seen[1][id] = struct{}{}
+	}
 	if by := at.Sub(told); draining && by > drainGrace {
 		f.late++
 		f.lateBy = max(f.lateBy, by)
 	}
 }
 
+// drainTold returns when a proxy was told that a node drains; with a negative number,
+// when the last of all was.
+func (f *fleet) drainTold(proxy int, node string) (last time.Time, draining bool) {
+	if proxy >= 0 {
+		return f.list.DrainTold(proxy, node)
+	}
+	for i := range f.scenario.Fleet.Proxies {
+		told, draining := f.list.DrainTold(i, node)
+		if !draining {
+			return last, false
+		}
+		if told.After(last) {
+			last = told
+		}
+	}
+	return last, true
+}
+
 // wasSeen tells whether a node has seen a request lately.
 func (f *fleet) wasSeen(id string) bool {
 	f.mu.Lock()
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -47,19 +47,22 @@
 	Proxies      int
 	Nodes        int
 	Zones        []string
-	Slots        int  // of a node
-	Queue        int  // of a node
-	Work         span // of a node for a request
-	Capacity     int  // keys that a node keeps
-	Connections  int  // that a node holds
-	Window       span // in which nodes drop repeats
-	OriginSlots  int  `toml:"origin_slots"`
-	OriginQueue  int  `toml:"origin_queue"`
-	OriginWork   span `toml:"origin_work"`
-	MemoryMB     int  `toml:"memory_mb"` // of a proxy
-	Sockets      int  // of a proxy
-	PerNode      int  `toml:"connections_per_node"` // of a proxy
-	PassedSocket int  `toml:"passed_socket"`        // every so many-th proxy is passed its listener; 0 for none
+	Slots        int    // of a node
+	Queue        int    // of a node
+	Work         span   // of a node for a request
+	Capacity     int    // keys that a node keeps
+	Connections  int    // that a node holds
+	Window       span   // in which nodes drop repeats
+	OriginSlots  int    `toml:"origin_slots"`
+	OriginQueue  int    `toml:"origin_queue"`
+	OriginWork   span   `toml:"origin_work"`
+	MemoryMB     int    `toml:"memory_mb"` // of a proxy
+	Sockets      int    // of a proxy
+	PerNode      int    `toml:"connections_per_node"` // of a proxy
+	PassedSocket int    `toml:"passed_socket"`        // every so many-th proxy is passed its listener; 0 for none
+	Binary       bool   // proxies take binary clients too
+	BinaryNodes  int    `toml:"binary_nodes"` // every so many-th node speaks binary; 0 for none
+	Lacks        string // the origin has no key that begins so
 }
 
 // LoadPart says what clients do.
@@ -75,6 +78,12 @@
 	Pipelines int     // connections that pipeline reads, besides
 	Depth     int     // of such a pipeline
 	Tenants   []string
+	Binary    float64 // share of requests from binary clients; every other pipeline is theirs too
+}
+
+// WithBinary has one client in four speak binary, if there are any, and one node in four.
+func (s *Scenario) WithBinary() {
+	s.Fleet.Binary, s.Fleet.BinaryNodes, s.Load.Binary = true, 4, 0.25
 }
 
 // Phase is a stretch of time whose figures stand together.
@@ -169,6 +178,8 @@
 		return fmt.Errorf("fleet.nodes cannot be %d: want 1 to 1000", f.Nodes)
 	case l.Rate < 0 || l.Rate > 20000:
 		return fmt.Errorf("load.rate cannot be %v: want 0 to 20000", l.Rate)
+	case l.Binary < 0 || l.Binary > 1 || l.Binary > 0 && !f.Binary || f.BinaryNodes < 0:
+		return errors.New("load.binary wants 0 to 1, and fleet.binary; fleet.binary_nodes no less than 0")
 	case l.Skew <= 1 || l.Keys < 1 || l.Depth < 1 || l.Depth > 100 || l.Pipelines < 0 || l.Pipelines > 100:
 		return errors.New("load: want skew above 1, keys from 1, depth 1 to 100, pipelines 0 to 100")
 	case len(f.Zones) == 0:
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -32,6 +32,8 @@
 	Idempotency string        // "" for none
 	Wait        time.Duration // how long the client waits; negative if it did not say
 	Retry       bool          // marked by the client as a repetition
+	Flags       uint32        // of a Set: kept with the value by nodes whose dialect has room for it
+	Serial      uint32        // set by the core: tells answers apart where a dialect has no room for the id
 	Room        int           // bytes that the client's front puts before a value, at the most
 	Raw         Raw
 }
@@ -48,14 +50,15 @@
 // Kind is the kind of an answer.
 type Kind uint8
 
-// The kinds of answers. A node gives the first four; Bad is a front's or the
+// The kinds of answers. A node gives all but Bad, which is a front's or the
 // core's to a request that can't be meant.
 const (
-	Value  Kind = iota // a read's value
-	Stored             // a write's receipt
-	Busy               // refused: trying again is harmless
-	Failed             // it may have run
-	Bad                // never sent on
+	Value   Kind = iota // a read's value
+	Stored              // a write's receipt
+	Busy                // refused: trying again is harmless
+	Failed              // it may have run
+	Missing             // a read found that there is no such key
+	Bad                 // never sent on
 )
 
 // Answer is the answer to a request.
@@ -64,6 +67,8 @@
 	Receipt string        // of Stored
 	After   time.Duration // of Busy: when to come again, 0 for no advice
 	Reason  string        // of Bad
+	Ran     bool          // of Busy: an attempt may have run, and a repeat is harmless by its key alone
+	Flags   uint32        // of Value
 	Hit     bool          // the node had a copy
 	Miss    bool          // it had none
 	Shared  bool          // another fetch of the key was out
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,16 +16,19 @@
 	"time"
 
 	"wrenroute/internal/request"
+	"wrenroute/internal/ticket"
 )
 
-// Verb is what a rule fits: reads, writes or both.
+// Verb is what a rule fits.
 type Verb uint8
 
-// The verbs of rules.
+// The verbs of rules. Reads and writes are never fitted by one rule: what is safe to
+// repeat for the one is not for the other.
 const (
-	Any Verb = iota
-	Reads
-	Writes
+	Reads    Verb = iota
+	Writes        // of both kinds
+	Ticketed      // writes that bring a ticket, and so can be told from their repeats
+	Plain         // writes that bring none
 )
 
 // Rule routes the requests that fit all it names; what is empty fits all.
@@ -43,7 +46,9 @@
 // Class is what the table must know of a class.
 type Class struct {
 	Deadline time.Duration
-	Safe     bool // to repeat: fit for reads
+	Safe     bool          // to repeat: fit for reads
+	Window   time.Duration // in which nodes drop repeats; 0 for a class that is not keyed
+	Parts    bool          // nodes drop them only among those of one zone or cell
 }
 
 // Table is a routing table. It is not changed after New, and safe for concurrent use.
@@ -63,8 +68,17 @@
 		switch {
 		case !known:
 			wrong(i, "class cannot be %q: want a class that there is", r.Class)
-		case !class.Safe && r.Verb != Writes:
-			wrong(i, "class cannot be %q: reads want a class that is safe to repeat; or name verb write", r.Class)
+		case !class.Safe && r.Verb == Reads:
+			wrong(i, "class cannot be %q: reads want a class that is safe to repeat; or name another verb", r.Class)
+		case class.Window == 0 && r.Verb == Ticketed:
+			wrong(i, "class cannot be %q: ticketed writes want a keyed class", r.Class)
+		case class.Window > 0 && r.Verb == Plain:
+			wrong(i, "class cannot be %q: plain writes have no key, and want a class that is not keyed", r.Class)
+		case class.Parts && r.Verb != Reads:
+			// A till repeats at any proxy, which knows nothing of where the first try went.
+			wrong(i, "class cannot be %q: its nodes drop repeats in parts only, and a client's repeat may come to any", r.Class)
+		case class.Window > 0 && class.Window <= 2*ticket.Margin:
+			wrong(i, "class cannot be %q: its window of %v leaves a ticket no life; want more than %v", r.Class, class.Window, 2*ticket.Margin)
 		case r.Wait < 0 || r.Wait > class.Deadline:
 			wrong(i, "wait cannot be %v: want no more than the deadline of class %s, %v", r.Wait, r.Class, class.Deadline)
 		case r.Wait == 0:
@@ -91,21 +105,25 @@
 
 // covers tells whether all that fits s fits r too.
 func (r *Rule) covers(s *Rule) bool {
-	return strings.HasPrefix(s.Prefix, r.Prefix) && (r.Verb == Any || r.Verb == s.Verb) &&
+	return strings.HasPrefix(s.Prefix, r.Prefix) && (r.Verb == s.Verb || r.Verb == Writes && s.Verb >= Ticketed) &&
 		(r.Listener == "" || r.Listener == s.Listener) && (r.User == "" || r.User == s.User)
 }
 
 // Client is where a request came from.
 type Client struct{ Listener, User string }
 
-// Route sets a request's class, tenant and wait. It returns false, and sets nothing,
-// where no rule fits.
-func (t *Table) Route(r *request.Request, from Client) bool {
-	verb := Reads
-	if r.Verb == request.Set {
-		verb = Writes
+// Route sets a request's class, tenant and wait; ticketed is of a write that brings a
+// ticket. It returns false, and sets nothing, where no rule fits.
+func (t *Table) Route(r *request.Request, ticketed bool, from Client) bool {
+	asked := Rule{Prefix: r.Key, Listener: from.Listener, User: from.User}
+	switch {
+	case r.Verb == request.Get:
+		asked.Verb = Reads
+	case ticketed:
+		asked.Verb = Ticketed
+	default:
+		asked.Verb = Plain
 	}
-	asked := Rule{Prefix: r.Key, Verb: verb, Listener: from.Listener, User: from.User}
 	for i := range t.rules {
 		if rule := &t.rules[i]; rule.covers(&asked) {
 			r.Class, r.Tenant, r.Wait = rule.Class, rule.Tenant, rule.Wait
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -10,7 +10,8 @@
 )
 
 var (
-	classes = map[string]Class{"read": {Deadline: 2 * time.Second, Safe: true}, "put": {Deadline: 2500 * time.Millisecond}}
+	classes = map[string]Class{"read": {Deadline: 2 * time.Second, Safe: true}, "put": {Deadline: 2500 * time.Millisecond},
+		"keyed": {Deadline: 2500 * time.Millisecond, Window: 1500 * time.Millisecond}, "brief": {Deadline: time.Second, Window: 400 * time.Millisecond}}
 	tenants = map[string]bool{"north": true, "south": true}
 )
 
@@ -20,6 +21,8 @@
 		{Prefix: "order:", Verb: Reads, Class: "read", Tenant: "north"},
 		{Prefix: "done:", Verb: Writes, Class: "put", Tenant: "north"},
 		{Listener: "old", Class: "read", Tenant: "south"},
+		{Prefix: "till:", Verb: Ticketed, Class: "keyed", Tenant: "south"},
+		{Prefix: "till:", Verb: Writes, Class: "put", Tenant: "south"},
 	}, classes, tenants)
 	if err != nil {
 		t.Fatal(err)
@@ -38,10 +41,11 @@
 		{request.Set, "done:7", Client{}, "put", "north", 2500 * time.Millisecond},
 		{request.Get, "done:7", Client{}, "", "", 0},
 		{request.Get, "done:7", Client{Listener: "old"}, "read", "south", 2 * time.Second},
-		{request.Set, "x", Client{Listener: "old"}, "read", "south", 2 * time.Second},
+		{request.Set, "x", Client{Listener: "old"}, "", "", 0},
+		{request.Set, "till:7", Client{}, "put", "south", 2500 * time.Millisecond},
 	} {
 		r := request.Request{Verb: c.verb, Key: c.key}
-		if ok := table.Route(&r, c.from); ok != (c.class != "") || r.Class != c.class || r.Tenant != c.tenant || r.Wait != c.wait {
+		if ok := table.Route(&r, false, c.from); ok != (c.class != "") || r.Class != c.class || r.Tenant != c.tenant || r.Wait != c.wait {
 			t.Errorf("%+v: routed %v to %s, %s, %v", c, ok, r.Class, r.Tenant, r.Wait)
 		}
 	}
@@ -49,12 +53,16 @@
 
 func TestBadTablesAreNamed(t *testing.T) {
 	for want, rules := range map[string][]Rule{
-		`route[0].class cannot be "none"`:                         {{Class: "none", Tenant: "north"}},
-		`route[0].class cannot be "put": reads want`:              {{Class: "put", Tenant: "north"}},
-		`route[0].wait cannot be 3s`:                              {{Class: "read", Tenant: "north", Wait: 3 * time.Second}},
-		`route[0].wait cannot be -1s`:                             {{Class: "read", Tenant: "north", Wait: -time.Second}},
-		`route[0].tenant cannot be ""`:                            {{Class: "read"}},
-		`route[1].prefix: the rule is never reached, as route[0]`: {{Class: "read", Tenant: "north"}, {Prefix: "a", Class: "read", Tenant: "south"}},
+		`route[0].class cannot be "none"`:                                               {{Class: "none", Tenant: "north"}},
+		`route[0].class cannot be "put": reads want`:                                    {{Class: "put", Tenant: "north"}},
+		`route[0].wait cannot be 3s`:                                                    {{Class: "read", Tenant: "north", Wait: 3 * time.Second}},
+		`route[0].wait cannot be -1s`:                                                   {{Class: "read", Tenant: "north", Wait: -time.Second}},
+		`route[0].tenant cannot be ""`:                                                  {{Class: "read"}},
+		`route[0].class cannot be "put": ticketed`:                                      {{Verb: Ticketed, Class: "put", Tenant: "north"}},
+		`route[0].class cannot be "keyed": plain`:                                       {{Verb: Plain, Class: "keyed", Tenant: "north"}},
+		`route[0].class cannot be "brief": its window`:                                  {{Verb: Writes, Class: "brief", Tenant: "north"}},
+		`route[1].prefix: the rule is never reached, as route[0] fits all that it does`: {{Verb: Writes, Class: "put", Tenant: "north"}, {Verb: Plain, Class: "put", Tenant: "north"}},
+		`route[1].prefix: the rule is never reached, as route[0]`:                       {{Class: "read", Tenant: "north"}, {Prefix: "a", Class: "read", Tenant: "south"}},
 	} {
 		if table, err := New(rules, classes, tenants); err == nil || table != nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v, want %q", err, want)
@@ -70,12 +78,13 @@
 func TestRoutesAgreeWithAPlainReading(t *testing.T) {
 	rng := rand.New(rand.NewPCG(7, 7))
 	pick := func(list ...string) string { return list[rng.IntN(len(list))] }
+	fits := map[Verb][3]bool{Reads: {true, false, false}, Writes: {false, true, true}, Ticketed: {false, true, false}, Plain: {false, false, true}}
 	built := 0
 	for range 20000 {
 		var rules []Rule
 		for range 1 + rng.IntN(4) {
-			rules = append(rules, Rule{Prefix: pick("", "a", "ab", "b"), Verb: Verb(rng.IntN(3)), Listener: pick("", "l"), User: pick("", "u"),
-				Class: pick("read", "put"), Tenant: pick("north", "south"), Wait: time.Duration(rng.IntN(3)) * time.Second})
+			rules = append(rules, Rule{Prefix: pick("", "a", "ab", "b"), Verb: Verb(rng.IntN(4)), Listener: pick("", "l"), User: pick("", "u"),
+				Class: pick("read", "put", "keyed"), Tenant: pick("north", "south"), Wait: time.Duration(rng.IntN(3)) * time.Second})
 		}
 		table, err := New(rules, classes, tenants)
 		if err != nil {
@@ -84,15 +93,19 @@
 		built++
 		r := request.Request{Verb: request.Verb(rng.IntN(2)), Key: pick("a", "ab", "abc", "b", "c")}
 		from := Client{Listener: pick("", "l", "m"), User: pick("", "u", "v")}
+		kind := 0 // of request: a read, a write with a ticket, one without
+		if r.Verb == request.Set {
+			kind = 1 + rng.IntN(2)
+		}
 		var want *Rule
 		for i := len(rules) - 1; i >= 0; i-- {
 			x := &rules[i]
-			if strings.HasPrefix(r.Key, x.Prefix) && (x.Verb == Any || (x.Verb == Writes) == (r.Verb == request.Set)) &&
+			if strings.HasPrefix(r.Key, x.Prefix) && fits[x.Verb][kind] &&
 				(x.Listener == "" || x.Listener == from.Listener) && (x.User == "" || x.User == from.User) {
 				want = x
 			}
 		}
-		ok := table.Route(&r, from)
+		ok := table.Route(&r, kind == 1, from)
 		if ok != (want != nil) || ok && (r.Class != want.Class || r.Tenant != want.Tenant || r.Wait > classes[r.Class].Deadline || r.Wait <= 0) {
 			t.Fatalf("%+v routes %+v from %+v as %v, want %+v", rules, r, from, ok, want)
 		}
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -8,14 +8,17 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"wrenroute/internal/binary"
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
 	"wrenroute/internal/standin/origin"
@@ -32,6 +35,11 @@
 	Idle     time.Duration // after which a connection is closed; 15 s
 	Value    int           // bytes of a value; 64
 	Report   bool          // answers tell the load
+	Binary   bool          // it speaks the binary protocol, and nothing else
+	Lacks    string        // the origin has no key that begins so; "" for none such
+	// ByValue has the ledger tell writes apart by their values, as a rehearsal does whose
+	// clients write each value once: so a repeat shows under whatever key it came.
+	ByValue bool
 
 	Cold         bool          // it starts now, and empty
 	ColdShare    float64       // of its capacity at the start; 0.3
@@ -42,8 +50,9 @@
 	Seed   uint64
 	Origin *origin.Origin // needed
 	Group  *Group         // needed
-	// Arrived, if set, is told each request as its first byte has come: its id, and when.
-	Arrived func(node, id string, at time.Time)
+	// Arrived, if set, is told each request: its id or, where its dialect has none, "", its
+	// value, and when its first byte came.
+	Arrived func(node, id, value string, at time.Time)
 }
 
 func (c *Config) fill() {
@@ -151,7 +160,8 @@
 type job struct {
 	conn    *conn
 	command meta.Command
-	answer  []byte // nil until it is there
+	head    binary.Header // of a binary command
+	answer  []byte        // nil until it is there
 	fault   FaultKind
 	until   time.Time // nobody waits longer
 }
@@ -374,28 +384,17 @@
 		}
 		at := time.Now()
 		c.socket.SetReadDeadline(at.Add(n.config.Idle))
-		line, err := in.ReadSlice('\n')
-		if err != nil {
-			break
-		}
 		j := &job{conn: c}
-		command, err := meta.ParseCommand(strings.TrimSuffix(string(line), "\r\n"))
-		if err == nil && command.Verb == request.Set {
-			_, err = in.Discard(command.Size + 2)
-			if err != nil {
-				break
-			}
+		ask := n.readMeta
+		if n.config.Binary {
+			ask = n.readBinary
 		}
-		j.command = command
-		switch {
-		case err != nil: // framing may be lost
-			j.answer = []byte("CLIENT_ERROR " + err.Error() + "\r\n")
-		case command.Noop:
-			j.answer = []byte("MN\r\n")
-		default:
-			if n.config.Arrived != nil {
-				n.config.Arrived(n.config.Name, command.ID, at)
-			}
+		more, err := ask(in, j)
+		if !more {
+			break
+		}
+		if j.answer == nil && n.config.Arrived != nil {
+			n.config.Arrived(n.config.Name, j.command.ID, string(j.command.Value), at)
 		}
 		n.mu.Lock()
 		for len(c.replies) >= pipelined && !c.gone {
@@ -428,6 +427,69 @@
 	c.socket.Close()
 }
 
+// readMeta reads a command of the text dialect. It returns false at the connection's
+// end, and an error with an answer for what is no command: framing may be lost.
+func (n *Node) readMeta(in *bufio.Reader, j *job) (bool, error) {
+	line, err := in.ReadSlice('\n')
+	if err != nil {
+		return false, err
+	}
+	text, flags := strings.TrimSuffix(string(line), "\r\n"), uint64(0)
+	if at := strings.LastIndex(text, " F"); at > 0 { // the one flag that clients may not send
+		if f, err := strconv.ParseUint(text[at+2:], 10, 32); err == nil {
+			text, flags = text[:at], f
+		}
+	}
+	command, err := meta.ParseCommand(text)
+	command.Flags = uint32(flags)
+	if err == nil && command.Verb == request.Set {
+		body := make([]byte, command.Size+2)
+		if _, err := io.ReadFull(in, body); err != nil {
+			return false, err
+		}
+		command.Value = body[:command.Size]
+	}
+	j.command = command
+	switch {
+	case err != nil:
+		j.answer = []byte("CLIENT_ERROR " + err.Error() + "\r\n")
+	case command.Noop:
+		j.answer = []byte("MN\r\n")
+	}
+	return true, err
+}
+
+// readBinary reads a command of the binary protocol, as readMeta does one of the other.
+func (n *Node) readBinary(in *bufio.Reader, j *job) (bool, error) {
+	b, err := in.Peek(binary.HeaderLen)
+	if err != nil {
+		return false, err
+	}
+	h, err := binary.Parse(b, binary.RequestMagic)
+	if err != nil {
+		return false, err
+	}
+	in.Discard(binary.HeaderLen) // it has been peeked at
+	body := make([]byte, h.Body)
+	if _, err := io.ReadFull(in, body); err != nil {
+		return false, err
+	}
+	j.head = h
+	j.command.Wait = -1
+	status := h.Check()
+	switch {
+	case status == binary.OK && (h.Opcode == binary.Get || h.Opcode == binary.Set):
+		if j.command.Key = string(body[h.Extras : h.Extras+h.Key]); h.Opcode == binary.Set {
+			j.command.Verb, j.command.Value = request.Set, body[h.Extras+h.Key:]
+		}
+		return true, nil
+	case status == binary.OK && h.Opcode != binary.Noop:
+		status = binary.NotSupported
+	}
+	j.answer = binary.AppendStatus(nil, &h, status, 0)
+	return true, nil
+}
+
 // write sends the answers in the order of the commands.
 func (c *conn) write() {
 	n := c.node
@@ -480,7 +542,7 @@
 	}
 	if j.fault == Busy || n.draining || n.stats.Fallen || len(n.waiting) >= n.config.Queue && n.running >= n.config.Slots {
 		n.stats.Busy++
-		n.reply(j, "SERVER_ERROR busy\r\n")
+		n.reply(j, request.Busy, "", "")
 		return
 	}
 	if j.until = now.Add(time.Hour); j.command.Wait >= 0 {
@@ -497,7 +559,7 @@
 		n.waiting = n.waiting[1:]
 		if !time.Now().Before(j.until) { // the request is over, and is not begun
 			n.stats.Busy++
-			n.reply(j, "SERVER_ERROR busy\r\n")
+			n.reply(j, request.Busy, "", "")
 			continue
 		}
 		n.running++
@@ -528,11 +590,15 @@
 		first := false
 		run := func(done func(string, error)) {
 			first = true
-			n.config.Origin.Write(key, c.Idempotency, func(err error) {
+			effect := c.Idempotency
+			if n.config.ByValue {
+				effect = string(c.Value)
+			}
+			n.config.Origin.Write(key, effect, func(err error) {
 				if err == nil {
 					n.config.Group.void(key)
 				}
-				done(fmt.Sprintf("%s.%s", n.config.Name, c.ID), err)
+				done(n.receipt(&c), err)
 			})
 		}
 		finish := func(receipt string, err error) {
@@ -540,9 +606,9 @@
 			defer n.mu.Unlock()
 			switch {
 			case err == nil:
-				n.reply(j, "HD O"+c.ID+" c"+receipt+n.load()+"\r\n")
+				n.reply(j, request.Stored, receipt, "")
 			default: // the origin has not begun it
-				n.reply(j, "SERVER_ERROR busy\r\n")
+				n.reply(j, request.Busy, "", "")
 			}
 		}
 		n.mu.Unlock()
@@ -557,7 +623,7 @@
 		}
 	case n.cache.has(key):
 		n.stats.Hits++
-		n.reply(j, n.value(&c, "h1"))
+		n.reply(j, request.Value, n.value(&c), "h1")
 	default:
 		n.stats.Misses++
 		n.fetching++
@@ -567,24 +633,74 @@
 			defer n.mu.Unlock()
 			n.fetching--
 			if err != nil {
-				n.reply(j, "SERVER_ERROR failed\r\n")
+				n.reply(j, request.Failed, "", "")
+				return
+			}
+			if n.config.Lacks != "" && strings.HasPrefix(key, n.config.Lacks) {
+				n.reply(j, request.Missing, "", "")
 				return
 			}
 			n.cache.add(key)
-			n.reply(j, n.value(&c, "h0"))
+			n.reply(j, request.Value, n.value(&c), "h0")
 		})
 		n.mu.Lock()
 	}
 }
 
-// value is the answer to a read: its key and a serial, filled up. n.mu is held.
-func (n *Node) value(c *meta.Command, flag string) string {
+// value is what a read brings: its key and a serial, filled up. n.mu is held.
+func (n *Node) value(c *meta.Command) string {
 	n.serial++
 	text := fmt.Sprintf("%s %s %d ", c.Key, n.config.Name, n.serial)
 	if short := n.config.Value - len(text); short > 0 {
 		text += strings.Repeat(".", short)
 	}
-	return fmt.Sprintf("VA %d O%s %s%s\r\n%s\r\n", len(text), c.ID, flag, n.load(), text)
+	return text
+}
+
+// receipt is what a write brings: a number where the dialect has room for no more.
+func (n *Node) receipt(c *meta.Command) string {
+	if !n.config.Binary {
+		return n.config.Name + "." + c.ID
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.serial++
+	return strconv.Itoa(n.serial)
+}
+
+// say is an answer in the node's dialect. n.mu is held.
+func (n *Node) say(j *job, kind request.Kind, text, flag string) []byte {
+	if n.config.Binary {
+		h := binary.Header{Opcode: j.head.Opcode, Opaque: j.head.Opaque}
+		switch kind {
+		case request.Value:
+			h.Extras, h.Body, h.CAS = 4, 4+len(text), uint64(n.serial)
+			return append(h.Append(nil, binary.ResponseMagic), "\x00\x00\x00\x00"+text...)
+		case request.Stored:
+			h.CAS, _ = strconv.ParseUint(text, 10, 64)
+			return h.Append(nil, binary.ResponseMagic)
+		}
+		return binary.AppendStatus(nil, &j.head, map[request.Kind]binary.Status{request.Busy: binary.Busy, request.Missing: binary.NotFound,
+			request.Failed: binary.Internal}[kind], 0)
+	}
+	id := j.command.ID
+	switch kind {
+	case request.Value:
+		return fmt.Appendf(nil, "VA %d O%s %s%s\r\n%s\r\n", len(text), id, flag, n.load(), text)
+	case request.Stored:
+		return fmt.Appendf(nil, "HD O%s c%s%s\r\n", id, text, n.load())
+	}
+	return []byte(map[request.Kind]string{request.Busy: "SERVER_ERROR busy\r\n", request.Missing: "EN\r\n",
+		request.Failed: "SERVER_ERROR failed\r\n"}[kind])
+}
+
+// noise is what comes in place of a spoilt answer.
+func (n *Node) noise(j *job) []byte {
+	if n.config.Binary {
+		h := binary.Header{Opcode: j.head.Opcode, Opaque: j.head.Opaque + 1, Extras: 4, Body: 3000000000}
+		return append(h.Append(nil, binary.ResponseMagic), "noise"...)
+	}
+	return []byte("VA 3000000000 O" + j.command.ID + "\r\n\x00noise")
 }
 
 // load is the report that ends a first line. n.mu is held.
@@ -596,14 +712,15 @@
 }
 
 // reply answers a request, spoilt or late if that is its lot. n.mu is held.
-func (n *Node) reply(j *job, text string) {
+func (n *Node) reply(j *job, kind request.Kind, text, flag string) {
+	answer := n.say(j, kind, text, flag)
 	put := func() {
-		j.answer = []byte(text)
+		j.answer = answer
 		j.conn.changed.Broadcast()
 	}
 	switch j.fault {
 	case Garbage:
-		text = "VA 3000000000 O" + j.command.ID + "\r\n\x00noise"
+		answer = n.noise(j)
 	case Late:
 		time.AfterFunc(n.fault.By, func() {
 			n.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,6 +28,7 @@
 	ns      *Nodes
 	node    *node
 	socket  *net.TCPConn
+	dialect Dialect
 	opened  time.Time
 	active  time.Time // last sign of life, or start of waiting for one
 	wake    sync.Cond // for the writer
@@ -42,7 +43,11 @@
 
 func newConn(ns *Nodes, n *node, socket *net.TCPConn) *conn {
 	now := time.Now()
-	c := &conn{ns: ns, node: n, socket: socket, opened: now, active: now, wake: sync.Cond{L: &ns.mu}}
+	dialect := n.Dialect
+	if dialect == nil {
+		dialect = ns.dialect
+	}
+	c := &conn{ns: ns, node: n, socket: socket, dialect: dialect, opened: now, active: now, wake: sync.Cond{L: &ns.mu}}
 	ns.tasks.Go(c.write)
 	ns.tasks.Go(c.read)
 	return c
@@ -97,7 +102,7 @@
 		ns.mu.Unlock()
 		batch = ns.handler.Begin(batch)
 		var parts net.Buffers
-		parts, text = render(ns.dialect, batch, text[:0])
+		parts, text = render(c.dialect, batch, text[:0])
 		ns.mu.Lock()
 		if c.closed {
 			c.out, c.writing = append(batch, c.out...), false
@@ -264,13 +269,13 @@
 		if err != nil {
 			return err
 		}
-		answer, err := c.ns.dialect.ReadAnswer(in, a.Request)
+		answer, err := c.dialect.ReadAnswer(in, a.Request)
 		if err != nil {
 			return err
 		}
 		c.next(in)
 		switch answer.Kind {
-		case request.Value, request.Stored:
+		case request.Value, request.Stored, request.Missing:
 			c.ns.handler.Answered(a, &answer)
 		case request.Busy:
 			c.ns.handler.Ended(a, &answer, Busy)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -53,7 +53,8 @@
 	Ended(a *Attempt, answer *request.Answer, result Result)
 }
 
-// Dialect is how requests are said to nodes, and their answers read. It has no state.
+// Dialect is how requests are said to nodes, and their answers read. It has no
+// state, and is comparable.
 type Dialect interface {
 	// AppendHead appends a request up to its value, AppendTail what follows it.
 	AppendHead(dst []byte, r *request.Request, wait time.Duration) []byte
@@ -86,6 +87,7 @@
 type Node struct {
 	Name, Address string
 	Started       time.Time // of its last start, zero for long ago
+	Dialect       Dialect   // that it speaks; nil for the usual
 }
 
 // Nodes holds the connections to all cache nodes.
@@ -131,7 +133,7 @@
 }
 
 // Set adds nodes or changes what is known of them. Connections to an old
-// address or from before a restart lead nowhere: they get nothing new.
+// address, in another dialect or from before a restart lead nowhere: they get nothing new.
 func (ns *Nodes) Set(list []Node) {
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
@@ -141,7 +143,7 @@
 			n = &node{}
 			ns.nodes[in.Name] = n
 		}
-		moved := n.Address != in.Address
+		moved := n.Address != in.Address || n.Dialect != in.Dialect
 		n.Node, n.listed = in, true
 		for _, c := range slices.Clone(n.conns) {
 			if moved || c.opened.Before(in.Started) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -137,6 +137,7 @@
 	Mode    Mode
 	Weight  float64
 	Started time.Duration // time of its last start, 0 for long ago
+	Keyless bool          // it drops no repeats, and so gets no keyed requests
 }
 
 // ListUpdate brings news of the server list.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -364,7 +364,7 @@
 	if r.ended || r.stream {
 		return false
 	}
-	if s != nil && (r.open > 0 && !r.set.Limits.Duplicates || len(r.attempts) >= r.set.Limits.MaxAttempts ||
+	if s != nil && (!r.fits(s) || r.open > 0 && !r.set.Limits.Duplicates || len(r.attempts) >= r.set.Limits.MaxAttempts ||
 		b.now >= r.Deadline) {
 		return false
 	}
@@ -381,9 +381,15 @@
 	b.now = now
 	a := &r.attempts[number]
 	return !a.done && !r.ended && !r.stream && now < r.Deadline && a.server.listed && a.server.Mode == Serving &&
-		b.repeats(r, a.server, number)
+		r.fits(a.server) && b.repeats(r, a.server, number)
 }
 
+// fits tells whether a server can keep what the request's class promises: a client
+// may repeat a keyed request, here or at another proxy, and relies on its being
+// dropped. So where nodes of both kinds are, not even the first try goes to one
+// that drops none.
+func (r *request) fits(s *server) bool { return r.class.Effect != Keyed || !s.Keyless }
+
 // repeats tells whether a send to s, or with nil a refusal, is harmless after
 // the attempts but number skip.
 func (b *Balancer) repeats(r *request, s *server, skip int) bool {
@@ -409,6 +415,10 @@
 func (b *Balancer) place(r *request) {
 	s, promise := b.choose(r)
 	if s == nil {
+		if len(b.list) > 0 && !slices.ContainsFunc(b.list, r.fits) {
+			b.giveUp(r) // no wait brings a server that could keep its promise
+			return
+		}
 		b.hold(r)
 		return
 	}
@@ -598,7 +608,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.done, a.mayRun = true, !provenNotRun(e.Result)
+	a.done, a.mayRun = true, MayHaveRun(e.Result)
 	r.open--
 	b.learn(r, a, e)
 	if e.Final || r.ended {
@@ -608,10 +618,10 @@
 	}
 }
 
-// provenNotRun tells whether an attempt that ended so surely had no effect. A
+// MayHaveRun tells whether an attempt that ended so can have had an effect. A
 // result not known here may have had one.
-func provenNotRun(r Result) bool {
-	return r == Full || r == ConnectFailed || r == NotSent || r == Missed
+func MayHaveRun(r Result) bool {
+	return r != Full && r != ConnectFailed && r != NotSent && r != Missed
 }
 
 // again decides what follows an attempt that served nothing.
