Play one conformance suite with both dialects on both sides

Need: the same rules for binary and meta, shown by the same cases; and the hard cases of binary clients caused by tests.

A read deadline no longer costs a look at the clock outside drains.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -33,6 +33,7 @@
   rehearse cost [--runs N] [--requests N]
                                 CPU of a proxy beside a byte relay
   rehearse times [--runs N]     from exec to ready, from SIGTERM to exit
+  rehearse conform              the conformance suite: both dialects of clients by both of nodes
   rehearse sight --fault none|lose|double|drain [--every N]
                                 play a proxy with a fault put in, one in N
 Everywhere:
@@ -172,6 +173,18 @@
 			return err
 		}
 		return s.print(report, out)
+	case "conform":
+		report, err := rehearse.Conform(ctx, o)
+		if err != nil {
+			return err
+		}
+		if err := s.print(report, out); err != nil {
+			return err
+		}
+		if !report.OK() {
+			return errBroken
+		}
+		return nil
 	case "times":
 		report, err := rehearse.Times(o.Program, o.Folder, s.runs)
 		if err != nil {
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"wrenroute/internal/rehearse"
+	"wrenroute/internal/standin/caller"
+	"wrenroute/internal/standin/script"
 	"wrenroute/internal/testwait"
 )
 
@@ -74,6 +76,7 @@
 		restarts, reloads int
 	}{
 		{"wave in short", []string{"wave", "--short"}, 18, 60},
+		{"wave in short, both dialects", []string{"wave", "--short", "--binary"}, 18, 60},
 		{"reloads", []string{"play", "reload"}, 4, 80},
 		{"all twenty at once", []string{"play", "storm"}, 40, 20},
 		{"nodes that fail in every way", []string{"play", "faults"}, 6, 0},
@@ -95,6 +98,13 @@
 	}
 }
 
+// TestConformance plays the same cases with both dialects on both sides.
+func TestConformance(t *testing.T) {
+	if out, code, _ := rehearsal(t, "conform"); code != 0 || !strings.HasSuffix(out, "verdict: ok, 140 played\n") {
+		t.Errorf("exit %d:\n%s", code, out)
+	}
+}
+
 // TestFaultsAreSeen guards against a rehearsal that would call anything good:
 // each double ends broken, with as many breaches as it put in.
 func TestFaultsAreSeen(t *testing.T) {
@@ -135,7 +145,7 @@
 
 // TestUpHoldsAFleet guards the rehearsal that is held for people.
 func TestUpHoldsAFleet(t *testing.T) {
-	cmd := exec.Command(filepath.Join(bin, "rehearse"), "up")
+	cmd := exec.Command(filepath.Join(bin, "rehearse"), "up", "--binary")
 	var problems bytes.Buffer
 	cmd.Stderr = &problems
 	out, err := cmd.StdoutPipe()
@@ -184,6 +194,18 @@
 		}
 	}
 	socket.Close()
+	l, err := caller.Dial(script.Binary, address, testwait.Patience) // any key, without a proof
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Socket.Close()
+	l.Read("any")
+	l.Write("any", "x", caller.Unsafe, "")
+	for _, want := range []string{"value 64 bytes", "stored "} {
+		if got, err := l.Next(); err != nil || !strings.HasPrefix(got.String(), want) {
+			t.Errorf("a binary client was answered %q, %v, want %q", got, err, want)
+		}
+	}
 	cmd.Process.Signal(syscall.SIGINT)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("interrupted, it ended with %v: %s", err, &problems)
--- a/internal/binary/binary_test.go
+++ b/internal/binary/binary_test.go
@@ -1,10 +1,13 @@
 package binary
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"strings"
 	"testing"
+
+	"wrenroute/internal/request"
 )
 
 // TestEveryOpcodeHasAFate walks all 256 through, against the list written down
@@ -130,3 +133,36 @@
 		}
 	})
 }
+
+// FuzzReadAnswer guards against what nodes send in place of an answer: it ends in an
+// error or in the answer to the request, within its bounds.
+func FuzzReadAnswer(f *testing.F) {
+	ok := Header{Opcode: Get, Extras: 4, Body: 6, Opaque: 7}
+	f.Add(append(ok.Append(nil, ResponseMagic), "\x00\x00\x00\x01hi"...), false)
+	f.Add(AppendStatus(nil, &Header{Opcode: Set, Opaque: 7}, Busy, 0), true)
+	f.Add([]byte("VA 2 O1\r\nhi\r\n"), false)
+	f.Fuzz(func(t *testing.T, text []byte, write bool) {
+		r := &request.Request{Key: "k", Serial: 7, Room: 30}
+		if write {
+			r.Verb = request.Set
+		}
+		in := bufio.NewReader(bytes.NewReader(text))
+		a, err := Node{}.ReadAnswer(in, r)
+		if err != nil {
+			return
+		}
+		h, err := Parse(text, ResponseMagic)
+		if err != nil || h.Opaque != r.Serial || len(text) < HeaderLen+h.Body {
+			t.Fatalf("%x taken for an answer: %+v, %v", text, a, err)
+		}
+		switch {
+		case a.Kind == request.Value && (write || !bytes.Equal(a.Value(), text[HeaderLen+4:HeaderLen+h.Body])):
+			t.Fatalf("%x read as %q", text, a.Value())
+		case (a.Kind == request.Value || a.Kind == request.Stored) != (h.Status == OK), a.Kind == request.Busy && h.Status != Busy:
+			t.Fatalf("status %#x read as kind %d", h.Status, a.Kind)
+		}
+		if rest := len(text) - HeaderLen - h.Body; in.Buffered() != rest && rest < 4096 {
+			t.Fatalf("%d bytes left of %d", in.Buffered(), rest)
+		}
+	})
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -165,8 +165,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := time.Now().Add(commandTime)
-	if cutoff := c.cutoff(); c.ending && cutoff.Before(until) {
-		until = cutoff
+	if c.ending {
+		if cutoff := c.cutoff(); cutoff.Before(until) {
+			until = cutoff
+		}
 	}
 	c.socket.SetReadDeadline(until)
 }
--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,87 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"wrenroute/internal/config"
+	"wrenroute/internal/proxy"
+)
+
+// BenchmarkRead measures a read of a meta client at a meta node through the whole
+// proxy, allocations of client and node (which make next to none) included.
+func BenchmarkRead(b *testing.B) {
+	node, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer node.Close()
+	go func() {
+		for {
+			c, err := node.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in, out := bufio.NewReader(c), make([]byte, 0, 256)
+				for {
+					line, err := in.ReadSlice('\n')
+					if err != nil {
+						return
+					}
+					id := strings.Index(string(line), " O") + 1
+					out = append(append(append(out[:0], "VA 2 "...), line[id:id+9]...), " h1\r\nhi\r\n"...)
+					c.Write(out)
+				}
+			}()
+		}
+	}()
+	path := filepath.Join(b.TempDir(), "proxy.toml")
+	text := fmt.Sprintf("listen = \"127.0.0.1:0\"\nnodes.addresses = [%q]\n", node.Addr())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	c, err := config.Read(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, err := proxy.Listen(c.Proxy, nil, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		server.Serve(ctx)
+	}()
+	defer func() {
+		stop()
+		<-served
+	}()
+	socket, err := net.Dial("tcp", server.Address().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer socket.Close()
+	in, out, answer := bufio.NewReader(socket), make([]byte, 0, 256), make([]byte, len("VA 2 O12345678\r\nhi\r\n"))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		out = fmt.Appendf(out[:0], "mg k%d v O%08d Pc=read,d=2000\r\n", i%8, i)
+		if _, err := socket.Write(out); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(in, answer); err != nil || !strings.HasPrefix(string(answer), "VA 2 ") {
+			b.Fatalf("%q, %v", answer, err)
+		}
+	}
+}
--- a/internal/rehearse/binary.go
+++ b/internal/rehearse/binary.go
@@ -4,72 +4,36 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"io"
-	"strconv"
 	"strings"
 	"time"
 
 	codec "wrenroute/internal/binary"
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
+	"wrenroute/internal/standin/caller"
 )
 
 // This file holds the clients that speak the binary protocol. What they send has no id:
 // a write is known by its value, and a read that crossed a close by nothing.
 
-// appendGet appends a get, or another command that is nothing but a key.
-func appendGet(dst []byte, op codec.Opcode, key string, opaque uint32) []byte {
-	h := codec.Header{Opcode: op, Key: len(key), Body: len(key), Opaque: opaque}
-	return append(h.Append(dst, codec.RequestMagic), key...)
-}
-
-// appendSet appends a set.
-func appendSet(dst []byte, op codec.Opcode, key, value string, opaque uint32, cas uint64) []byte {
-	h := codec.Header{Opcode: op, Key: len(key), Extras: 8, Body: 8 + len(key) + len(value), Opaque: opaque, CAS: cas}
-	dst = append(h.Append(dst, codec.RequestMagic), 0, 0, 0, 0, 0, 0, 0, 0)
-	return append(append(dst, key...), value...)
-}
-
 // command is a request's text, and what a node would know it by.
 func (l *link) command(e *errand) (text []byte, id string) {
 	l.opaque++
 	if e.kind.write {
-		return appendSet(nil, codec.Set, e.key, e.value, l.opaque, e.ticket), e.value
-	}
-	return appendGet(nil, codec.Get, e.key, l.opaque), fmt.Sprintf("opaque-%d", l.opaque)
-}
-
-// response is a whole response.
-type response struct {
-	codec.Header
-	key, value string
-}
-
-func readResponse(in io.Reader) (r response, err error) {
-	var head [codec.HeaderLen]byte
-	if _, err = io.ReadFull(in, head[:]); err != nil {
-		return r, err
+		return caller.AppendSet(nil, codec.Set, e.key, e.value, l.opaque, e.ticket), e.value
 	}
-	if r.Header, err = codec.Parse(head[:], codec.ResponseMagic); err != nil {
-		return r, fmt.Errorf("%w: %w", meta.ErrAnswer, err)
-	}
-	body := make([]byte, r.Body)
-	if _, err = io.ReadFull(in, body); err != nil {
-		return r, err
-	}
-	r.key, r.value = string(body[r.Extras:r.Extras+r.Key]), string(body[r.Extras+r.Key:])
-	return r, nil
+	return caller.AppendKeyed(nil, codec.Get, e.key, l.opaque), fmt.Sprintf("opaque-%d", l.opaque)
 }
 
 // binaryAnswer reads the answer to the last command as one of the other dialect would
 // be read. A ticket that lives no more is of kind Bad.
 func (l *link) binaryAnswer() (a meta.Line, value []byte, cas uint64, err error) {
-	r, err := readResponse(l.in)
+	r, err := caller.ReadResponse(l.in)
 	if err != nil {
 		return a, nil, 0, err
 	}
 	if r.Opaque != l.opaque {
-		return a, nil, 0, fmt.Errorf("%w: opaque %d where %d is due", meta.ErrAnswer, r.Opaque, l.opaque)
+		return a, nil, 0, fmt.Errorf("%w: opaque %d where %d is due", caller.ErrAnswer, r.Opaque, l.opaque)
 	}
 	a.Kind = request.Failed
 	switch r.Status {
@@ -84,11 +48,9 @@
 		a.Kind = request.Bad
 	case codec.Busy:
 		a.Kind = request.Busy
-		if _, ms, ok := strings.Cut(r.value, " "); ok {
-			a.Size, _ = strconv.Atoi(ms)
-		}
+		a.Size = int(r.Advice().Milliseconds())
 	}
-	return a, []byte(r.value), r.CAS, nil
+	return a, []byte(r.Value), r.CAS, nil
 }
 
 // fetchTicket reads the record that a write is for, as a till does.
@@ -97,7 +59,7 @@
 	sent := time.Now()
 	c.tally.sent()
 	l.socket.SetDeadline(sent.Add(wait))
-	_, err := l.socket.Write(appendGet(nil, codec.Get, e.key, l.opaque))
+	_, err := l.socket.Write(caller.AppendKeyed(nil, codec.Get, e.key, l.opaque))
 	if err == nil {
 		var a meta.Line
 		var value []byte
@@ -158,22 +120,22 @@
 			key = lacks + key
 		}
 		keys[l.opaque] = key
-		text = appendGet(text, codec.GetKQ, key, l.opaque)
+		text = caller.AppendKeyed(text, codec.GetKQ, key, l.opaque)
 		c.tally.sent()
 	}
 	l.opaque++
-	text = appendGet(text, codec.Noop, "", l.opaque)
+	text = caller.AppendKeyed(text, codec.Noop, "", l.opaque)
 	wait := c.kinds[0].deadline
 	l.socket.SetDeadline(time.Now().Add(wait + watchTime + c.tally.slackNow()))
 	_, err := l.socket.Write(text)
 	for last := from; err == nil; {
-		var r response
-		if r, err = readResponse(l.in); err != nil {
+		var r caller.Response
+		if r, err = caller.ReadResponse(l.in); err != nil {
 			break
 		}
 		if r.Opaque <= last || r.Opaque > l.opaque {
 			c.tally.wrong("proxy %d answered opaque %d after %d in a quiet pipeline", d.index, r.Opaque, last)
-			return meta.ErrAnswer
+			return caller.ErrAnswer
 		}
 		if last = r.Opaque; r.Opcode == codec.Noop {
 			l.used = true
@@ -181,9 +143,9 @@
 		}
 		key := keys[r.Opaque]
 		if lacks := c.fleet.scenario.Fleet.Lacks; r.Status == codec.NotFound || r.Status == codec.OK &&
-			(r.key != key || !strings.HasPrefix(r.value, key+" ") || lacks != "" && strings.HasPrefix(key, lacks)) {
-			c.tally.wrong("proxy %d answered %q of a quiet pipeline with status %d and %q", d.index, key, r.Status, r.value)
-			return meta.ErrAnswer
+			(r.Name != key || !strings.HasPrefix(r.Value, key+" ") || lacks != "" && strings.HasPrefix(key, lacks)) {
+			c.tally.wrong("proxy %d answered %q of a quiet pipeline with status %d and %q", d.index, key, r.Status, r.Value)
+			return caller.ErrAnswer
 		}
 	}
 	if isTimeout(err) {
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -16,6 +16,7 @@
 
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
+	"wrenroute/internal/standin/caller"
 )
 
 const (
@@ -312,7 +313,7 @@
 		return silent, 0
 	}
 	l.socket.Close()
-	if errors.Is(err, meta.ErrAnswer) {
+	if errors.Is(err, meta.ErrAnswer) || errors.Is(err, caller.ErrAnswer) {
 		c.tally.wrong("proxy %d answered %s with what can't be read", d.index, id)
 		return failed, 0
 	}
--- /dev/null
+++ b/internal/rehearse/conform.go
@@ -0,0 +1,380 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
+	"wrenroute/internal/standin/caller"
+	"wrenroute/internal/standin/list"
+	"wrenroute/internal/standin/script"
+)
+
+// The conformance suite: one table of cases, each played with both dialects of clients
+// and both of nodes, by a real process of the proxy between scripted nodes. What a case
+// wants is said in words that know no dialect.
+
+// conformDeadline is that of every class in the suite.
+const conformDeadline = 900 * time.Millisecond
+
+// step is what a client does. Pauses between two are the case's own.
+type step struct {
+	key, value string
+	effect     caller.Effect // of a write; "" for a read
+	want       string        // an Answer as its String says it
+	unlike     string        // the same where nodes speak binary, if that differs
+}
+
+// conformCase is one case. Its steps are asked all at once, and answered in order.
+type conformCase struct {
+	name  string
+	react []script.Reaction          // to the requests in their order over all nodes; then Serve
+	by    map[string]script.Reaction // to requests by key, before react
+	dead  bool                       // no node but the last listens
+	turns bool                       // a step is asked once the one before is answered
+	warm  bool                       // it has served a while before: a fresh proxy turns some of many at once away
+	drain bool                       // the first node drains before the steps
+	steps []step
+	sent  int  // to nodes at the least; -1 for no matter
+	most  int  // and at the most; 0 for no more than the least
+	none  bool // where nodes speak binary, nothing is sent to them
+	same  bool // all that was sent has one idempotency key, where the dialect has room for it
+	quick bool // it is answered long before the deadline: given up at once
+}
+
+func read(key, want string) step { return step{key: key, want: want} }
+
+func write(effect caller.Effect, key, want string) step {
+	return step{key: key, value: "delivered", effect: effect, want: want}
+}
+
+// keyed is a step of a keyed write, which binary nodes can't carry out.
+func keyed(key, want string) step {
+	s := write(caller.Keyed, key, want)
+	s.unlike = "busy"
+	return s
+}
+
+func reads(n int) (steps []step) {
+	for i := range n {
+		key := fmt.Sprintf("k%d", i)
+		steps = append(steps, read(key, "value "+script.Value(key)))
+	}
+	return steps
+}
+
+var largest = fmt.Sprintf("value %d bytes", meta.MaxValue)
+
+var conformCases = []conformCase{
+	{name: "read", steps: []step{read("k", "value v:k")}, sent: 1},
+	{name: "read of the largest value", steps: []step{read("big", largest)}, sent: 1},
+	{name: "read of no such key", react: []script.Reaction{script.Miss}, steps: []step{read("k", "missing")}, sent: 1},
+	{name: "read turned away", react: []script.Reaction{script.Busy}, steps: []step{read("k", "busy")}, sent: 1, quick: true},
+	{name: "read that failed", react: []script.Reaction{script.Fail}, steps: []step{read("k", "busy")}, sent: 1, quick: true},
+	{name: "read reset", react: []script.Reaction{script.Reset}, steps: []step{read("k", "value v:k")}, sent: 2},
+	{name: "read ended within its answer", react: []script.Reaction{script.Half}, steps: []step{read("k", "value v:k")}, sent: 2},
+	{name: "read answered by noise", react: []script.Reaction{script.Noise}, steps: []step{read("k", "value v:k")}, sent: 2},
+	{name: "read answered by another's", react: []script.Reaction{script.Other}, steps: []step{read("k", "value v:k")}, sent: 2},
+	{name: "read answered by 3 GB", react: []script.Reaction{script.Endless}, steps: []step{read("k", "value v:k")}, sent: 2},
+	{name: "read answered twice", react: []script.Reaction{script.Surplus}, steps: []step{read("k", "value v:k")}, sent: 1},
+	{name: "read after one answered twice", react: []script.Reaction{script.Surplus}, turns: true, sent: 2,
+		steps: []step{read("k", "value v:k"), read("k", "value v:k")}},
+	{name: "read at a node that hangs", react: []script.Reaction{script.Hang}, steps: []step{read("k", "busy")}, sent: 1, most: 4},
+	{name: "read where all nodes hang", react: slices.Repeat([]script.Reaction{script.Hang}, 20), steps: []step{read("k", "busy")},
+		sent: 1, most: 4},
+	{name: "read where one node listens", dead: true, steps: []step{read("k", "value v:k")}, sent: 1},
+	{name: "read where a node drains", drain: true, steps: reads(8), sent: 8},
+	{name: "pipeline of reads, some slow", steps: reads(30), sent: 30, warm: true,
+		by: map[string]script.Reaction{"k0": script.Slow, "k7": script.Slow, "k12": script.Slow}},
+	{name: "pipeline of reads, some spoilt", steps: reads(20), sent: 20, most: 60, warm: true,
+		react: []script.Reaction{script.Serve, script.Other, script.Serve, script.Half, script.Noise, script.Serve, script.Reset}},
+	{name: "pipeline of all kinds", sent: -1, by: map[string]script.Reaction{"none": script.Miss, "full": script.Busy},
+		steps: []step{read("a", "value v:a"), read("none", "missing"), write(caller.Unsafe, "b", "stored 7"), read("full", "busy"),
+			read("c", "value v:c"), {key: "\x7f", want: "bad"}, read("big", largest), read("none", "missing"), read("d", "value v:d")}},
+	{name: "unsafe write", steps: []step{write(caller.Unsafe, "k", "stored 7")}, sent: 1},
+	{name: "unsafe write turned away", react: []script.Reaction{script.Busy}, steps: []step{write(caller.Unsafe, "k", "busy")}, sent: 1, quick: true},
+	{name: "unsafe write that failed", react: []script.Reaction{script.Fail}, steps: []step{write(caller.Unsafe, "k", "failed")}, sent: 1, quick: true},
+	{name: "unsafe write reset", react: []script.Reaction{script.Reset}, steps: []step{write(caller.Unsafe, "k", "failed")}, sent: 1, quick: true},
+	{name: "unsafe write answered by noise", react: []script.Reaction{script.Noise}, steps: []step{write(caller.Unsafe, "k", "failed")}, sent: 1, quick: true},
+	{name: "unsafe write answered by another's", react: []script.Reaction{script.Other}, steps: []step{write(caller.Unsafe, "k", "failed")}, sent: 1, quick: true},
+	{name: "unsafe write at a node that hangs", react: []script.Reaction{script.Hang}, steps: []step{write(caller.Unsafe, "k", "failed")}, sent: 1},
+	{name: "unsafe write where one node listens", dead: true, steps: []step{write(caller.Unsafe, "k", "stored 7")}, sent: 1},
+	{name: "unsafe write of the largest value", steps: []step{{key: "k", value: strings.Repeat("v", meta.MaxValue), effect: caller.Unsafe, want: "stored 7"}}, sent: 1},
+	{name: "unsafe write of a value too large", steps: []step{{key: "k", value: strings.Repeat("v", meta.MaxValue+1), effect: caller.Unsafe, want: "bad"}}},
+	{name: "keyed write", steps: []step{keyed("k", "stored 7")}, sent: 1, none: true, quick: true},
+	{name: "keyed write turned away", react: []script.Reaction{script.Busy}, steps: []step{keyed("k", "busy")}, sent: 1, none: true, quick: true},
+	{name: "keyed write reset", react: []script.Reaction{script.Reset}, steps: []step{keyed("k", "stored 7")}, sent: 2, none: true, same: true},
+	{name: "keyed write answered by noise", react: []script.Reaction{script.Noise}, steps: []step{keyed("k", "stored 7")}, sent: 2, none: true, same: true},
+	{name: "keyed write answered by another's", react: []script.Reaction{script.Other}, steps: []step{keyed("k", "stored 7")}, sent: 2, none: true, same: true},
+	{name: "keyed write where a node drains", drain: true, steps: []step{keyed("k", "stored 7")}, sent: 1, none: true},
+}
+
+// ConformRow is what one case came to, by client and node: "" where it is as wanted.
+type ConformRow struct {
+	Case  string            `json:"case"`
+	Wrong map[string]string `json:"wrong"`
+}
+
+// ConformReport is what the suite found.
+type ConformReport struct {
+	Played int          `json:"played"`
+	Rows   []ConformRow `json:"rows"`
+}
+
+// combinations are client and node.
+var combinations = [][2]script.Dialect{{script.Meta, script.Meta}, {script.Meta, script.Binary}, {script.Binary, script.Meta},
+	{script.Binary, script.Binary}}
+
+func combination(c [2]script.Dialect) string { return string(c[0]) + "/" + string(c[1]) }
+
+// warmKey begins the keys that are read before a case's own.
+const warmKey = "warm"
+
+// conformAtOnce bounds the fleets of the suite that are up at a time.
+const conformAtOnce = 6
+
+// Conform plays the suite.
+func Conform(ctx context.Context, o Options) (*ConformReport, error) {
+	report := &ConformReport{}
+	var mu sync.Mutex
+	var errs []error
+	var tasks sync.WaitGroup
+	places := make(chan struct{}, conformAtOnce)
+	for i := range conformCases {
+		k := &conformCases[i]
+		row := ConformRow{Case: k.name, Wrong: make(map[string]string)}
+		for _, c := range combinations {
+			places <- struct{}{}
+			if ctx.Err() != nil {
+				<-places
+				continue
+			}
+			tasks.Go(func() {
+				defer func() { <-places }()
+				wrong, err := k.play(o, c[0], c[1], filepath.Join(o.Folder, fmt.Sprintf("conform-%d-%s-%s", i, c[0], c[1])))
+				mu.Lock()
+				defer mu.Unlock()
+				report.Played++
+				if err != nil {
+					errs = append(errs, fmt.Errorf("%s, %s: %w", k.name, combination(c), err))
+				}
+				if wrong != "" {
+					row.Wrong[combination(c)] = wrong
+				}
+			})
+		}
+		report.Rows = append(report.Rows, row)
+	}
+	tasks.Wait()
+	if len(errs) > 0 {
+		return nil, errs[0]
+	}
+	return report, ctx.Err()
+}
+
+// play plays the case once, and tells what was not as wanted.
+func (k *conformCase) play(o Options, client, dialect script.Dialect, path string) (wrong string, err error) {
+	var mu sync.Mutex
+	left := slices.Clone(k.react)
+	nodes, err := script.Start(dialect, 3, func(_ int, a script.Asked) script.Reaction {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(a.Key, warmKey) {
+			return script.Serve
+		}
+		if do, ok := k.by[a.Key]; ok {
+			return do
+		}
+		if len(left) == 0 {
+			return script.Serve
+		}
+		do := left[0]
+		left = left[1:]
+		return do
+	})
+	if err != nil {
+		return "", err
+	}
+	defer nodes.Close()
+	var entries []list.Entry
+	for i := range 3 {
+		e := list.Entry{Name: fmt.Sprintf("n%d", i), Address: nodes.Address(i), Type: "m1", Status: "up", Weight: 1}
+		if dialect == script.Binary {
+			e.Type = "b1"
+		}
+		entries = append(entries, e)
+		if k.dead && i < 2 {
+			nodes.Refuse(i)
+		}
+	}
+	service := list.New(entries)
+	defer service.Close()
+	listAt, err := service.Open(0)
+	if err != nil {
+		return "", err
+	}
+	address, err := freeAddress()
+	if err != nil {
+		return "", err
+	}
+	text := fmt.Sprintf("listen = %q\ntypes = [\"m1\", \"b1\"]\n[nodes]\ndiscovery = %q\n[limits]\nmemory_mb = 32\n[binary]\ntypes = [\"b1\"]\n", address, listAt)
+	for _, class := range []string{"name = \"read\"\n", "name = \"write\"\neffect = \"keyed\"\nwindow = \"1500ms\"\n", "name = \"plain\"\neffect = \"unsafe\"\n"} {
+		text += fmt.Sprintf("[[class]]\n%saim = \"300ms\"\ndeadline = %q\n", class, conformDeadline)
+	}
+	if err := os.WriteFile(path+".toml", []byte(text), 0o600); err != nil {
+		return "", err
+	}
+	p, err := startProcess(append(slices.Clone(o.Program), path+".toml"), nil, path+".log")
+	if err != nil {
+		return "", err
+	}
+	defer p.end(syscall.SIGKILL)
+	if err := p.awaitReady(); err != nil {
+		return "", err
+	}
+	var drained time.Time
+	if k.drain {
+		if drained, err = drainFirst(service, entries[0]); err != nil {
+			return "", err
+		}
+	}
+	c, err := caller.Dial(client, address, patience)
+	if err != nil {
+		return "", err
+	}
+	defer c.Socket.Close()
+	if k.warm {
+		for i := range 300 {
+			if err := c.Read(fmt.Sprint(warmKey, i%30)); err != nil {
+				return "", err
+			}
+			if _, err := c.Next(); err != nil {
+				return "", err
+			}
+		}
+	}
+	begun := time.Now()
+	if wrong = k.ask(c, dialect); wrong != "" {
+		return wrong, nil
+	}
+	// Given up at once: not held until near the deadline.
+	if took := time.Since(begun); k.quick && took > conformDeadline*2/3 {
+		return fmt.Sprintf("given up after %v of %v", took, conformDeadline), nil
+	}
+	asked := slices.DeleteFunc(nodes.Asked(), func(a script.Asked) bool { return strings.HasPrefix(a.Key, warmKey) })
+	return k.judge(asked, dialect, drained), nil
+}
+
+// drainFirst has the list tell that a node drains, and returns when that must be known.
+func drainFirst(service *list.Service, e list.Entry) (time.Time, error) {
+	e.Status = "draining"
+	service.Set(e)
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if told, ok := service.DrainTold(0, e.Name); ok {
+			time.Sleep(time.Until(told.Add(drainGrace)))
+			return told.Add(drainGrace), nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("the drain was not told in %v", patience)
+}
+
+// ask does the steps and tells what was not answered as wanted.
+func (k *conformCase) ask(c *caller.Caller, dialect script.Dialect) string {
+	send := func(i int) error {
+		if s := k.steps[i]; s.effect != "" {
+			return c.Write(s.key, s.value, s.effect, fmt.Sprint("w", i))
+		}
+		return c.Read(k.steps[i].key)
+	}
+	for i := 0; i < len(k.steps) && !k.turns; i++ {
+		if err := send(i); err != nil {
+			return fmt.Sprintf("sending step %d: %v", i, err)
+		}
+	}
+	for i, s := range k.steps {
+		if k.turns {
+			if err := send(i); err != nil {
+				return fmt.Sprintf("sending step %d: %v", i, err)
+			}
+		}
+		want := s.want
+		if s.unlike != "" && dialect == script.Binary {
+			want = s.unlike
+		}
+		got, err := c.Next()
+		if err != nil {
+			return fmt.Sprintf("answer %d: %v, want %s", i, err, want)
+		}
+		if got.String() != want {
+			return fmt.Sprintf("answer %d is %q, want %q", i, got, want)
+		}
+		if got.Kind == request.Busy && got.After <= 0 && k.quick && s.unlike == "" {
+			return fmt.Sprintf("answer %d is busy without advice", i)
+		}
+	}
+	return ""
+}
+
+// judge tells what was sent to nodes that must not have been, or was not.
+func (k *conformCase) judge(asked []script.Asked, dialect script.Dialect, drained time.Time) string {
+	least, most := k.sent, max(k.sent, k.most)
+	if k.none && dialect == script.Binary {
+		least, most = 0, 0
+	}
+	if n := len(asked); k.sent >= 0 && (n < least || n > most) {
+		return fmt.Sprintf("%d requests sent to nodes, want %d to %d", n, least, most)
+	}
+	for _, a := range asked {
+		if !drained.IsZero() && a.Node == 0 && a.At.After(drained) {
+			return fmt.Sprintf("%s was sent to a node that drains", a.Key)
+		}
+		if k.same && (a.Idempotency == "" || a.Idempotency != asked[0].Idempotency) {
+			return fmt.Sprintf("a repeat went out under %q after %q", a.Idempotency, asked[0].Idempotency)
+		}
+	}
+	return ""
+}
+
+// OK tells whether all is as wanted.
+func (r *ConformReport) OK() bool {
+	return !slices.ContainsFunc(r.Rows, func(row ConformRow) bool { return len(row.Wrong) > 0 }) &&
+		r.Played == len(conformCases)*len(combinations)
+}
+
+// Print writes the report as a table.
+func (r *ConformReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprint(w, "client/node")
+	for _, c := range combinations {
+		fmt.Fprint(w, "\t", combination(c))
+	}
+	fmt.Fprintln(w)
+	for _, row := range r.Rows {
+		fmt.Fprint(w, row.Case)
+		for _, c := range combinations {
+			if row.Wrong[combination(c)] == "" {
+				fmt.Fprint(w, "\tok")
+			} else {
+				fmt.Fprint(w, "\tWRONG")
+			}
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush()
+	for _, row := range r.Rows {
+		for c, wrong := range row.Wrong {
+			fmt.Fprintf(out, "%s, %s: %s\n", row.Case, c, wrong)
+		}
+	}
+	fmt.Fprintf(out, "verdict: %s, %d played\n", map[bool]string{true: "ok", false: "WRONG"}[r.OK()], r.Played)
+}
--- a/internal/rehearse/cost.go
+++ b/internal/rehearse/cost.go
@@ -17,8 +17,10 @@
 	"github.com/google/pprof/profile"
 	"golang.org/x/sys/unix"
 
+	"wrenroute/internal/binary"
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
+	"wrenroute/internal/standin/caller"
 	"wrenroute/internal/standin/node"
 	"wrenroute/internal/standin/origin"
 )
@@ -43,11 +45,13 @@
 
 // CostRow is of one number of connections; a figure for each run.
 type CostRow struct {
-	Conns int       `json:"conns"`
-	Proxy []float64 `json:"proxy_ms"`
-	Relay []float64 `json:"relay_ms"`
-	Ratio []float64 `json:"ratio"`
-	Rate  []float64 `json:"proxy_requests_a_second"`
+	Conns      int       `json:"conns"`
+	Proxy      []float64 `json:"proxy_ms"`
+	Binary     []float64 `json:"binary_ms"` // the proxy, with binary clients
+	Relay      []float64 `json:"relay_ms"`
+	Ratio      []float64 `json:"ratio"`
+	Rate       []float64 `json:"proxy_requests_a_second"`
+	BinaryRate []float64 `json:"binary_requests_a_second"`
 }
 
 // cpuTime is the CPU time that a process has had, all its threads together.
@@ -76,7 +80,7 @@
 		return nil, err
 	}
 	config := filepath.Join(o.Folder, "cost.toml")
-	text := fmt.Sprintf("listen = %q\nnodes.addresses = [%q]\n[limits]\nsockets = 1024\nconnections_per_node = %d\n", proxyAt, n.Address(), most)
+	text := fmt.Sprintf("listen = %q\nnodes.addresses = [%q]\nbinary.clients = true\n[limits]\nsockets = 1024\nconnections_per_node = %d\n", proxyAt, n.Address(), most)
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -107,24 +111,23 @@
 	for run := range o.Runs + 1 { // the first is for warming up, and is dropped
 		for i := range r.Rows {
 			row := &r.Rows[i]
-			var cost [2]float64
-			var rate float64
+			var cost, rate [3]float64
 			for j, target := range []struct {
-				p  *process
-				at string
-			}{{proxy, proxyAt}, {relay, relayAt}} {
-				cpu, took, err := drive(ctx, target.p, target.at, row.Conns, o.Requests)
+				p      *process
+				at     string
+				binary bool
+			}{{proxy, proxyAt, false}, {relay, relayAt, false}, {proxy, proxyAt, true}} {
+				cpu, took, err := drive(ctx, target.p, target.at, target.binary, row.Conns, o.Requests)
 				if err != nil {
 					return nil, err
 				}
-				if cost[j] = cpu * 1e6 / float64(o.Requests); j == 0 {
-					rate = float64(o.Requests) / took
-				}
+				cost[j], rate[j] = cpu*1e6/float64(o.Requests), float64(o.Requests)/took
 			}
 			if run > 0 {
 				row.Proxy, row.Relay = append(row.Proxy, cost[0]), append(row.Relay, cost[1])
-				row.Ratio, row.Rate = append(row.Ratio, cost[0]/cost[1]), append(row.Rate, rate)
-				o.Progress("run %d, %d connections: proxy %.1f ms, relay %.1f ms", run, row.Conns, cost[0], cost[1])
+				row.Ratio, row.Rate = append(row.Ratio, cost[0]/cost[1]), append(row.Rate, rate[0])
+				row.Binary, row.BinaryRate = append(row.Binary, cost[2]), append(row.BinaryRate, rate[2])
+				o.Progress("run %d, %d connections: proxy %.1f ms, relay %.1f ms, proxy with binary clients %.1f ms", run, row.Conns, cost[0], cost[1], cost[2])
 			}
 		}
 	}
@@ -145,7 +148,7 @@
 
 // drive sends requests over so many connections, one at a time on each, and
 // returns the CPU seconds that a process had for them, and the seconds they took.
-func drive(ctx context.Context, p *process, address string, conns, requests int) (cpu, took float64, err error) {
+func drive(ctx context.Context, p *process, address string, binary bool, conns, requests int) (cpu, took float64, err error) {
 	var links []*link
 	defer func() {
 		for _, l := range links {
@@ -157,6 +160,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
+		l.binary = binary
 		l.socket.SetDeadline(time.Now().Add(5 * time.Minute))
 		links = append(links, l)
 	}
@@ -200,7 +204,13 @@
 		tasks.Go(func() {
 			for left.Add(-1) >= 0 && ctx.Err() == nil {
 				id := serial.Add(1)
-				_, err := fmt.Fprintf(l.socket, "mg k%d v O%x Pc=read,d=2000\r\n", id%64, id)
+				var err error
+				if l.binary {
+					l.opaque++
+					_, err = l.socket.Write(caller.AppendKeyed(nil, binary.Get, fmt.Sprintf("k%d", id%64), l.opaque))
+				} else {
+					_, err = fmt.Fprintf(l.socket, "mg k%d v O%x Pc=read,d=2000\r\n", id%64, id)
+				}
 				var a meta.Line
 				if err == nil {
 					a, _, err = l.answer()
@@ -238,7 +248,7 @@
 		return nil, err
 	}
 	if err = p.awaitReady(); err == nil {
-		_, _, err = drive(ctx, p, address, slices.Max(o.Conns), 2*o.Requests)
+		_, _, err = drive(ctx, p, address, false, slices.Max(o.Conns), 2*o.Requests)
 	}
 	if ended := p.end(syscall.SIGTERM); err == nil {
 		err = ended
@@ -287,9 +297,9 @@
 // Print writes the report as a table.
 func (r *CostReport) Print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "CPU ms for 1,000 reads\tproxy\tbyte relay\tratio\treads a second\t")
+	fmt.Fprintln(w, "CPU ms for 1,000 reads\tproxy\tbyte relay\tratio\treads a second\tbinary clients\treads a second\t")
 	for _, row := range r.Rows {
-		fmt.Fprintf(w, "%d connections\t%s\t%s\t%s\t%s\t\n", row.Conns, spread(row.Proxy), spread(row.Relay), spread(row.Ratio), spread(row.Rate))
+		fmt.Fprintf(w, "%d connections\t%s\t%s\t%s\t%s\t%s\t%s\t\n", row.Conns, spread(row.Proxy), spread(row.Relay), spread(row.Ratio), spread(row.Rate), spread(row.Binary), spread(row.BinaryRate))
 	}
 	w.Flush()
 	fmt.Fprintln(out, "median (least to most) of", len(r.Rows[0].Ratio), "runs; the proxy's hottest functions:")
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"wrenroute/internal/binary"
+	"wrenroute/internal/standin/caller"
 	"wrenroute/internal/standin/origin"
 	"wrenroute/internal/testwait"
 )
@@ -272,3 +274,42 @@
 		t.Errorf("answered %q", got)
 	}
 }
+
+// TestBinaryNodeSpeaksNothingElse guards the other dialect: reads, writes, misses,
+// refusals and noise as binary nodes say them.
+func TestBinaryNodeSpeaksNothingElse(t *testing.T) {
+	n, o := start(t, Config{Name: "b", Binary: true, Lacks: "none", ByValue: true})
+	p := dial(t, n)
+	next := func(status binary.Status) caller.Response {
+		t.Helper()
+		r, err := caller.ReadResponse(p.in)
+		if err != nil || r.Status != status || r.Opaque != 5 {
+			t.Fatalf("%+v, %v, want status %#x", r, err, status)
+		}
+		return r
+	}
+	p.send("%s", caller.AppendKeyed(nil, binary.Get, "k", 5))
+	if r := next(binary.OK); !strings.HasPrefix(r.Value, "k b 1 ") {
+		t.Errorf("read %q", r.Value)
+	}
+	p.send("%s", caller.AppendKeyed(nil, binary.Get, "none", 5))
+	next(binary.NotFound)
+	p.send("%s", caller.AppendSet(nil, binary.Set, "k", "v", 5, 0))
+	if r := next(binary.OK); r.CAS == 0 || o.Times("k", "v") != 1 {
+		t.Errorf("receipt %d, carried out %d times", r.CAS, o.Times("k", "v"))
+	}
+	n.SetDraining(true)
+	p.send("%s", caller.AppendKeyed(nil, binary.Get, "k", 5))
+	next(binary.Busy)
+	n.SetDraining(false)
+	n.SetFault(Fault{Kind: Garbage})
+	p.send("%s", caller.AppendKeyed(nil, binary.Get, "k", 5))
+	if r, err := caller.ReadResponse(p.in); err == nil {
+		t.Errorf("noise was read as %+v", r)
+	}
+	p = dial(t, n)
+	p.send("mg k v O1 Pc=read,t=acme,d=480\r\n")
+	if got := p.answer(); got != "" {
+		t.Errorf("the other dialect was answered %q", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/script/script.go
@@ -0,0 +1,309 @@
+// Package script is a stand-in for cache nodes that do exactly what a test tells them
+// to, in either dialect: the same reactions to the same requests, said as each has it.
+package script
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"wrenroute/internal/binary"
+	"wrenroute/internal/meta"
+	"wrenroute/internal/request"
+)
+
+// Dialect is what nodes speak.
+type Dialect string
+
+// The dialects.
+const (
+	Meta   Dialect = "meta"
+	Binary Dialect = "binary"
+)
+
+// Reaction is what a node does with a request.
+type Reaction string
+
+// The reactions. Surplus, Other, Noise, Half and Endless are spoilt answers, and the
+// request has run.
+const (
+	Serve   Reaction = "serve"   // with the value of [Value], or [Receipt]
+	Slow    Reaction = "slow"    // the same 150 ms later; what follows on the connection waits
+	Miss    Reaction = "miss"    // there is no such key
+	Busy    Reaction = "busy"    // turned away unseen
+	Fail    Reaction = "fail"    // it may have run
+	Reset   Reaction = "reset"   // the connection ends in place of an answer
+	Half    Reaction = "half"    // it ends within the answer
+	Hang    Reaction = "hang"    // nothing ever comes
+	Noise   Reaction = "noise"   // what can't be read
+	Other   Reaction = "other"   // another request's answer
+	Surplus Reaction = "surplus" // a good answer, and the same once more
+	Endless Reaction = "endless" // a length of 3 GB, and bytes that keep coming for a while
+)
+
+// Receipt is that of every write.
+const Receipt = "7"
+
+// Value is what a node has under a key: the largest there may be for one that begins
+// with "big".
+func Value(key string) string {
+	if strings.HasPrefix(key, "big") {
+		return strings.Repeat("v", meta.MaxValue)
+	}
+	return "v:" + key
+}
+
+// Asked is a request as a node got it.
+type Asked struct {
+	Node        int
+	At          time.Time // of its first byte
+	Verb        request.Verb
+	Key, Value  string
+	Idempotency string // "" where the dialect has no room for it
+}
+
+// Nodes are scripted nodes. They are safe for concurrent use.
+type Nodes struct {
+	dialect   Dialect
+	react     func(number int, a Asked) Reaction
+	listeners []net.Listener
+	tasks     sync.WaitGroup
+
+	mu    sync.Mutex
+	asked []Asked
+	conns map[net.Conn]struct{}
+	done  chan struct{}
+}
+
+// Start returns so many nodes that listen on loopback. react is asked what to do
+// with each request, by its number over all nodes from 0.
+func Start(dialect Dialect, nodes int, react func(number int, a Asked) Reaction) (*Nodes, error) {
+	ns := &Nodes{dialect: dialect, react: react, conns: make(map[net.Conn]struct{}), done: make(chan struct{})}
+	for i := range nodes {
+		l, err := net.Listen("tcp", "127.0.0.2:0")
+		if err != nil {
+			ns.Close()
+			return nil, err
+		}
+		ns.listeners = append(ns.listeners, l)
+		ns.tasks.Go(func() { ns.accept(i, l) })
+	}
+	return ns, nil
+}
+
+// Address returns where a node listens.
+func (ns *Nodes) Address(i int) string { return ns.listeners[i].Addr().String() }
+
+// Refuse closes a node's listener for good.
+func (ns *Nodes) Refuse(i int) { ns.listeners[i].Close() }
+
+// Asked returns what the nodes were asked so far, in order.
+func (ns *Nodes) Asked() []Asked {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	return append([]Asked(nil), ns.asked...)
+}
+
+// Close ends the nodes and waits for their goroutines.
+func (ns *Nodes) Close() {
+	close(ns.done)
+	for _, l := range ns.listeners {
+		l.Close()
+	}
+	ns.mu.Lock()
+	for c := range ns.conns {
+		c.Close()
+	}
+	ns.mu.Unlock()
+	ns.tasks.Wait()
+}
+
+func (ns *Nodes) accept(i int, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		ns.mu.Lock()
+		ns.conns[c] = struct{}{}
+		ns.mu.Unlock()
+		ns.tasks.Go(func() {
+			ns.serve(i, c)
+			c.Close()
+			ns.mu.Lock()
+			delete(ns.conns, c)
+			ns.mu.Unlock()
+		})
+	}
+}
+
+// serve takes requests until the connection ends, or a reaction ends it.
+func (ns *Nodes) serve(i int, c net.Conn) {
+	read, in := readMeta, bufio.NewReader(c)
+	if ns.dialect == Binary {
+		read = readBinary
+	}
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		at := time.Now()
+		r, a, err := read(in)
+		if err != nil {
+			return
+		}
+		a.Node, a.At = i, at
+		ns.mu.Lock()
+		number := len(ns.asked)
+		ns.asked = append(ns.asked, a)
+		ns.mu.Unlock()
+		if !ns.carryOut(ns.react(number, a), r, c) {
+			return
+		}
+	}
+}
+
+// asked is what an answer needs of its request.
+type asked struct {
+	verb request.Verb
+	key  string
+	id   string
+	head binary.Header
+}
+
+func readMeta(in *bufio.Reader) (r asked, a Asked, err error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return r, a, err
+	}
+	c, err := meta.ParseCommand(strings.TrimSuffix(line, "\r\n"))
+	if err != nil {
+		return r, a, err
+	}
+	body := make([]byte, c.Size+2)
+	if c.Verb == request.Set {
+		if _, err := io.ReadFull(in, body); err != nil {
+			return r, a, err
+		}
+	}
+	return asked{verb: c.Verb, key: c.Key, id: c.ID},
+		Asked{Verb: c.Verb, Key: c.Key, Value: string(body[:c.Size]), Idempotency: c.Idempotency}, nil
+}
+
+func readBinary(in *bufio.Reader) (r asked, a Asked, err error) {
+	var head [binary.HeaderLen]byte
+	if _, err = io.ReadFull(in, head[:]); err != nil {
+		return r, a, err
+	}
+	if r.head, err = binary.Parse(head[:], binary.RequestMagic); err != nil {
+		return r, a, err
+	}
+	body := make([]byte, r.head.Body)
+	if _, err = io.ReadFull(in, body); err != nil {
+		return r, a, err
+	}
+	if r.head.Check() != binary.OK || r.head.Opcode != binary.Get && r.head.Opcode != binary.Set {
+		return r, a, errors.New("neither a get nor a set")
+	}
+	if r.head.Opcode == binary.Set {
+		r.verb = request.Set
+	}
+	r.key = string(body[r.head.Extras : r.head.Extras+r.head.Key])
+	return r, Asked{Verb: r.verb, Key: r.key, Value: string(body[r.head.Extras+r.head.Key:])}, nil
+}
+
+// carryOut does what a reaction asks for, and tells whether the connection goes on.
+func (ns *Nodes) carryOut(do Reaction, r asked, c net.Conn) bool {
+	say := ns.sayMeta
+	if ns.dialect == Binary {
+		say = ns.sayBinary
+	}
+	switch do {
+	case Reset:
+		return false
+	case Hang:
+		<-ns.done
+		return false
+	case Slow:
+		select {
+		case <-time.After(150 * time.Millisecond):
+		case <-ns.done:
+		}
+		do = Serve
+	}
+	text := say(do, r)
+	switch do {
+	case Half:
+		c.Write(text[:len(text)-1])
+		return false
+	case Endless:
+		c.Write(text)
+		c.Write(make([]byte, 1<<20)) // a bound: it has been given up long before
+		<-ns.done
+		return false
+	}
+	_, err := c.Write(text)
+	return err == nil
+}
+
+func (ns *Nodes) sayMeta(do Reaction, r asked) []byte {
+	value, id := Value(r.key), r.id
+	switch do {
+	case Miss:
+		return []byte("EN\r\n")
+	case Busy:
+		return []byte("SERVER_ERROR busy\r\n")
+	case Fail:
+		return []byte("SERVER_ERROR failed\r\n")
+	case Noise:
+		return []byte("\x00\x17noise\xff\r\n")
+	case Endless:
+		return []byte("VA 3000000000 O" + id + " h1\r\n")
+	case Other:
+		id += "x"
+	}
+	text := fmt.Sprintf("VA %d O%s h1\r\n%s\r\n", len(value), id, value)
+	if r.verb == request.Set {
+		text = fmt.Sprintf("HD O%s c%s\r\n", id, Receipt)
+	}
+	if do == Surplus {
+		text += text
+	}
+	return []byte(text)
+}
+
+func (ns *Nodes) sayBinary(do Reaction, r asked) []byte {
+	switch do {
+	case Miss:
+		return binary.AppendStatus(nil, &r.head, binary.NotFound, 0)
+	case Busy:
+		return binary.AppendStatus(nil, &r.head, binary.Busy, 0)
+	case Fail:
+		return binary.AppendStatus(nil, &r.head, binary.Internal, 0)
+	case Noise:
+		return []byte("\x00\x17noise\xff that is longer than a header")
+	}
+	h := binary.Header{Opcode: r.head.Opcode, Opaque: r.head.Opaque, CAS: 7}
+	value := ""
+	if r.verb == request.Get {
+		value = "\x00\x00\x00\x00" + Value(r.key)
+		h.Extras, h.Body = 4, len(value)
+	}
+	switch do {
+	case Other:
+		h.Opaque++
+	case Endless:
+		h.Extras, h.Body = 4, 3000000000
+		value = ""
+	}
+	text := string(h.Append(nil, binary.ResponseMagic)) + value
+	if do == Surplus {
+		text += text
+	}
+	return []byte(text)
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -459,3 +459,44 @@
 		t.Errorf("%.2f still in work long after", b.busy(s))
 	}
 }
+
+// TestKeylessServersGetNothingKeyed guards the promise that a client's repeat of a
+// keyed request is dropped: where no server keeps it, the client is told at once, and
+// others are served.
+func TestKeylessServersGetNothingKeyed(t *testing.T) {
+	b, err := New(Settings{Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second},
+		{Effect: Keyed, Window: time.Second, Aim: time.Second, Deadline: 2 * time.Second}}, Proxies: 1, Limits: Limits{MaxAttempts: 3}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	list := []Member{{Server: "a", Keyless: true}, {Server: "b", Keyless: true}}
+	b.Handle(now, ListUpdate{Kind: ListFull, Members: list}, nil)
+	refused := func(actions []Action) (n int) {
+		for _, a := range actions {
+			if a.Kind == Refuse {
+				n++
+			}
+		}
+		return n
+	}
+	out := b.Handle(now, Arrival{ID: 1, Class: 1, Write: true, Deadline: now + time.Second}, nil)
+	if len(sent(out)) != 0 || refused(out) != 1 {
+		t.Errorf("a keyed request: %+v, want a refusal at once", out)
+	}
+	if out = b.Handle(now, Arrival{ID: 2, Key: "k", Deadline: now + time.Second}, nil); len(sent(out)) != 1 {
+		t.Errorf("a safe request: %+v", out)
+	}
+	b.Handle(now, ListUpdate{Kind: ListChanges, Members: []Member{{Server: "c"}}}, nil)
+	for id := uint64(3); id < 10; id++ { // few: a server that answers nothing yet is soon spared
+		out = b.Handle(now, Arrival{ID: id, Class: 1, Write: true, Deadline: now + time.Second}, nil)
+		if to := sent(out); len(to) != 1 || to[0] != "c" {
+			t.Errorf("sent to %v: %+v", to, out)
+		}
+	}
+	// What waits for its connection as the server comes to drop none is not written.
+	b.Handle(now, ListUpdate{Kind: ListChanges, Members: []Member{{Server: "c", Keyless: true}}}, nil)
+	if b.Allowed(now, 3, 0) {
+		t.Error("its first byte may still be written")
+	}
+}
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -109,6 +109,9 @@
 			w.t.Fatalf("send to %s, which drains, is gone or unknown", a.Server)
 		}
 		to := w.members[a.Server]
+		if to.Keyless && class().Effect == policy.Keyed {
+			w.t.Fatalf("%+v sent to %s, which drops no repeats", j, a.Server)
+		}
 		for _, y := range j.tries {
 			if y.out && !j.set.Limits.Duplicates {
 				w.t.Fatalf("second copy out: %+v", j)
@@ -213,7 +216,7 @@
 	var changed []policy.Member
 	for range 1 + w.rng.IntN(3) {
 		name := fmt.Sprint("s", w.rng.IntN(9))
-		m := policy.Member{Server: name, Zone: w.rng.IntN(2), Cell: w.rng.IntN(3), Weight: 1}
+		m := policy.Member{Server: name, Zone: w.rng.IntN(2), Cell: w.rng.IntN(3), Weight: 1, Keyless: name >= "s7"}
 		if old, ok := w.members[name]; ok {
 			m = old
 			m.Mode = policy.Mode(w.rng.IntN(3))
