--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,13 +10,17 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"wrenroute/internal/consul"
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/front/binary"
+	"wrenroute/internal/membership"
 	"wrenroute/internal/proxy"
 	"wrenroute/internal/route"
 	"wrenroute/internal/sasl"
@@ -26,9 +30,10 @@
 
 // Config is all that the daemon is told.
 type Config struct {
-	Proxy *proxy.Config
-	Log   Log
-	Start Start
+	Proxy    *proxy.Config
+	Register *consul.Registration // in Consul's catalogue; nil for none
+	Log      Log
+	Start    Start
 }
 
 // Log says what is logged and how.
@@ -92,6 +97,7 @@
 	c := &Config{Proxy: &proxy.Config{}}
 	p := c.Proxy
 	p.Seed = rand.Uint64()
+	p.Infer, p.Membership = true, membership.Usual
 	p.Name = top.text("name", "yarrowspan", printable)
 	p.Listen = top.text("listen", "", isAddress)
 	if !top.has("listen") {
@@ -170,45 +176,113 @@
 	return c, nil
 }
 
-// nodes reads where the list comes from: exactly one source.
+// nodes reads where the list comes from: one source or several, of which the first to
+// list a node says what it is like. Any of them can say that it drains or is gone.
 func (c *Config) nodes(top *table, folder string) {
 	t := top.table("nodes")
 	if top.has("nodes") && t.value == nil {
 		return // told: it is no table
 	}
 	before := len(t.d.list)
-	place := &c.Proxy.Place
 	file := t.text("file", "", anything)
-	place.Address = t.text("discovery", "", isAddress)
+	address := t.text("discovery", "", isAddress)
 	addresses := t.texts("addresses", nil, isAddress)
+	agent := t.text("consul", "", isAddress)
 	unique(t.d, "nodes.addresses", addresses)
-	given := 0
-	for _, key := range []string{"file", "discovery", "addresses"} {
-		if t.has(key) {
-			given++
+	t.end()
+	p := c.Proxy
+	add := func(place discovery.Place, known discovery.List) {
+		if p.Places = append(p.Places, place); len(p.Places) == 1 {
+			p.Known = known
 		}
 	}
-	t.end()
-	switch {
-	case given != 1:
-		t.d.add("nodes", "has %d sources: want one of file, discovery and addresses", given)
-	case len(t.d.list) > before: // told
-	case t.has("file"):
-		if place.File = file; !filepath.IsAbs(file) {
-			place.File = filepath.Join(folder, file)
+	if t.has("addresses") && len(t.d.list) == before {
+		if len(addresses) == 0 {
+			t.d.add("nodes.addresses", "cannot be empty: want one HOST:PORT and more")
+		}
+		fixed := strings.Join(addresses, ",")
+		add(discovery.Place{Fixed: fixed}, discovery.FixedList(fixed))
+	}
+	if t.has("file") && len(t.d.list) == before {
+		path := file
+		if !filepath.IsAbs(file) {
+			path = filepath.Join(folder, file)
 		}
-		known, err := discovery.ReadFile(place.File)
+		known, err := discovery.ReadFile(path)
 		if err != nil {
 			t.d.add("nodes.file", "cannot be %q: %v", file, err)
 		}
-		c.Proxy.Known = known
-	case t.has("addresses"):
-		if len(addresses) == 0 {
-			t.d.add("nodes.addresses", "cannot be empty: want one HOST:PORT and more")
+		add(discovery.Place{File: path}, known)
+	}
+	if t.has("consul") {
+		c.consul(top, agent, folder, func(place consul.Place) { add(discovery.Place{Other: place}, discovery.List{}) })
+	} else if top.has("consul") {
+		t.d.add("consul", "is for nodes.consul = \"HOST:PORT\" only")
+		top.table("consul")
+	}
+	if t.has("discovery") {
+		add(discovery.Place{Address: address}, discovery.List{})
+	}
+	if len(p.Places) == 0 && len(t.d.list) == before {
+		t.d.add("nodes", "has no source: want addresses, file, consul or discovery")
+	}
+}
+
+// consul reads how Consul's catalogue is followed, and how the proxy stands in it.
+func (c *Config) consul(top *table, address, folder string, add func(consul.Place)) {
+	t := top.table("consul")
+	file := func(key string) string {
+		path := t.text(key, "", anything)
+		if path != "" && !filepath.IsAbs(path) {
+			path = filepath.Join(folder, path)
+		}
+		return path
+	}
+	agent := consul.Agent{Address: address, TLS: t.yes("tls", false), CAFile: file("ca_file"), TokenFile: file("token_file")}
+	place := consul.Place{Agent: agent, Service: t.text("service", "", printable), Tag: t.text("tag", "", anything),
+		DrainTag: t.text("drain_tag", "", anything), DrainCheck: t.text("drain_check", "", anything), Stale: t.yes("stale", false),
+		Wait: t.duration("wait", time.Minute, 100*time.Millisecond, 10*time.Minute)}
+	centres := t.texts("datacenters", []string{""}, printable)
+	if !t.has("service") {
+		t.d.add("consul.service", "is missing: want the name of the nodes' service")
+	}
+	if agent.CAFile != "" && !agent.TLS {
+		t.d.add("consul.ca_file", "is for consul.tls = true only")
+	}
+	for _, path := range []string{agent.CAFile, agent.TokenFile} {
+		if _, err := os.Stat(path); path != "" && err != nil {
+			t.d.add("consul", "names a file that cannot be read: %v", err)
 		}
-		place.Fixed = strings.Join(addresses, ",")
-		c.Proxy.Known = discovery.FixedList(place.Fixed)
 	}
+	unique(t.d, "consul.datacenters", centres)
+	for _, place.Datacenter = range centres {
+		add(place)
+	}
+	l := t.table("list")
+	limits := &c.Proxy.Membership
+	limits.Share = l.number("collapse_share", limits.Share, 0, 1)
+	limits.Collapse = l.duration("collapse_time", limits.Collapse, time.Second, longest)
+	limits.Failing = l.duration("failing_time", limits.Failing, time.Second, longest)
+	limits.First = l.duration("hold_first", limits.First, time.Millisecond, longest)
+	limits.Most = l.duration("hold_most", limits.Most, time.Millisecond, longest)
+	l.end()
+	if t.has("register") {
+		r := t.table("register")
+		in := consul.Registration{Agent: agent, Service: r.text("service", "", printable), ID: r.text("id", c.Proxy.Name, printable),
+			TTL: r.duration("ttl", 10*time.Second, time.Second, time.Hour), Tags: r.texts("tags", nil, printable)}
+		announced := r.text("address", c.Proxy.Listen, isAddress)
+		if !r.has("service") {
+			t.d.add("consul.register.service", "is missing: want the name of the proxies' service")
+		}
+		host, port, _ := net.SplitHostPort(announced) // it has been checked
+		number, err := strconv.Atoi(port)
+		if in.Host, in.Port = host, number; err != nil || number < 1 {
+			t.d.add("consul.register.address", "cannot be %q: want HOST:PORT with a number", announced)
+		}
+		r.end()
+		c.Register = &in
+	}
+	t.end()
 }
 
 // binary reads how the binary protocol is spoken, to clients and to nodes.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/binary"
 	"wrenroute/internal/discovery"
+	"wrenroute/internal/membership"
 	"wrenroute/internal/meta"
 	"wrenroute/internal/request"
 	"wrenroute/internal/upstream"
@@ -27,14 +27,20 @@
 
 // Config is what a core is told.
 type Config struct {
-	Place discovery.Place // of the list of nodes
+	// Places are those of the list of nodes, in order of precedence. On the platform
+	// there is exactly one.
+	Places []discovery.Place
 	// Patient takes silence of the list's source for no news rather than its loss.
-	Patient     bool
-	Seed        uint64
-	Known       discovery.List
-	Policy      policy.Settings
-	Upstream    upstream.Limits
-	MostHeld    int // requests at a time
+	Patient  bool
+	Seed     uint64
+	Known    discovery.List
+	Policy   policy.Settings
+	Upstream upstream.Limits
+	MostHeld int // requests at a time
+	// Infer has membership work out what sources don't tell, and doubt lists that
+	// collapse. Without it the one source's list is passed on as it is.
+	Infer       bool
+	Membership  membership.Limits
 	BinaryNodes Speakers
 }
 
@@ -43,8 +49,8 @@
 type Speakers struct{ Names, Types []string }
 
 // has tells whether a node is one of them.
-func (s *Speakers) has(e *discovery.Endpoint) bool {
-	return slices.Contains(s.Names, e.Name) || slices.Contains(s.Types, e.Type)
+func (s *Speakers) has(n *membership.Node) bool {
+	return slices.Contains(s.Names, n.Name) || slices.Contains(s.Types, n.Type)
 }
 
 // Held is a client's request that the core holds. It is guarded by Core.mu.
@@ -72,6 +78,7 @@
 type Core struct {
 	askList bool
 	patient bool
+	infer   bool
 	zones   []string // what the list's names are the indices of
 	kinds   []string
 	binary  Speakers
@@ -82,8 +89,11 @@
 
 	mu        sync.Mutex
 	rules     *rules
-	heard     bool // known is closed
-	registry  discovery.Source
+	heard     bool             // known is closed
+	registry  discovery.Source // without infer
+	places    []discovery.Place
+	members   *membership.Module
+	news      []membership.Action // room for them
 	balancer  *policy.Balancer
 	actions   []policy.Action
 	events    []policy.Event // that carrying out actions has brought
@@ -97,6 +107,8 @@
 	subscribe chan struct{}
 	moved     chan struct{}
 	fetch     chan struct{}
+	look      chan string     // names of sources
+	failed    map[string]bool // nodes whose connections failed last
 }
 
 // rules are what a request is checked against as it comes. They are replaced
@@ -125,12 +137,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{askList: config.Policy.AskList, patient: config.Patient, zones: config.Policy.Zones, kinds: config.Policy.Kinds, binary: config.BinaryNodes,
-		rules: newRules(config), log: log, registry: config.Place.Open(), start: time.Now(), known: make(chan struct{}),
+	c := &Core{askList: config.Policy.AskList, patient: config.Patient, infer: config.Infer, zones: config.Policy.Zones, kinds: config.Policy.Kinds, binary: config.BinaryNodes,
+		rules: newRules(config), log: log, registry: config.Places[0].Open(), places: config.Places, start: time.Now(), known: make(chan struct{}),
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
-		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1)}
+		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
+		look: make(chan string, 8), failed: make(map[string]bool)}
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
-	c.learn(c.registry, config.Known, policy.ListStored)
+	c.members = membership.New(membership.Settings{Limits: config.Membership, Sources: sourcesOf(config.Places), Infer: config.Infer})
+	if len(config.Known.Endpoints) > 0 || !config.Infer {
+		c.learn(config.Places[0].String(), c.registry, config.Known, policy.ListStored)
+	}
 	return c, nil
 }
 
@@ -158,19 +174,12 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.nodes.Run(ctx) })
 	tasks.Go(func() { c.keepTime(ctx) })
-	tasks.Go(func() { c.watch(ctx) })
-	tasks.Go(func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-c.fetch:
-				registry, _ := c.place()
-				l, err := registry.Fetch(ctx)
-				c.fetched(registry, l, err)
-			}
-		}
-	})
+	if c.infer {
+		tasks.Go(func() { c.follow(ctx) })
+	} else {
+		tasks.Go(func() { c.watch(ctx) })
+		tasks.Go(func() { c.fetchLists(ctx) })
+	}
 	tasks.Wait()
 }
 
@@ -459,6 +468,7 @@
 	if r, a := c.find(u); r != nil {
 		c.answer(r, answer)
 		c.end(r, a, policy.Served, answer)
+		c.sight(a.server, membership.Answered)
 	}
 }
 
@@ -471,6 +481,12 @@
 		return
 	}
 	c.end(r, a, results[result], answer)
+	switch result {
+	case upstream.NoConnect, upstream.Broken:
+		c.sight(a.server, membership.Failed)
+	case upstream.Busy, upstream.Failed:
+		c.sight(a.server, membership.Answered)
+	}
 }
 
 var results = [...]policy.Result{upstream.Busy: policy.Full, upstream.Failed: policy.Errored,
@@ -487,6 +503,7 @@
 const (
 	moduleTimer = -1
 	allAttempts = -2
+	memberTimer = -3 // membership's
 	// Timers due within a few milliseconds are handled together: a wake-up each
 	// would cost more than they do.
 	timerGrain = 2 * time.Millisecond
@@ -521,9 +538,13 @@
 			return wait
 		}
 		t := c.timers.pop()
-		if t.attempt == moduleTimer {
+		switch t.attempt {
+		case moduleTimer:
 			c.handle(policy.Timer{Token: t.id})
 			continue
+		case memberTimer:
+			c.member(membership.Tick{})
+			continue
 		}
 		r := c.requests[t.id]
 		for i := 0; r != nil && i < len(r.attempts); i++ {
@@ -534,160 +555,3 @@
 	}
 	return time.Hour
 }
-
-// The wait before a lost watch is begun again by the core itself: where lists
-// are pushed, and after discovery has moved.
-const watchPause = 500 * time.Millisecond
-
-// watching is one subscription of the list.
-type watching struct {
-	cancel context.CancelFunc
-	news   chan struct{} // it has told something
-	lost   chan struct{} // it has ended
-}
-
-// startWatch begins a subscription after a while; it ends with ctx or by its cancel.
-func (c *Core) startWatch(ctx context.Context, tasks *sync.WaitGroup, after time.Duration) *watching {
-	ctx, cancel := context.WithCancel(ctx)
-	w := &watching{cancel: cancel, news: make(chan struct{}, 1), lost: make(chan struct{})}
-	tasks.Go(func() {
-		defer close(w.lost)
-		defer cancel()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(after):
-		}
-		registry, from := c.place()
-		err := registry.Watch(ctx, from, c.patient, func(l discovery.List) {
-			if ctx.Err() == nil {
-				c.learn(registry, l, policy.ListChanges)
-				post(w.news)
-			}
-		})
-		if ctx.Err() == nil {
-			c.log.Warn("watch lost", "error", err)
-		}
-	})
-	return w
-}
-
-// watch keeps the one subscription that the module asks for. A new one takes
-// the place of the old. Where lists are pushed none is asked for, and losing
-// one is not told.
-//
-// When discovery moves, the old subscription is kept until the new one has told
-// something: a call may wait its turn for seconds, and a drain that is announced
-// meanwhile must not be missed. This should also cover a new address that
-// is slow or not there yet. It costs one connection more for that time.
-func (c *Core) watch(ctx context.Context) {
-	var tasks sync.WaitGroup
-	defer tasks.Wait()
-	none := &watching{cancel: func() {}} // its nil channels never speak
-	now, before := none, none
-	end := func(w **watching) {
-		(*w).cancel()
-		*w = none
-	}
-	moved := false
-	if !c.askList {
-		now = c.startWatch(ctx, &tasks, 0)
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			end(&now)
-			end(&before)
-			return
-		case <-c.subscribe:
-			end(&now)
-			now = c.startWatch(ctx, &tasks, 0)
-		case <-c.moved:
-			end(&before)
-			before, now = now, c.startWatch(ctx, &tasks, 0)
-			moved = true
-		case <-now.news:
-			end(&before)
-			moved = false
-		case <-before.lost:
-			before = none
-		case <-now.lost:
-			now = none
-			if moved || !c.askList {
-				now = c.startWatch(ctx, &tasks, watchPause)
-				continue
-			}
-			c.mu.Lock()
-			c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
-			c.mu.Unlock()
-		}
-	}
-}
-
-// place returns the discovery service and the version of its list that is
-// known: none right after a move, as another service may count otherwise.
-func (c *Core) place() (discovery.Source, uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.registry, c.version
-}
-
-// Move makes place the one of the list.
-func (c *Core) Move(place discovery.Place) {
-	c.mu.Lock()
-	c.registry, c.version = place.Open(), 0
-	c.mu.Unlock()
-	post(c.moved)
-}
-
-func (c *Core) fetched(from discovery.Source, l discovery.List, err error) {
-	if err == nil {
-		c.learn(from, l, policy.ListFull)
-		return
-	}
-	c.log.Warn("list call failed", "error", err)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
-}
-
-// learn takes news of the list: the connections first, so that the module
-// never names a node that they don't know.
-func (c *Core) learn(from discovery.Source, l discovery.List, kind policy.ListKind) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	there, gone := l.Nodes()
-	update := l.Update(c.zones, c.kinds)
-	if kind == policy.ListStored {
-		update.Kind = kind
-	}
-	for i := range l.Endpoints {
-		if e := &l.Endpoints[i]; c.binary.has(e) {
-			update.Members[i].Keyless = true // its dialect has no room for an idempotency key
-			if j := slices.IndexFunc(there, func(n upstream.Node) bool { return n.Name == e.Name }); j >= 0 {
-				there[j].Dialect = binary.Node{}
-			}
-		}
-	}
-	if update.Kind != policy.ListChanges {
-		listed := make(map[string]bool, len(there))
-		for _, n := range there {
-			listed[n.Name] = true
-		}
-		for _, name := range c.nodes.Names() {
-			if !listed[name] {
-				gone = append(gone, name)
-			}
-		}
-	}
-	if from == c.registry {
-		c.version = l.Index
-	}
-	if kind != policy.ListStored && !c.heard {
-		c.heard = true
-		close(c.known)
-	}
-	c.nodes.Set(there)
-	c.handle(update)
-	c.nodes.Remove(gone)
-}
--- /dev/null
+++ b/internal/core/list.go
@@ -0,0 +1,360 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wrenroute/internal/binary"
+	"wrenroute/internal/discovery"
+	"wrenroute/internal/membership"
+	"wrenroute/internal/upstream"
+	"wrenroute/policy"
+)
+
+// This file follows the sources of the list of nodes, has membership decide what they
+// come to, and gives that to the connections and to the decision module.
+
+// The wait before a lost watch is begun again by the core itself: where lists
+// are pushed, and after discovery has moved.
+const watchPause = 500 * time.Millisecond
+
+// watching is one subscription of the list.
+type watching struct {
+	cancel context.CancelFunc
+	news   chan struct{} // it has told something
+	lost   chan struct{} // it has ended
+}
+
+// startWatch begins a subscription after a while; it ends with ctx or by its cancel.
+func (c *Core) startWatch(ctx context.Context, tasks *sync.WaitGroup, after time.Duration) *watching {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watching{cancel: cancel, news: make(chan struct{}, 1), lost: make(chan struct{})}
+	tasks.Go(func() {
+		defer close(w.lost)
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(after):
+		}
+		name, registry, from := c.place()
+		err := registry.Watch(ctx, from, c.patient, func(l discovery.List) {
+			if ctx.Err() == nil {
+				c.learn(name, registry, l, policy.ListChanges)
+				post(w.news)
+			}
+		})
+		if ctx.Err() == nil {
+			c.log.Warn("watch lost", "error", err)
+		}
+	})
+	return w
+}
+
+// watch keeps the one subscription that the module asks for. A new one takes
+// the place of the old. Where lists are pushed none is asked for, and losing
+// one is not told.
+//
+// When discovery moves, the old subscription is kept until the new one has told
+// something: a call may wait its turn for seconds, and a drain that is announced
+// meanwhile must not be missed. This should also cover a new address that
+// is slow or not there yet. It costs one connection more for that time.
+func (c *Core) watch(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	none := &watching{cancel: func() {}} // its nil channels never speak
+	now, before := none, none
+	end := func(w **watching) {
+		(*w).cancel()
+		*w = none
+	}
+	moved := false
+	if !c.askList {
+		now = c.startWatch(ctx, &tasks, 0)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			end(&now)
+			end(&before)
+			return
+		case <-c.subscribe:
+			end(&now)
+			now = c.startWatch(ctx, &tasks, 0)
+		case <-c.moved:
+			end(&before)
+			before, now = now, c.startWatch(ctx, &tasks, 0)
+			moved = true
+		case <-now.news:
+			end(&before)
+			moved = false
+		case <-before.lost:
+			before = none
+		case <-now.lost:
+			now = none
+			if moved || !c.askList {
+				now = c.startWatch(ctx, &tasks, watchPause)
+				continue
+			}
+			c.mu.Lock()
+			c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
+			c.mu.Unlock()
+		}
+	}
+}
+
+// place returns the discovery service, its name as a source, and the version of its list
+// that is known: none right after a move, as another service may count otherwise.
+func (c *Core) place() (string, discovery.Source, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.places[0].String(), c.registry, c.version
+}
+
+// Move makes places those of the list.
+func (c *Core) Move(places []discovery.Place) {
+	c.mu.Lock()
+	c.places = places
+	c.registry, c.version = places[0].Open(), 0
+	c.member(membership.Followed{Sources: sourcesOf(places)})
+	c.mu.Unlock()
+	post(c.moved)
+}
+
+// sourcesOf names the sources at places.
+func sourcesOf(places []discovery.Place) (list []membership.Source) {
+	for _, p := range places {
+		list = append(list, membership.Source{Name: p.String(), Doubted: p.Doubted()})
+	}
+	return list
+}
+
+// fetchLists asks for the list as often as the decision module wants it.
+func (c *Core) fetchLists(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.fetch:
+			name, registry, _ := c.place()
+			l, err := registry.Fetch(ctx)
+			c.fetched(name, registry, l, err)
+		}
+	}
+}
+
+func (c *Core) fetched(name string, from discovery.Source, l discovery.List, err error) {
+	if err == nil {
+		c.learn(name, from, l, policy.ListFull)
+		return
+	}
+	c.log.Warn("list call failed", "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
+}
+
+// learn takes news of the list from one of the platform's places.
+func (c *Core) learn(name string, from discovery.Source, l discovery.List, kind policy.ListKind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if from == c.registry {
+		c.version = l.Index
+	}
+	if kind != policy.ListStored {
+		c.hear()
+	}
+	c.member(membership.Told{Source: name, Whole: l.Snapshot || kind != policy.ListChanges, Nodes: l.Nodes()})
+}
+
+// hear notes that a list has come. c.mu is held.
+func (c *Core) hear() {
+	if !c.heard {
+		c.heard = true
+		close(c.known)
+	}
+}
+
+// member gives membership an event and does what it asks: the connections first, so that
+// the decision module never names a node that they don't know. c.mu is held.
+func (c *Core) member(event membership.Event) {
+	c.news = c.members.Handle(c.now(), event, c.news[:0])
+	update := policy.ListUpdate{Version: c.version, Kind: policy.ListChanges}
+	var there []upstream.Node
+	var gone []string
+	for _, action := range c.news {
+		switch a := action.(type) {
+		case membership.Change:
+			keyless := c.binary.has(&a.Node)
+			update.Members = append(update.Members, policy.Member{Server: a.Name, Zone: place(c.zones, a.Zone), Kind: place(c.kinds, a.Type),
+				Cell: a.Group, Mode: modes[a.Status], Weight: a.Weight, Started: a.Started, Keyless: keyless})
+			if c.infer && c.heard { // what it was started with is in its configuration
+				c.log.Info("node", "name", a.Name, "address", a.Address, "is", a.Status.String(), "was", a.Before.String(), "source", a.Source, "why", a.Why)
+			}
+			if a.Status == membership.Gone {
+				gone = append(gone, a.Name)
+				delete(c.failed, a.Name)
+				continue
+			}
+			n := upstream.Node{Name: a.Name, Address: a.Address}
+			if a.Started > 0 {
+				n.Started = time.Unix(0, int64(a.Started))
+			}
+			if keyless { // its dialect has no room for an idempotency key
+				n.Dialect = binary.Node{}
+			}
+			there = append(there, n)
+		case membership.Look:
+			c.log.Warn("list collapsed, looking again", "source", a.Source, "in_doubt", len(c.members.Doubted(a.Source)))
+			select {
+			case c.look <- a.Source:
+			default: // many are asked for already; a doubt ends without one as well
+			}
+		case membership.Wake:
+			c.setTimer(timer{at: c.now() + a.After, attempt: memberTimer})
+		}
+	}
+	c.nodes.Set(there)
+	if _, told := event.(membership.Told); told || len(update.Members) > 0 {
+		c.handle(update)
+	}
+	c.nodes.Remove(gone)
+}
+
+var modes = map[membership.Status]policy.Mode{membership.Up: policy.Serving, membership.Draining: policy.Draining, membership.Gone: policy.Gone}
+
+// place is the index of a name, behind the known ones for one that is not known.
+func place(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
+
+// sight tells membership what connections see of a node. c.mu is held.
+func (c *Core) sight(node string, sight membership.Sight) {
+	if c.infer && (sight == membership.Failed || c.failed[node]) {
+		if sight == membership.Failed {
+			c.failed[node] = true
+		} else {
+			delete(c.failed, node)
+		}
+		c.member(membership.Seen{Node: node, Sight: sight})
+	}
+}
+
+// follower is one source that is followed.
+type follower struct {
+	place  discovery.Place
+	source discovery.Source
+	cancel context.CancelFunc
+}
+
+// follow keeps a watch on each source of the list. When they change, those that are none
+// any more are heard until the new ones have told something: a drain that is announced
+// meanwhile must not be missed.
+func (c *Core) follow(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	followers := make(map[string]*follower)
+	told := make(chan string)
+	var waiting map[string]bool // new ones that have told nothing yet
+	adapt := func() {
+		c.mu.Lock()
+		places := c.places
+		c.mu.Unlock()
+		waiting = make(map[string]bool)
+		for _, p := range places {
+			if followers[p.String()] != nil {
+				continue
+			}
+			own, cancel := context.WithCancel(ctx)
+			f := &follower{place: p, source: p.Open(), cancel: cancel}
+			followers[p.String()] = f
+			waiting[p.String()] = true
+			tasks.Go(func() { c.followOne(own, f, told) })
+		}
+	}
+	retire := func() {
+		c.mu.Lock()
+		places := c.places
+		c.mu.Unlock()
+		for name, f := range followers {
+			if !slices.ContainsFunc(places, func(p discovery.Place) bool { return p.String() == name }) {
+				f.cancel()
+				delete(followers, name)
+			}
+		}
+	}
+	adapt()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.moved:
+			adapt()
+		case name := <-told:
+			delete(waiting, name)
+		case name := <-c.look:
+			if f := followers[name]; f != nil {
+				tasks.Go(func() { c.lookAgain(ctx, f) })
+			}
+		}
+		if len(waiting) == 0 {
+			retire()
+		}
+	}
+}
+
+// followOne watches one source until ctx ends, over and over.
+func (c *Core) followOne(ctx context.Context, f *follower, told chan<- string) {
+	name, first := f.place.String(), true
+	for ctx.Err() == nil {
+		err := f.source.Watch(ctx, 0, c.patient, func(l discovery.List) {
+			if ctx.Err() != nil {
+				return
+			}
+			c.mu.Lock()
+			c.hear()
+			c.member(membership.Told{Source: name, Whole: l.Snapshot, Nodes: l.Nodes()})
+			c.mu.Unlock()
+			if first {
+				first = false
+				select {
+				case told <- name:
+				case <-ctx.Done():
+				}
+			}
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		c.log.Warn("source of the list lost", "source", name, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
+}
+
+// lookTime bounds a second look: later it would come too late for the drain rule.
+const lookTime = 300 * time.Millisecond
+
+// lookAgain asks a source for its list past whatever it may have kept.
+func (c *Core) lookAgain(ctx context.Context, f *follower) {
+	ctx, cancel := context.WithTimeout(ctx, lookTime)
+	defer cancel()
+	l, err := f.source.Fetch(ctx)
+	if err != nil {
+		c.log.Warn("second look failed", "source", f.place.String(), "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.member(membership.LookFailed{Source: f.place.String()})
+		return
+	}
+	c.member(membership.Told{Source: f.place.String(), Whole: true, Look: true, Nodes: l.Nodes()})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"wrenroute/internal/config"
+	"wrenroute/internal/consul"
 	"wrenroute/internal/lifecycle"
 	"wrenroute/internal/notify"
 	"wrenroute/internal/proxy"
@@ -195,7 +196,7 @@
 		return
 	}
 	d.level.Set(c.Log.Level)
-	d.log.Info("reloaded", "nodes", c.Proxy.Place.String())
+	d.log.Info("reloaded", "nodes", c.Proxy.Sources())
 }
 
 // status describes the daemon. It goes through the locks that all requests go
@@ -256,12 +257,38 @@
 	d.news <- news{server: server, log: log}
 	var ready sync.WaitGroup
 	ready.Go(func() { d.awaitNodes(ctx, server, c, log) })
+	leave := d.register(ctx, server, c, log)
 	server.Serve(ctx)
 	ready.Wait()
+	leave()
 	log.Info("all answered")
 	d.news <- news{event: lifecycle.Answered}
 }
 
+// register keeps the proxy in Consul's catalogue from when it can serve until the drain
+// begins. What it returns takes the proxy out, once that has been told.
+func (d *daemon) register(ctx context.Context, server *proxy.Server, c *config.Config, log *slog.Logger) (leave func()) {
+	if c.Register == nil {
+		return func() {}
+	}
+	r := consul.NewRegistrar(*c.Register, log)
+	var task sync.WaitGroup
+	entered := false
+	task.Go(func() {
+		select {
+		case <-server.Known():
+			entered = true
+			r.Run(ctx, func() bool { return ctx.Err() == nil })
+		case <-ctx.Done():
+		}
+	})
+	return func() {
+		if task.Wait(); entered {
+			r.Leave()
+		}
+	}
+}
+
 // listen opens the address, waiting for a while for another process to leave it.
 func listen(ctx context.Context, c *config.Config, passed *net.TCPListener, log *slog.Logger) (*proxy.Server, error) {
 	until := time.Now().Add(c.Start.Address)
@@ -284,7 +311,7 @@
 		select {
 		case <-server.Known():
 		case <-late.C:
-			log.Warn("no list of nodes yet", "source", c.Proxy.Place.String())
+			log.Warn("no list of nodes yet", "source", c.Proxy.Sources())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,12 +11,10 @@
 	"math"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
-	"wrenroute/internal/upstream"
-	"wrenroute/policy"
+	"wrenroute/internal/membership"
 )
 
 const (
@@ -42,6 +40,9 @@
 	Status  string  `json:"status"`
 	Weight  float64 `json:"weight"`
 	Since   float64 `json:"since_ms"`
+	// Of sources that can tell: what changes with each start, and why a node is not up.
+	Instance string `json:"-"`
+	Why      string `json:"-"`
 }
 
 // Parse reads a list, and takes none that is partly wrong.
@@ -58,7 +59,7 @@
 		if e.Name == "" {
 			return errors.New("list of nodes: entry without a name")
 		}
-		if _, ok := modes[e.Status]; !ok {
+		if _, ok := statuses[e.Status]; !ok {
 			return fmt.Errorf("list of nodes: status of %s cannot be %q", e.Name, e.Status)
 		}
 		if _, _, err := net.SplitHostPort(e.Address); err != nil && e.Status != "removed" {
@@ -71,44 +72,18 @@
 	return nil
 }
 
-var modes = map[string]policy.Mode{"up": policy.Serving, "draining": policy.Draining, "removed": policy.Gone}
+var statuses = map[string]membership.Status{"up": membership.Up, "draining": membership.Draining, "removed": membership.Gone}
 
-// Update says a list in the decision module's terms. Names that the settings
-// do not know map behind the known ones.
-func (l *List) Update(zones, kinds []string) policy.ListUpdate {
-	u := policy.ListUpdate{Version: l.Index, Kind: policy.ListChanges}
-	if l.Snapshot {
-		u.Kind = policy.ListFull
+// Nodes says a list in membership's terms.
+func (l *List) Nodes() []membership.Node {
+	nodes := make([]membership.Node, 0, len(l.Endpoints))
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		nodes = append(nodes, membership.Node{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type, Group: e.Group,
+			Weight: e.Weight, Status: statuses[e.Status], Started: time.Duration(e.Since * float64(time.Millisecond)),
+			Instance: e.Instance, Why: e.Why})
 	}
-	for _, e := range l.Endpoints {
-		u.Members = append(u.Members, policy.Member{Server: e.Name, Zone: place(zones, e.Zone),
-			Kind: place(kinds, e.Type), Cell: e.Group, Mode: modes[e.Status], Weight: e.Weight,
-			Started: time.Duration(e.Since * float64(time.Millisecond))})
-	}
-	return u
-}
-
-// Nodes returns the nodes of a list that are there, and the names of the others.
-func (l *List) Nodes() (there []upstream.Node, gone []string) {
-	for _, e := range l.Endpoints {
-		if e.Status == "removed" {
-			gone = append(gone, e.Name)
-			continue
-		}
-		n := upstream.Node{Name: e.Name, Address: e.Address}
-		if e.Since > 0 {
-			n.Started = time.UnixMilli(int64(e.Since))
-		}
-		there = append(there, n)
-	}
-	return there, gone
-}
-
-func place(names []string, name string) int {
-	if i := slices.Index(names, name); i >= 0 {
-		return i
-	}
-	return len(names)
+	return nodes
 }
 
 // Source is where a list of nodes comes from.
@@ -125,8 +100,19 @@
 	Address string // HOST:PORT of a service that speaks the platform's form
 	File    string // path of a node file
 	Fixed   string // addresses of nodes that never change, by commas
+	Other   Opener // any other kind; comparable
 }
 
+// Opener is the place of another kind of source.
+type Opener interface {
+	Open() Source
+	String() string
+}
+
+// Doubted tells whether the source gives whole lists only, which may collapse when it
+// fails. Others name who leaves, or are what an operator wrote.
+func (p Place) Doubted() bool { return p.Other != nil }
+
 // String names the place in a log.
 func (p Place) String() string {
 	switch {
@@ -134,6 +120,8 @@
 		return "file " + p.File
 	case p.Fixed != "":
 		return "addresses " + p.Fixed
+	case p.Other != nil:
+		return p.Other.String()
 	}
 	return p.Address
 }
@@ -146,6 +134,8 @@
 		return &file{path: p.File}
 	case p.Fixed != "":
 		return &fixed{FixedList(p.Fixed)}
+	case p.Other != nil:
+		return p.Other.Open()
 	}
 	return New(p.Address)
 }
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -121,6 +121,9 @@
 		end--
 	}
 	raw.From, raw.To, raw.InsertWait = end, end, true
+	if strings.HasSuffix(list, ",") {
+		return "bad P" // with a wait put behind it, it would be another line
+	}
 	seen := ""
 	for at := end - len(list); list != ""; {
 		pair, rest, _ := strings.Cut(list, ",")
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -18,6 +18,7 @@
 		"ms k 5 O1 Pd=1.5,c=put,k=5c",
 		"ms k -1 O1 Pc=put", "ms k 99999999999999999999 O1 Pc=put", "mn", "mn x", "mg  v", "mg k v O Pc=", "\xff",
 		"mg k v O1 Pc=read,d=1e3", "mg k v O1 Pc=read,d=NaN", "mg k v O1 O2 Pc=read",
+		"mg 0 v O0 Pc=0000,",
 	} {
 		f.Add(line)
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"wrenroute/internal/core"
@@ -51,6 +52,15 @@
 	BinaryListener = "binary"
 )
 
+// Sources names the places of the list, for a log.
+func (c *Config) Sources() string {
+	var names []string
+	for _, p := range c.Places {
+		names = append(names, p.String())
+	}
+	return strings.Join(names, ", ")
+}
+
 // binaryListen is the address of binary clients' own listener, "" for none.
 func (c *Config) binaryListen() string {
 	if c.Binary == nil {
@@ -103,17 +113,17 @@
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Cores: in.Limits.Cores, Memory: in.Limits.MemoryMB << 20,
 		Sockets: in.Limits.Sockets}
-	c.Place.Address = in.Discovery
+	c.Places = []discovery.Place{{Address: in.Discovery}}
 	if v := getenv("GW_LISTEN"); v != "" {
 		c.Listen = v
 	}
 	if v := getenv("GW_DISCOVERY"); v != "" {
-		c.Place.Address = v
+		c.Places[0].Address = v
 	}
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: listen: %w", err)
 	}
-	if _, _, err := net.SplitHostPort(c.Place.Address); err != nil {
+	if _, _, err := net.SplitHostPort(c.Places[0].Address); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: discovery: %w", err)
 	}
 	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -140,9 +140,9 @@
 	if changed := s.config.Fixed(next); len(changed) > 0 {
 		s.log.Warn("reload: these wait for a restart", "changed", changed)
 	}
-	s.log.Info("reloaded", "discovery", next.Place.String())
+	s.log.Info("reloaded", "discovery", next.Places[0].String())
 	in := *s.config
-	in.Place = next.Place
+	in.Places = next.Places
 	s.put(&in)
 }
 
@@ -189,10 +189,10 @@
 
 // put makes next the configuration in force, and follows its list.
 func (s *Server) put(next *Config) {
-	moved := next.Place != s.config.Place
+	moved := !slices.Equal(next.Places, s.config.Places)
 	s.config = next
 	if moved {
-		s.core.Move(next.Place)
+		s.core.Move(next.Places)
 	}
 }
 
--- /dev/null
+++ b/internal/rehearse/directory.go
@@ -0,0 +1,194 @@
+package rehearse
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"wrenroute/internal/standin/consul"
+	"wrenroute/internal/standin/list"
+)
+
+// directory is where the proxies of a fleet learn of its nodes. It knows when each was
+// told what.
+type directory interface {
+	// config opens a place for a proxy, and returns what its configuration says of it.
+	config(proxy int) (string, error)
+	// told returns when a proxy was first told that a node drains or is gone, and false
+	// while it is not told so.
+	told(proxy int, node string) (time.Time, bool)
+	set(e list.Entry)
+	// fail makes all of it fail in a way, "" for none.
+	fail(kind string)
+	// move changes the place of a proxy.
+	move(proxy int) error
+	places() []string // to talk to by hand
+	close()
+}
+
+// platformList is a directory of the platform's form.
+type platformList struct {
+	service *list.Service
+	mu      sync.Mutex
+	at      map[int]string
+}
+
+func newPlatformList(entries []list.Entry) *platformList {
+	return &platformList{service: list.New(entries), at: make(map[int]string)}
+}
+
+func (d *platformList) config(proxy int) (string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.at[proxy] == "" {
+		at, err := d.service.Open(proxy)
+		if err != nil {
+			return "", err
+		}
+		d.at[proxy] = at
+	}
+	return fmt.Sprintf("[nodes]\ndiscovery = %q\n", d.at[proxy]), nil
+}
+
+func (d *platformList) told(proxy int, node string) (time.Time, bool) {
+	return d.service.DrainTold(proxy, node)
+}
+func (d *platformList) set(e list.Entry) { d.service.Set(e) }
+func (d *platformList) fail(kind string) { d.service.SetDown(kind != "") }
+func (d *platformList) places() []string { return nil }
+func (d *platformList) close()           { d.service.Close() }
+
+func (d *platformList) move(proxy int) error {
+	at, err := d.service.Move(proxy)
+	if err == nil {
+		d.mu.Lock()
+		d.at[proxy] = at
+		d.mu.Unlock()
+	}
+	return err
+}
+
+// catalogue is a directory of Consul's: one agent for each zone, at which the proxies of
+// the zone register too.
+type catalogue struct {
+	catalogue *consul.Catalogue
+	zones     []string
+
+	mu     sync.Mutex
+	agents map[string]*consul.Agent // by zone
+}
+
+const consulService = "cache"
+
+func newCatalogue(entries []list.Entry, zones []string) (*catalogue, error) {
+	d := &catalogue{catalogue: consul.New(), zones: zones, agents: make(map[string]*consul.Agent)}
+	for _, zone := range zones {
+		a, err := d.catalogue.Start("agent-"+zone, "")
+		if err != nil {
+			d.close()
+			return nil, err
+		}
+		d.agents[zone] = a
+	}
+	for _, e := range entries {
+		d.set(e)
+	}
+	return d, nil
+}
+
+func (d *catalogue) zoneOf(proxy int) string { return d.zones[proxy%len(d.zones)] }
+
+func (d *catalogue) agent(proxy int) *consul.Agent {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.agents[d.zoneOf(proxy)]
+}
+
+func (d *catalogue) config(proxy int) (string, error) {
+	return fmt.Sprintf("[nodes]\nconsul = %q\n[consul]\nservice = %q\n[consul.register]\nservice = \"proxy\"\nttl = \"3s\"\n",
+		d.agent(proxy).Address(), consulService), nil
+}
+
+func (d *catalogue) told(proxy int, node string) (time.Time, bool) {
+	return d.agent(proxy).Wrote("host-"+node, node)
+}
+
+// set enters a node as an agent beside it would: a drain is its maintenance.
+func (d *catalogue) set(e list.Entry) {
+	host := "host-" + e.Name
+	address, port := splitPort(e.Address)
+	if e.Status == "removed" {
+		d.catalogue.Remove(host, e.Name)
+		return
+	}
+	i := consul.Instance{Node: host, ID: e.Name, Service: consulService, Address: address, Port: port,
+		Meta:   map[string]string{"name": e.Name, "zone": e.Zone, "type": e.Type, "group": fmt.Sprint(e.Group)},
+		Checks: []consul.Check{{CheckID: "tcp", Status: "passing"}}}
+	if e.Since > 0 {
+		i.Meta["started_ms"] = fmt.Sprint(e.Since)
+	}
+	if e.Status == "draining" {
+		i.Checks = append(i.Checks, consul.Check{CheckID: "_service_maintenance:" + e.Name, Status: "critical", Notes: "rehearsed"})
+	}
+	d.catalogue.Set(i)
+}
+
+func splitPort(address string) (host string, port int) {
+	at := strings.LastIndexByte(address, ':')
+	fmt.Sscan(address[at+1:], &port)
+	return address[:at], port
+}
+
+func (d *catalogue) fail(kind string) {
+	if kind == "rewind" {
+		d.catalogue.Rewind()
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.agents {
+		a.Fail(consul.FaultKind(kind))
+	}
+}
+
+// move has another agent take the place of a proxy's, for all proxies of its zone.
+func (d *catalogue) move(proxy int) error {
+	a, err := d.catalogue.Start("agent-"+d.zoneOf(proxy), "")
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.agents[d.zoneOf(proxy)]
+	d.agents[d.zoneOf(proxy)] = a
+	old.Close()
+	return nil
+}
+
+func (d *catalogue) places() (list []string) {
+	for _, zone := range d.zones {
+		list = append(list, "agent "+d.agents[zone].Address())
+	}
+	return list
+}
+
+func (d *catalogue) close() {
+	for _, a := range d.agents {
+		a.Close()
+	}
+}
+
+// flap takes a node out of the directory and enters it again, over and over, until ended
+// tells.
+func (f *fleet) flap(i, times int, every time.Duration, ended <-chan struct{}) {
+	for range times {
+		for _, status := range []string{"removed", "up"} {
+			f.tellNode(i, func(x *list.Entry) { x.Status = status })
+			select {
+			case <-ended:
+			case <-time.After(every):
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/members.go
@@ -0,0 +1,155 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"wrenroute/internal/standin/consul"
+)
+
+// MembersOptions say how to measure what following a catalogue costs.
+type MembersOptions struct {
+	Options
+	Nodes   int
+	Changes int // a second
+	For     time.Duration
+}
+
+// MembersReport is what was measured of one proxy without requests.
+type MembersReport struct {
+	Nodes     int     `json:"nodes"`
+	Changes   int     `json:"changes"`
+	Seconds   float64 `json:"seconds"`
+	CPU       float64 `json:"cpu_share"` // of one core
+	Resident  float64 `json:"resident_mb"`
+	Lists     int     `json:"lists"`
+	Bytes     float64 `json:"bytes_a_change"`
+	Missed    int     `json:"missed"` // changes that were never in force
+	P50       float64 `json:"in_force_p50_ms"`
+	P99       float64 `json:"in_force_p99_ms"`
+	Most      float64 `json:"in_force_most_ms"`
+	FromEntry float64 `json:"from_entry_p99_ms"`
+}
+
+// Members measures a proxy that follows a large catalogue with many changes: each node is
+// turned to maintenance once.
+func Members(ctx context.Context, o MembersOptions) (*MembersReport, error) {
+	c := consul.New()
+	name := func(i int) (host, id string) { return fmt.Sprintf("host-%d", i), fmt.Sprintf("cache-%d", i) }
+	for i := range o.Nodes {
+		host, id := name(i)
+		c.Set(consul.Instance{Node: host, ID: id, Service: consulService, Address: "127.0.0.2", Port: 1 + i%60000,
+			Meta: map[string]string{"name": id, "zone": "a", "type": "m1", "group": "1"}, Checks: []consul.Check{{CheckID: "tcp", Status: "passing"}}})
+	}
+	agent, err := c.Start("here", "")
+	if err != nil {
+		return nil, err
+	}
+	defer agent.Close()
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	config, log := filepath.Join(o.Folder, "members.toml"), filepath.Join(o.Folder, "members.log")
+	text := fmt.Sprintf("listen = %q\n[limits]\nmemory_mb = 32\n[nodes]\nconsul = %q\n[consul]\nservice = %q\n", address, agent.Address(), consulService)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	p, err := startProcess(append(slices.Clone(o.Program), config), nil, log)
+	if err != nil {
+		return nil, err
+	}
+	defer p.end(syscall.SIGKILL)
+	if err := p.awaitReady(); err != nil {
+		return nil, err
+	}
+	sleep(ctx, time.Second)
+	_, _, bytesBefore := agent.Stats()
+	listsBefore, _, _ := agent.Stats()
+	before, err := cpuTime(p.cmd.Process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	r := &MembersReport{Nodes: o.Nodes}
+	begun := time.Now()
+	var entered []time.Time
+	for i := 0; i < o.Nodes && time.Since(begun) < o.For && ctx.Err() == nil; i++ {
+		host, id := name(i)
+		c.Maintain(host, id, true, "rehearsed")
+		entered = append(entered, time.Now())
+		sleep(ctx, time.Until(begun.Add(time.Duration(i+1)*time.Second/time.Duration(o.Changes))))
+	}
+	r.Changes, r.Seconds = len(entered), time.Since(begun).Seconds()
+	after, err := cpuTime(p.cmd.Process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	r.CPU = (after - before).Seconds() / r.Seconds
+	r.Resident, _ = footprintOf(p.cmd.Process.Pid)
+	sleep(ctx, time.Second)
+	lists, _, bytes := agent.Stats()
+	r.Lists, r.Bytes = lists-listsBefore, float64(bytes-bytesBefore)/float64(max(r.Changes, 1))
+	force, err := inForce(log)
+	if err != nil {
+		return nil, err
+	}
+	var took, all []float32
+	for i, at := range entered {
+		host, id := name(i)
+		told, wrote := agent.Wrote(host, id)
+		known, ok := force[id]
+		if !ok || !wrote {
+			r.Missed++
+			continue
+		}
+		took = append(took, float32(max(known.Sub(told), 0).Seconds()))
+		all = append(all, float32(max(known.Sub(at), 0).Seconds()))
+	}
+	slices.Sort(took)
+	slices.Sort(all)
+	r.P50, r.P99, r.Most, r.FromEntry = quantile(took, 0.5), quantile(took, 0.99), quantile(took, 1), quantile(all, 0.99)
+	return r, ctx.Err()
+}
+
+// inForce reads from a proxy's log when each node came to drain.
+func inForce(log string) (map[string]time.Time, error) {
+	f, err := os.Open(log)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	force := make(map[string]time.Time)
+	for in := bufio.NewScanner(f); in.Scan(); {
+		line := in.Text()
+		if !strings.Contains(line, "msg=node ") || !strings.Contains(line, " is=draining ") {
+			continue
+		}
+		fields := make(map[string]string)
+		for _, word := range strings.Fields(line) {
+			if name, value, ok := strings.Cut(word, "="); ok && fields[name] == "" {
+				fields[name] = value
+			}
+		}
+		at, err := time.Parse(time.RFC3339Nano, fields["time"])
+		if _, known := force[fields["name"]]; err == nil && !known {
+			force[fields["name"]] = at
+		}
+	}
+	return force, nil
+}
+
+// Print writes the report.
+func (r *MembersReport) Print(out io.Writer) {
+	fmt.Fprintf(out, "%d nodes, %d changes in %.1f s: CPU %.1f%% of a core, %.1f MB resident, %d lists, %.0f bytes a change\n", r.Nodes, r.Changes,
+		r.Seconds, 100*r.CPU, r.Resident, r.Lists, r.Bytes)
+	fmt.Fprintf(out, "from the agent's answer to the list in force: p50 %.0f ms, p99 %.0f ms, at the most %.0f ms; from the entry in the catalogue p99 %.0f ms; %d never\n",
+		r.P50, r.P99, r.Most, r.FromEntry, r.Missed)
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -123,7 +123,7 @@
 			return text + fmt.Sprintf(" proxy %d", e.Proxy)
 		}
 		return text + " all proxies"
-	case "drain", "undrain", "cold", "remove", "fault":
+	case "drain", "undrain", "cold", "remove", "fault", "flap", "die", "reborn":
 		return text + fmt.Sprintf(" node %d", e.Node)
 	}
 	return text
@@ -183,9 +183,27 @@
 			f.problem("node %d: %v", e.Node, err)
 		}
 	case "list-down":
-		f.list.SetDown(true)
+		kind := e.Kind
+		if kind == "" {
+			kind = "quiet"
+		}
+		f.list.fail(kind)
 	case "list-up":
-		f.list.SetDown(false)
+		f.list.fail("")
+	case "flap":
+		f.flap(e.Node, e.Times, time.Duration(e.Every), ctx.Done())
+	case "die":
+		if err := n.SetFault(node.Fault{Kind: node.Refuse}); err != nil {
+			f.problem("node %d: %v", e.Node, err)
+		}
+	case "reborn":
+		if err := n.Restart(); err != nil {
+			f.problem("node %d: %v", e.Node, err)
+		}
+	case "leave", "return":
+		for i := range e.Times {
+			f.tellNode(i, func(x *list.Entry) { x.Status = map[string]string{"leave": "removed", "return": "up"}[e.Do] })
+		}
 	}
 }
 
@@ -199,6 +217,9 @@
 	for _, d := range f.proxies {
 		tell("proxy " + d.address)
 	}
+	for _, place := range f.list.places() {
+		tell(place)
+	}
 	for _, n := range f.nodes {
 		tell("node " + n.Name() + " " + n.Address())
 	}
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -28,6 +28,7 @@
 	Wrong       int      `json:"wrong"`
 	Fallen      int      `json:"fallen"` // nodes that were pushed over
 	LateBy      float64  `json:"late_drains_by_ms"`
+	LastBy      float64  `json:"last_at_a_drained_node_ms"`
 	Crossed     int      `json:"crossed"`
 	Excused     int      `json:"excused"`
 	Overdue     int      `json:"overdue"`
@@ -93,7 +94,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r.LateDrains, r.LateBy, r.Crashes = f.late, millis(f.lateBy), f.crashes
+	r.LateDrains, r.LateBy, r.LastBy, r.Crashes = f.late, millis(f.lateBy), millis(f.lastBy), f.crashes
 	r.Problems = append(append(r.Problems, rules.samples...), f.problems...)
 	for i, e := range f.origin.Doubled() {
 		if i < 20 {
@@ -139,9 +140,9 @@
 	w.Flush()
 	fmt.Fprintf(out, "%d restarts, %d reloads; %d effects; origin full %d times; %d connections to a node at most\n", r.Restarts, r.Reloads,
 		r.Effects, r.OriginFull, r.MostPerNode)
-	fmt.Fprintf(out, "no breach: %d requests crossed a close, %d were out at a killed proxy, %d connections did not come up, %d answers "+
+	fmt.Fprintf(out, "no breach: the last request came to a draining node %.0f ms after its drain was told; %d requests crossed a close, %d were out at a killed proxy, %d connections did not come up, %d answers "+
 		"came up to %.0f ms after their deadline, %d requests were not offered; the rehearsal itself was %.0f ms late at the most\n",
-		r.Crossed, r.Excused, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered, r.Lag)
+		r.LastBy, r.Crossed, r.Excused, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered, r.Lag)
 	if r.Wrong > 0 || r.Fallen > 0 {
 		fmt.Fprintf(out, "besides: %d wrong answers, %d nodes pushed over\n", r.Wrong, r.Fallen)
 	}
