Keep the old source's list until the new one has told a whole one

Change: a retired source's statements count until each new one has told a whole list, and give way node by node to what the new ones say. Failures of connections that come at once count as one.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -117,7 +117,7 @@
 type LookFailed struct{ Source string }
 
 // Followed tells which sources there are from now on, in order of precedence. What was
-// said by one that is none any more counts until each new one has told a list.
+// said by one that is none any more counts until each new one has told a whole list.
 type Followed struct{ Sources []Source }
 
 // Sight is what connections see of a node.
@@ -170,6 +170,7 @@
 	Source
 	retired bool // none any more, but others have yet to tell
 	told    bool
+	whole   bool                     // a whole list was among it
 	nodes   map[string]*Node         // its latest statements; Gone ones while others list the node
 	losses  map[string]time.Duration // nodes that left within Collapse, and when
 	doubt   *doubt                   // nil for none
@@ -196,6 +197,7 @@
 	counted  time.Duration // time of returns
 	held     time.Duration // not to serve before
 	fails    int           // of connections, in a row
+	failed   time.Duration // time of the last of them
 	down     bool          // its process has ended since it last answered
 	instance string
 	started  time.Duration // worked out; 0 for none
@@ -280,10 +282,12 @@
 	m.release()
 }
 
-// release drops retired sources once all others have told a list.
+// release drops retired sources once all others have told a whole list. Until then, what
+// the others say of a node takes the place of what retired ones said: a source may begin
+// with what has changed since a list that it takes for known.
 func (m *Module) release() {
 	for _, s := range m.sources {
-		if !s.retired && !s.told {
+		if !s.retired && !s.whole {
 			return
 		}
 	}
@@ -303,8 +307,16 @@
 		}
 		s.nodes[n.Name] = &n
 	}
-	waited := !s.told
-	s.told, m.first = true, waited
+	first := !s.told
+	waited := !s.whole
+	s.told, s.whole, m.first = true, s.whole || e.Whole, first
+	if !s.retired {
+		for _, o := range m.sources {
+			if o.retired {
+				maps.DeleteFunc(o.nodes, func(name string, _ *Node) bool { return names[name] })
+			}
+		}
+	}
 	if e.Whole {
 		var missing []string
 		for name, n := range s.nodes {
@@ -408,6 +420,10 @@
 	}
 }
 
+// failPause is the time between two failures that count: what waited on one connection
+// fails together with it.
+const failPause = 50 * time.Millisecond
+
 // lookPause is the time between two looks of which the first has failed.
 const lookPause = 250 * time.Millisecond
 
@@ -441,6 +457,10 @@
 		}
 		return
 	}
+	if n.failed > 0 && m.now-n.failed < failPause {
+		return
+	}
+	n.failed = m.now
 	if n.fails++; n.fails >= m.set.Limits.Down {
 		n.down = true
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -156,6 +156,20 @@
 	b.expect("a", "and back")
 }
 
+// TestNewSourceMayBeginWithChanges guards a move to a service that takes what the old one
+// told for known: on the bench it once left a proxy with the few nodes that had changed.
+func TestNewSourceMayBeginWithChanges(t *testing.T) {
+	b := newBench(t, Settings{Limits: Usual, Sources: []Source{{Name: "old"}}})
+	b.handle(whole("old", "abCd"))
+	b.handle(Followed{Sources: []Source{{Name: "new"}}})
+	b.handle(Told{Source: "new", Nodes: []Node{{Name: "a", Status: Draining}, {Name: "c"}, {Name: "d", Status: Gone}, {Name: "e"}}})
+	b.expect("bce", "after changes only")
+	b.handle(Told{Source: "new", Nodes: []Node{{Name: "a"}}})
+	b.expect("abce", "after more")
+	b.handle(whole("new", "ae"))
+	b.expect("ae", "after a whole list")
+}
+
 // TestCollapses plays each way in which a list may collapse, truly and falsely.
 func TestCollapses(t *testing.T) {
 	const all = "abcdefgh"
@@ -248,6 +262,7 @@
 				for _, name := range "abcd" {
 					b.handle(Seen{string(name), Failed})
 				}
+				b.pass(failPause)
 			}
 			b.expect("efgh", "by two witnesses")
 		}},
@@ -336,6 +351,7 @@
 		{"gone for a moment, its process ended", true, func(b *bench) {
 			for range Usual.Down {
 				b.handle(Seen{"a", Failed})
+				b.pass(failPause)
 			}
 			b.handle(whole("c", "bcd"))
 			b.pass(time.Second)
@@ -349,13 +365,21 @@
 		{"replaced while the source is silent", true, func(b *bench) {
 			for range Usual.Down {
 				b.handle(Seen{"a", Failed})
+				b.pass(failPause)
 			}
 			b.pass(10 * time.Minute)
 			b.handle(Seen{"a", Answered})
 		}},
+		{"a connection that ends with all that waited on it", false, func(b *bench) {
+			for range 100 {
+				b.handle(Seen{"a", Failed})
+			}
+			b.handle(Seen{"a", Answered})
+		}},
 		{"a connection or two that end", false, func(b *bench) {
 			for range 100 {
 				b.handle(Seen{"a", Failed})
+				b.pass(failPause)
 				b.handle(Seen{"a", Answered})
 			}
 		}},
