Judge crossed binary writes by their own try; doubt empty lists at the socket too

And the stand-in agent gave an empty list its old index, so that no proxy took it for news: the scenario did not play what it said.

Change: the next try of a crossed binary write waits until a node would have seen the one before; a fault of an agent counts as a change. A proxy passes its check only while it has a node; the pause between two lists counts the time of reading one, which it had left out. Tests of collapsing lists at the sockets and of the daemon in the catalogue.

--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -213,6 +214,37 @@
 	}
 }
 
+// TestUpTellsOfAgents guards the fleet that is held with Consul agents.
+func TestUpTellsOfAgents(t *testing.T) {
+	cmd := exec.Command(filepath.Join(bin, "rehearse"), "up", "--consul")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	agent := ""
+	for in := bufio.NewScanner(out); in.Scan() && in.Text() != "ready"; {
+		if words := strings.Fields(in.Text()); words[0] == "agent" && len(words) == 2 {
+			agent = words[1]
+		}
+	}
+	answer, err := http.Get("http://" + agent + "/v1/health/service/cache")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var list []any
+	if err := json.NewDecoder(answer.Body).Decode(&list); err != nil || len(list) != 4 {
+		t.Errorf("the agent told of %d nodes, %v", len(list), err)
+	}
+	cmd.Process.Signal(syscall.SIGINT)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("interrupted, it ended with %v", err)
+	}
+}
+
 // TestMeasurementsMeasure guards cost and times, on runs too short to quote.
 func TestMeasurementsMeasure(t *testing.T) {
 	out, code, _ := rehearsal(t, "cost", "--runs", "1", "--requests", "2000")
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -79,6 +79,18 @@
 	if _, looks, _ := a.Stats(); looks != 1 {
 		t.Error("a look was not in consistent mode")
 	}
+	far := instance("far")
+	far.Datacenter = "dc2"
+	c.Set(far)
+	p.Datacenter = "dc2"
+	if l, err := p.Open().Fetch(t.Context()); err != nil || says(l) != "n1/far=up" || l.Endpoints[0].Zone != "dc2" {
+		t.Errorf("of the other data centre %+v, %v", l, err)
+	}
+	p.Datacenter, p.Tag = "", "prod"
+	if l, err := p.Open().Fetch(t.Context()); err != nil || says(l) != "" {
+		t.Errorf("with a tag that none has %+v, %v", l, err)
+	}
+	p.Tag = ""
 	for _, k := range []struct {
 		change func(*standin.Instance)
 		status string
--- a/internal/consul/source.go
+++ b/internal/consul/source.go
@@ -88,6 +88,7 @@
 type answer struct {
 	list  discovery.List
 	index uint64
+	took  time.Duration // to read the list
 }
 
 // query asks for the list: once it has changed since an index, or at once for 0.
@@ -126,9 +127,11 @@
 	a := answer{list: discovery.List{Snapshot: true, Endpoints: []discovery.Endpoint{}}}
 	a.index, _ = strconv.ParseUint(h.Get("X-Consul-Index"), 10, 64) // none, or what is no number, counts as 0
 	a.list.Index = a.index
+	begun := time.Now()
 	if a.list.Endpoints, err = s.read(response.Body); err != nil {
 		return answer{}, fmt.Errorf("consul: %s: %w", s.Service, err)
 	}
+	a.took = time.Since(begun)
 	if h.Get("X-Consul-Results-Filtered-By-ACLs") == "true" {
 		return answer{}, errors.New("consul: the token does not allow to see all of the list")
 	}
@@ -264,7 +267,7 @@
 			tell(a.list)
 			told = true
 		}
-		rest := min(max(LeastPause, pauseTimes*time.Since(begun)), mostPause)
+		rest := min(max(LeastPause, pauseTimes*(a.took+time.Since(begun))), mostPause)
 		if a.index == 0 {
 			rest = pollPause
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -290,6 +290,13 @@
 // Known is closed once the source has told its list of nodes.
 func (c *Core) Known() <-chan struct{} { return c.known }
 
+// Serves tells whether there is any node that requests can go to.
+func (c *Core) Serves() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members.Serving() > 0
+}
+
 // Open counts the requests that are open.
 func (c *Core) Open() int {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -278,7 +278,7 @@
 		select {
 		case <-server.Known():
 			entered = true
-			r.Run(ctx, func() bool { return ctx.Err() == nil })
+			r.Run(ctx, server.Serves)
 		case <-ctx.Done():
 		}
 	})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -669,6 +669,16 @@
 
 func (m *Module) wake(after time.Duration) { m.out = append(m.out, Wake{after}) }
 
+// Serving counts the nodes that serve.
+func (m *Module) Serving() (count int) {
+	for _, n := range m.nodes {
+		if n.known && n.is.Status == Up {
+			count++
+		}
+	}
+	return count
+}
+
 // Doubted returns the nodes of a source that its latest list lacks, and that serve all
 // the same.
 func (m *Module) Doubted(name string) (names []string) {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -114,6 +114,14 @@
 // Known is closed once the source has told its list of nodes.
 func (s *Server) Known() <-chan struct{} { return s.core.Known() }
 
+// Serves tells whether requests can be served: a node is there, and no drain has begun.
+func (s *Server) Serves() bool {
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	return !draining && s.core.Serves()
+}
+
 // Load counts the connections of clients and the requests that are open.
 func (s *Server) Load() (clients, open int) {
 	s.mu.Lock()
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -131,3 +131,86 @@
 	}()
 	return out
 }
+
+// TestListsThatCollapse plays at the sockets what membership decides of an agent whose
+// list is empty for a moment and for good, and of one that truly loses most of its nodes.
+func TestListsThatCollapse(t *testing.T) {
+	nodes, err := script.Start(script.Meta, 4, func(int, script.Asked) script.Reaction { return script.Serve })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(nodes.Close)
+	c := consul.New()
+	for i := range 4 {
+		host, text, _ := strings.Cut(nodes.Address(i), ":")
+		var port int
+		fmt.Sscan(text, &port)
+		c.Set(consul.Instance{Node: "host", ID: fmt.Sprint("n", i), Service: "cache", Address: host, Port: port})
+	}
+	agent, err := c.Start("here", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	g := startWith(t, fmt.Sprintf("[nodes]\nconsul = %q\n[consul]\nservice = \"cache\"\n[consul.list]\nfailing_time = \"2s\"\n", agent.Address()))
+	testwait.Receive(t, "the first list", closed(g.server.Known()))
+	l, err := caller.Dial(script.Meta, g.server.Address().String(), 4*testwait.Patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Socket.Close()
+	ask := func(key string) request.Kind {
+		t.Helper()
+		if err := l.Read(key); err != nil {
+			t.Fatal(err)
+		}
+		a, err := l.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.Kind
+	}
+	steady := func(d time.Duration) {
+		t.Helper()
+		for until, i := time.Now().Add(d), 0; time.Now().Before(until); i++ {
+			if ask(fmt.Sprint("k", i%50)) != request.Value {
+				t.Fatal("a request was not served")
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	steady(300 * time.Millisecond)
+	queries, _, _ := agent.Stats()
+	agent.Fail(consul.Empty)
+	testwait.Until(t, "the empty list to be told, and looked at again", func() bool {
+		_, looks, _ := agent.Stats()
+		return looks > 0
+	})
+	steady(time.Second)
+	agent.Fail(consul.Well)
+	steady(2500 * time.Millisecond) // past the time of the doubt, which is over
+	agent.Fail(consul.Empty)
+	testwait.Until(t, "an empty list to be believed after all", func() bool { return ask("k") == request.Busy })
+	agent.Fail(consul.Well)
+	testwait.Until(t, "the nodes to be back", func() bool { return ask("k") == request.Value })
+	if now, _, _ := agent.Stats(); now <= queries {
+		t.Error("the agent was never asked")
+	}
+	// Three of four leave at once while their processes run on.
+	for i := range 3 {
+		c.Remove("host", fmt.Sprint("n", i))
+	}
+	var told time.Time
+	testwait.Until(t, "the agent to have written it", func() bool {
+		ask("k")
+		at, ok := agent.Wrote("host", "n0")
+		told = at
+		return ok
+	})
+	steady(time.Until(told.Add(time.Second)))
+	for _, a := range nodes.Asked() {
+		if by := a.At.Sub(told); a.Node < 3 && by > 550*time.Millisecond {
+			t.Fatalf("node %d was asked %v after the agent had written that it is gone", a.Node, by)
+		}
+	}
+}
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -28,6 +28,8 @@
 	// A kept connection that ends so soon after a request went out was closed
 	// between requests; the request crossed that, unless a node has seen it.
 	crossTime = 300 * time.Millisecond
+	// A request that a proxy has taken is at a node after so long, or waits for one.
+	seeTime = 150 * time.Millisecond
 	// Connections that idle are kept by a client side for so long at most.
 	keepTime = 1500 * time.Millisecond
 	// Requests under way at a time, over all clients.
@@ -302,6 +304,9 @@
 			return c.judge(d, l, e, id, &answer, value)
 		}
 	}
+	if e.binary && e.mayRun {
+		id = "" // a node may have seen an earlier try's
+	}
 	return c.silence(d, l, id, sent, wait, err)
 }
 
@@ -335,6 +340,16 @@
 	case killed.After(l.opened) && killed.After(sent.Add(-patience)) && time.Since(killed) < patience:
 		c.tally.excused()
 		return silent // left to the client: it may have run
+	case l.binary && l.used && took < crossTime+c.tally.slackNow()-slack:
+		// A node knows a binary write by its value, which the next try has too: so that
+		// one waits until this one would have been seen.
+		time.Sleep(seeTime)
+		if c.fleet.wasSeen(id) {
+			c.tally.lose("proxy %d took %s and closed its connection", d.index, id)
+		} else {
+			c.tally.crossed()
+		}
+		return crossed
 	case l.used && took < crossTime+c.tally.slackNow()-slack:
 		// It is lost all the same if the proxy had taken it, which a node may see late.
 		c.tasks.Go(func() {
--- a/internal/rehearse/conform.go
+++ b/internal/rehearse/conform.go
@@ -267,6 +267,10 @@
 	if wrong = k.ask(c, dialect); wrong != "" {
 		return wrong, nil
 	}
+	// Nobody is answered after the deadline; the rest is for a busy machine.
+	if took := time.Since(begun); took > conformDeadline+2*time.Second && !k.turns {
+		return fmt.Sprintf("answered after %v of %v", took, conformDeadline), nil
+	}
 	// Given up at once: not held until near the deadline.
 	if took := time.Since(begun); k.quick && took > conformDeadline*2/3 {
 		return fmt.Sprintf("given up after %v of %v", took, conformDeadline), nil
--- a/internal/rehearse/members.go
+++ b/internal/rehearse/members.go
@@ -59,6 +59,7 @@
 		return nil, err
 	}
 	config, log := filepath.Join(o.Folder, "members.toml"), filepath.Join(o.Folder, "members.log")
+	os.Remove(log) // of a run before: when each node came to drain is read from it
 	text := fmt.Sprintf("listen = %q\n[limits]\nmemory_mb = 32\n[nodes]\nconsul = %q\n[consul]\nservice = %q\n", address, agent.Address(), consulService)
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/internal/standin/consul/agent.go
+++ b/internal/standin/consul/agent.go
@@ -259,8 +259,12 @@
 // Close ends the agent.
 func (a *Agent) Close() { a.server.Close() }
 
-// Fail makes the agent fail in a way from now on, also what waits; Well makes it well.
+// Fail makes the agent fail in a way from now on, also what waits; Well makes it well. It
+// counts as a change: what is told with an old index is no news to anybody.
 func (a *Agent) Fail(kind FaultKind) {
+	a.catalogue.mu.Lock()
+	a.catalogue.touch()
+	a.catalogue.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.fault = kind
