--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -338,3 +338,14 @@
 		}
 	})
 }
+
+// TestHalfAListIsNone guards against a body that ends between two entries: what is there
+// would read as a list that lost the rest.
+func TestHalfAListIsNone(t *testing.T) {
+	const one = `{"Node":{"Node":"n","Address":"10.0.0.1"},"Service":{"ID":"a","Port":1000}}`
+	for text, good := range map[string]bool{"[]": true, "[" + one + "]": true, "[": false, "[" + one: false, "[" + one + ",": false, "{}": false, "": false} {
+		if list, err := (&source{}).read(strings.NewReader(text)); (err == nil) != good {
+			t.Errorf("%q read as %+v, %v", text, list, err)
+		}
+	}
+}
