End an agent's silence with its connections; notice a query that hangs sooner

Cause: the stand-in agent kept what waited when it fell silent hanging for good, so proxies missed the empty lists that came after; and with waits of a minute a proxy would notice a query that hangs that late in service too.

Change: what waits at a silent agent is cut when the silence ends; a query waits 10 s by default.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -241,7 +241,7 @@
 	agent := consul.Agent{Address: address, TLS: t.yes("tls", false), CAFile: file("ca_file"), TokenFile: file("token_file")}
 	place := consul.Place{Agent: agent, Service: t.text("service", "", printable), Tag: t.text("tag", "", anything),
 		DrainTag: t.text("drain_tag", "", anything), DrainCheck: t.text("drain_check", "", anything), Stale: t.yes("stale", false),
-		Wait: t.duration("wait", time.Minute, 100*time.Millisecond, 10*time.Minute)}
+		Wait: t.duration("wait", 10*time.Second, 100*time.Millisecond, 10*time.Minute)}
 	centres := t.texts("datacenters", []string{""}, printable)
 	if !t.has("service") {
 		t.d.add("consul.service", "is missing: want the name of the nodes' service")
--- a/internal/standin/consul/agent.go
+++ b/internal/standin/consul/agent.go
@@ -414,8 +414,13 @@
 // health answers for /v1/health/service/NAME.
 func (a *Agent) health(w http.ResponseWriter, r *http.Request) {
 	index, ok := a.await(r)
-	if !ok {
-		<-r.Context().Done()
+	if !ok { // silent until the agent is another way: then the connection ends
+		for fault, changed := a.state(); fault == Quiet && r.Context().Err() == nil; fault, changed = a.state() {
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+			}
+		}
 		panic(http.ErrAbortHandler)
 	}
 	q := r.URL.Query()
