Say to binary clients in their own words that a value finds no room

Change: a session gives the words for that; status 0x82 for binary clients. Result: the test fills the budget with twelve tills that don't read, and failed before with a malformed answer.

--- a/internal/binary/binary.go
+++ b/internal/binary/binary.go
@@ -89,6 +89,7 @@
 	AuthError      Status = 0x0020
 	AuthContinue   Status = 0x0021
 	UnknownCommand Status = 0x0081
+	OutOfMemory    Status = 0x0082
 	NotSupported   Status = 0x0083
 	Internal       Status = 0x0084
 	Busy           Status = 0x0085
@@ -97,7 +98,7 @@
 
 var statusTexts = map[Status]string{NotFound: "Not found", Exists: "Data exists for key", TooLarge: "Too large",
 	Invalid: "Invalid arguments", AuthError: "Auth failure", AuthContinue: "Continue", UnknownCommand: "Unknown command",
-	NotSupported: "Not supported", Internal: "Internal error", Busy: "Busy", Temporary: "Temporary failure"}
+	OutOfMemory: "Out of memory", NotSupported: "Not supported", Internal: "Internal error", Busy: "Busy", Temporary: "Temporary failure"}
 
 // String is the text that a response with the status has for a value.
 func (s Status) String() string { return statusTexts[s] }
--- a/internal/front/binary/binary.go
+++ b/internal/front/binary/binary.go
@@ -124,7 +124,9 @@
 		h := codec.Header{Opcode: r.head.Opcode, Key: len(r.key), Extras: 4, Body: 4 + len(r.key) + a.Size(), Opaque: r.head.Opaque,
 			CAS: ticket.New(time.Now(), rand.Uint64())}
 		head := binary.BigEndian.AppendUint32(h.Append(room[:0], codec.ResponseMagic), a.Flags)
-		r.Slot.Finish(a.Frame(append(head, r.key...), nil))
+		r.Slot.FinishValue(a.Frame(append(head, r.key...), nil), func() []byte {
+			return codec.AppendStatus(nil, &r.head, codec.OutOfMemory, 0)
+		})
 	case request.Stored:
 		if quiet {
 			r.Silence()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -360,17 +360,26 @@
 // Silence answers a command by nothing.
 func (r *Slot) Silence() { r.Finish([]byte{}) }
 
-// Finish sets the answer of a command. One that finds no room among those held
-// for clients slow to take theirs becomes a failure.
-func (r *Slot) Finish(text []byte) {
+// Finish sets the answer of a command, whether or not there is room for it: it is
+// for what is small or the proxy's own.
+func (r *Slot) Finish(text []byte) { r.FinishValue(text, nil) }
+
+// FinishValue sets the answer of a command. One that finds no room among those held
+// for clients slow to take theirs becomes what instead returns, in the words of the
+// client's dialect.
+func (r *Slot) FinishValue(text []byte, instead func() []byte) {
 	c := r.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone {
 		return
 	}
-	if len(text) > smallAnswer && !c.host.Answers.Try(len(text)) {
-		text = []byte("SERVER_ERROR out of memory\r\n")
+	if len(text) > smallAnswer {
+		if instead == nil {
+			c.host.Answers.Give(-len(text))
+		} else if !c.host.Answers.Try(len(text)) {
+			text = instead()
+		}
 	}
 	r.text = text
 	c.changed.Broadcast()
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -36,7 +36,10 @@
 }
 
 // Finish implements core.Reply.
-func (r *reply) Finish(a *request.Answer) { r.Slot.Finish(meta.Append(a, r.id)) }
+func (r *reply) Finish(a *request.Answer) { r.Slot.FinishValue(meta.Append(a, r.id), noRoom) }
+
+// noRoom is the answer in place of one that finds no room.
+func noRoom() []byte { return []byte("SERVER_ERROR out of memory\r\n") }
 
 // Release implements core.Reply.
 func (r *reply) Release() { r.host.Bodies.Give(r.size) }
--- a/internal/proxy/binary_test.go
+++ b/internal/proxy/binary_test.go
@@ -37,13 +37,19 @@
 }
 
 func startNodes(t *testing.T) *fleet {
+	t.Helper()
+	return startNodesOf(t, 0)
+}
+
+// startNodesOf starts nodes whose values have a size in bytes, 0 for the usual.
+func startNodesOf(t *testing.T, size int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, origin: origin.New(origin.Config{Slots: 64, Queue: 1024})}
 	t.Cleanup(f.origin.Close)
 	group := node.NewGroup(window)
 	var names []string
 	for i := range 2 {
-		n, err := node.Start(node.Config{Name: fmt.Sprint("n", i), Origin: f.origin, Group: group, ByValue: true, Lacks: "none", Slots: 64, Queue: 1024})
+		n, err := node.Start(node.Config{Name: fmt.Sprint("n", i), Origin: f.origin, Group: group, ByValue: true, Lacks: "none", Slots: 64, Queue: 1024, Value: size})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -553,3 +559,52 @@
 	g.stop()
 	l.ended()
 }
+
+// TestNoRoomIsSaidInTheClientsWords guards against an answer in another dialect, which
+// would break the framing, where values pile up behind tills that don't take theirs.
+func TestNoRoomIsSaidInTheClientsWords(t *testing.T) {
+	const tills, gets, size = 12, 100, 60000
+	f := startNodesOf(t, size)
+	g := startProxy(t, f.list, "[binary]\n[limits]\nmemory_mb = 32\n")
+	var list []till
+	for range tills {
+		l := g.dial()
+		l.Socket.(*net.TCPConn).SetReadBuffer(64 << 10)
+		list = append(list, l)
+		go func() {
+			for i := range gets {
+				l.send(caller.AppendKeyed(nil, codec.Get, "k", uint32(i)))
+			}
+		}()
+	}
+	asked := func() (n int) {
+		for _, n1 := range f.nodes {
+			n += n1.Stats().Requests
+		}
+		return n
+	}
+	for last, since := -1, time.Now(); time.Since(since) < 300*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+		if now := asked(); now != last {
+			last, since = now, time.Now()
+		}
+	}
+	told := 0
+	for _, l := range list {
+		for i := range gets {
+			r, err := caller.ReadResponse(l.In)
+			if err != nil || r.Opaque != uint32(i) {
+				t.Fatalf("answer %d: opaque %d, error %v", i, r.Opaque, err)
+			}
+			switch r.Status {
+			case codec.OK, codec.Busy:
+			case codec.OutOfMemory:
+				told++
+			default:
+				t.Fatalf("answer %d has status %#x", i, r.Status)
+			}
+		}
+	}
+	if told == 0 {
+		t.Error("the budget was never spent: nothing was shown")
+	}
+}
