--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	gateKeep     = 0.95 // of it at each count: a fleet's gate sees twenty events, however few the requests
 	gatePrior    = 1    // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
 	serverPrior  = 5    // one server's counts are small, and chance must not shut it
-	gateSlack    = 1.3
+	gateSlack    = 1.1
 	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
 	gateLeast    = 0.03            // always passes, to see a recovery
 	hopeShare    = 0.8             // of a client's wait that its answer may be expected to take
@@ -41,7 +41,10 @@
 	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
 	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
 	overdueMost  = 0.6             // of the aim: anything later is too late for a second copy
-	chance       = 0.01            // of what is taken for no accident
+	rankSteps    = 16
+	rankKeep     = 0.995 // of the values seen, at each: some two hundred
+	shareBurst   = 1.0   // seconds of a quota that may come at once
+	chance       = 0.01  // of what is taken for no accident
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
 )
@@ -146,6 +149,7 @@
 	at       positions
 	set      *Settings // in force when it came; it ends under them
 	keyed    bool      // has a key whose copies count
+	over     bool      // its tenant's share
 	ended    bool
 	stream   bool
 	served   bool
@@ -175,8 +179,10 @@
 	// The gates of sends that a record promises a hit, and of the others: a full
 	// origin must not close the way to what the caches hold.
 	gates  map[bool]*gate
-	health []health // of all servers, by class
-	ends   health   // of attempts at all servers, failed where their connection ended
+	ranks  map[bool]*ranks // of what comes to each
+	shares []share         // by tenant
+	health []health        // of all servers, by class
+	ends   health          // of attempts at all servers, failed where their connection ended
 }
 
 // The kinds of timers, in the low bits of a token; the rest is a request's ID.
@@ -197,6 +203,7 @@
 		weights: slices.Repeat([]float64{1}, len(set.Kinds)), rng: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
 		origin: 0.1, work: 0.05, fastest: 0.001, health: make([]health, len(set.Classes)),
+		ranks: map[bool]*ranks{true: {}, false: {}},
 		gates: map[bool]*gate{true: {keep: gateKeep}, false: {keep: gateKeep}}}, nil
 }
 
@@ -339,6 +346,7 @@
 		r.hash = b.rng.Uint64()
 	}
 	r.at = places(r.hash)
+	r.over = b.spend(r)
 	b.grant()
 	b.wake(timerDeadline, a.ID, a.Deadline-b.now-2*b.set.Tick)
 	b.place(r)
@@ -423,7 +431,7 @@
 		return
 	}
 	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
-	if b.may(r, nil) && (b.hopeless(r, s) || b.rng.Float64() > open) {
+	if b.may(r, nil) && (b.hopeless(r, s) || !b.admit(r, promise, open)) {
 		// What is shed counts as asked: sends then settle at gateSlack times the good.
 		s.gate.count(b.now, 1, 0, 0)
 		b.gates[promise].count(b.now, 1, 0, 0)
@@ -436,6 +444,80 @@
 	}
 }
 
+// admit tells whether a request passes a gate that lets an open share through: what
+// is worth most does, and of what is worth as much at the edge some by chance. It meets
+// overloads of every kind. It might hurt where a worth is wrong: so the least share
+// passes by chance alone.
+func (b *Balancer) admit(r *request, promise bool, open float64) bool {
+	below, own, all := b.ranks[promise].place(b.value(r))
+	if open >= 1 || b.rng.Float64() < gateLeast {
+		return true
+	}
+	return b.rng.Float64()*own < below+own-(1-open)*all
+}
+
+// value is what answering a request in time is worth: over its tenant's share little, and a
+// repetition comes late for its client.
+func (b *Balancer) value(r *request) float64 {
+	v := r.class.Worth
+	if r.over {
+		v *= r.set.OverShare
+	}
+	if r.Repeat {
+		v *= r.class.Late
+	}
+	return v
+}
+
+// ranks counts values of requests by their size, fading.
+type ranks [rankSteps]float64
+
+// place counts a value and returns how many were smaller, about as large, and all.
+func (c *ranks) place(v float64) (below, own, all float64) {
+	at := 0
+	if v > 0 {
+		at = max(0, min(rankSteps-1, rankSteps/2+int(math.Floor(2*math.Log2(v)))))
+	}
+	for i := range c {
+		c[i] *= rankKeep
+		if i < at {
+			below += c[i]
+		}
+		all += c[i]
+	}
+	c[at]++
+	return below, c[at], all + 1
+}
+
+// spend tells whether a request is over its tenant's share: each proxy grants its part
+// of the quota, and a burst of so much as rankBurst brings.
+func (b *Balancer) spend(r *request) bool {
+	if r.Tenant < 0 || r.Tenant >= len(b.set.Tenants) {
+		return false
+	}
+	quota := b.set.Tenants[r.Tenant].Quota / float64(max(b.set.Proxies, 1))
+	if quota <= 0 {
+		return false
+	}
+	for len(b.shares) < len(b.set.Tenants) {
+		b.shares = append(b.shares, share{left: math.Inf(1)})
+	}
+	s := &b.shares[r.Tenant]
+	s.left = min(s.left+quota*(b.now-s.at).Seconds(), quota*shareBurst)
+	s.at = b.now
+	if s.left < 1 {
+		return true
+	}
+	s.left--
+	return false
+}
+
+// share is what a tenant has left of its quota.
+type share struct {
+	left float64
+	at   time.Duration
+}
+
 // hopeless tells whether s can hardly answer a request before its client gives up.
 // It is turned away at once then: its work would go on unawaited, and clients that
 // ask again for want of an answer fill the servers with such work. It meets
@@ -445,7 +527,7 @@
 // hurt where estimates are too high: so a server with nothing out gets one all the
 // same, which corrects them.
 func (b *Balancer) hopeless(r *request, s *server) bool {
-	return s.inFlight > 0 && b.hitTime(s) > hopeShare*(r.Deadline-b.now).Seconds()
+	return s.inFlight > 0 && b.hitTime(s) > min(hopeShare*(r.Deadline-b.now).Seconds(), r.class.Aim.Seconds())
 }
 
 // hedge sends a second copy of a read that has long had no answer. It meets
