Decide levels of reduced service in a module of its own, and act on them

Change: internal/service turns signals into one of five levels with stays that grow; the decision module acts on them; core samples, keeps 64 records, logs; stats service in both dialects, in platform mode too; [service] in the configuration, with a pin that ends.

--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -28,6 +28,7 @@
   yarrowspan check --config FILE   tell all that is wrong with a configuration
   yarrowspan secret --user NAME    read a secret and print its line for a file of users
   yarrowspan version               tell the version
+  yarrowspan platform --reduce     as without a command, with levels of reduced service
 With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
 `
 
@@ -92,6 +93,7 @@
 	file := flags.String("config", "", "")
 	user := flags.String("user", "", "")
 	profile := flags.String("cpuprofile", "", "") // for measurements
+	reduce := flags.Bool("reduce", false, "")
 	if err := flags.Parse(args[1:]); err != nil {
 		return fmt.Errorf("%w: %s: %w", errUsage, args[0], err)
 	}
@@ -102,6 +104,16 @@
 	case args[0] == "version":
 		fmt.Fprintln(out, "yarrowspan", version())
 		return nil
+	case args[0] == "platform":
+		load := platform(o.Getenv)
+		o.Platform, o.Load = true, func() (*config.Config, error) {
+			c, err := load()
+			if err == nil {
+				c.Proxy.Service.On = *reduce
+			}
+			return c, err
+		}
+		return daemon.Run(o)
 	case args[0] == "secret":
 		return secret(*user, os.Stdin, out)
 	case args[0] != "serve" && args[0] != "check":
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,12 +18,14 @@
 	"time"
 
 	"wrenroute/internal/consul"
+	"wrenroute/internal/core"
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/front/binary"
 	"wrenroute/internal/membership"
 	"wrenroute/internal/proxy"
 	"wrenroute/internal/route"
 	"wrenroute/internal/sasl"
+	"wrenroute/internal/service"
 	"wrenroute/internal/ticket"
 	"wrenroute/policy"
 )
@@ -53,6 +55,7 @@
 	longest    = time.Hour
 	mostMemory = 1 << 20 // MB
 	mostHeld   = 1 << 20
+	mostPin    = 24 * time.Hour // of a level of service
 )
 
 // Read reads the file at path, and the node file that it may name. Its error
@@ -150,6 +153,7 @@
 		AskWithin:    10 * time.Second,
 	}
 	r.end()
+	reduced(top.table("service"), &p.Service)
 	r = top.table("prices")
 	set.Prices = policy.Prices{Origin: r.number("origin", 0.15, 0, 10), CrossZone: r.number("cross_zone", 0.02, 0, 10)}
 	r.end()
@@ -176,6 +180,32 @@
 	return c, nil
 }
 
+// reduced reads how service is reduced.
+func reduced(t *table, c *core.ServiceConfig) {
+	c.On = t.yes("reduce", true)
+	c.Limits = service.Usual
+	c.Limits.Confirm = t.duration("confirm", c.Limits.Confirm, 0, time.Minute)
+	c.Limits.Stay = t.duration("stay", c.Limits.Stay, time.Second, longest)
+	c.Limits.MostStay = t.duration("most_stay", c.Limits.MostStay, time.Second, longest)
+	if c.Limits.MostStay < c.Limits.Stay {
+		t.d.add(t.key("most_stay"), "cannot be %v: want no less than stay, %v", c.Limits.MostStay, c.Limits.Stay)
+	}
+	pin := t.text("pin", "", oneOf(service.Names()...))
+	until := t.text("pin_until", "", anything)
+	switch {
+	case t.has("pin") != t.has("pin_until"):
+		t.d.add(t.key("pin"), "goes with %s: a pin has an end", t.key("pin_until"))
+	case t.has("pin"):
+		at, err := time.Parse(time.RFC3339, until)
+		if err != nil || time.Until(at) > mostPin {
+			t.d.add(t.key("pin_until"), "cannot be %q: want a time as 2006-01-02T15:04:05Z, within %v", until, mostPin)
+		}
+		c.Pin, _ = service.ParseLevel(pin) // it has been checked
+		c.PinUntil = at
+	}
+	t.end()
+}
+
 // nodes reads where the list comes from: one source or several, of which the first to
 // list a node says what it is like. Any of them can say that it drains or is gone.
 func (c *Config) nodes(top *table, folder string) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,7 @@
 	Infer       bool
 	Membership  membership.Limits
 	BinaryNodes Speakers
+	Service     ServiceConfig
 }
 
 // Speakers names the nodes that speak the binary protocol: by their own names, and by
@@ -107,6 +108,7 @@
 	subscribe chan struct{}
 	moved     chan struct{}
 	fetch     chan struct{}
+	levels    levels
 	look      chan string     // names of sources
 	failed    map[string]bool // nodes whose connections failed last
 }
@@ -142,11 +144,14 @@
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
 		look: make(chan string, 8), failed: make(map[string]bool)}
+	c.levels = newLevels(&config.Service)
+	c.levels.asks = asks(config)
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
 	c.members = membership.New(membership.Settings{Limits: config.Membership, Sources: sourcesOf(config.Places), Infer: config.Infer})
 	if len(config.Known.Endpoints) > 0 || !config.Infer {
 		c.learn(config.Places[0].String(), c.registry, config.Known, policy.ListStored)
 	}
+	c.logLevels(c.adopt(&config.Service, c.now()))
 	return c, nil
 }
 
@@ -154,12 +159,16 @@
 // all of them are, or none and the error says why.
 func (c *Core) Reconfigure(next *Config) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err := c.balancer.Reconfigure(next.Policy); err != nil {
+		c.mu.Unlock()
 		return err
 	}
 	c.rules = newRules(next)
 	c.nodes.SetLimits(next.Upstream)
+	c.levels.asks = asks(next)
+	changed := c.adopt(&next.Service, c.now())
+	c.mu.Unlock()
+	c.logLevels(changed)
 	return nil
 }
 
@@ -270,8 +279,8 @@
 	if _, taken := c.open[in.ID]; taken {
 		return bad("id in use")
 	}
-	if len(c.requests) >= rules.mostHeld {
-		reply.Finish(&request.Answer{Kind: request.Busy})
+	if !c.roomFor(rules, class) {
+		reply.Finish(&request.Answer{Kind: request.Busy, After: c.balancer.Advice(class)})
 		return nil
 	}
 	c.last++
@@ -545,6 +554,7 @@
 			return wait
 		}
 		t := c.timers.pop()
+		c.levels.lag = max(c.levels.lag, now-t.at)
 		switch t.attempt {
 		case moduleTimer:
 			c.handle(policy.Timer{Token: t.id})
--- /dev/null
+++ b/internal/core/level.go
@@ -0,0 +1,192 @@
+package core
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"wrenroute/internal/discovery"
+	"wrenroute/internal/service"
+	"wrenroute/policy"
+)
+
+// This file keeps the level of service: it gathers the signals, has package service decide,
+// tells the decision module and remembers what changed.
+
+const (
+	// ServiceTick is the time between two samples of the signals.
+	ServiceTick = 250 * time.Millisecond
+	recordsKept = 64
+	// One part in so many of the held requests is kept for keyed writes where they go first.
+	keptPart = 4
+)
+
+// ServiceConfig says how service is reduced.
+type ServiceConfig struct {
+	On       bool
+	Limits   service.Limits
+	Pin      service.Level
+	PinUntil time.Time // zero for no pin
+}
+
+// levels is the state of the level of service. It is guarded by Core.mu.
+type levels struct {
+	on      bool
+	module  *service.Module
+	meter   service.Meter
+	last    service.Level // as the decision module was told
+	lag     time.Duration // of timers, the most since the last sample
+	told    time.Duration // when a source last said something
+	asks    bool          // there is a source that says something time and again
+	kept    [recordsKept]service.Record
+	changes int // ever
+	pin     service.Level
+	until   time.Time // of the pin in force
+}
+
+func newLevels(c *ServiceConfig) levels {
+	return levels{on: c.On, module: service.New(c.Limits)}
+}
+
+// adopt puts a configuration into force. What the module knows stays, and a pin that is
+// the one in force is not begun anew.
+func (c *Core) adopt(next *ServiceConfig, now time.Duration) (changed []service.Record) {
+	l := &c.levels
+	l.on = next.On
+	l.module.SetLimits(next.Limits)
+	if !l.on {
+		if l.last > service.Full {
+			changed = []service.Record{{At: now, From: l.last.String(), To: service.Full.String(), Cause: "off"}}
+		}
+		l.module, l.until = service.New(next.Limits), time.Time{}
+		c.keep(changed)
+		c.tellLevel(service.Full)
+		return changed
+	}
+	if left := time.Until(next.PinUntil); left > 0 {
+		if !l.until.Equal(next.PinUntil) || l.pin != next.Pin {
+			l.pin, l.until = next.Pin, next.PinUntil
+			changed = l.module.Handle(now, service.Pin{Level: next.Pin, For: left}, nil)
+		}
+	} else {
+		l.until = time.Time{}
+		changed = l.module.Handle(now, service.Unpin{}, nil)
+	}
+	c.keep(changed)
+	c.tellLevel(l.module.Level())
+	return changed
+}
+
+// Sample takes the signals that only the connections know, as shares of their limits
+// (negative for unknown), adds its own, and puts the level that follows into force. It is
+// called every ServiceTick.
+func (c *Core) Sample(memory, sockets float64) {
+	c.mu.Lock()
+	now, l := c.now(), &c.levels
+	if !l.on {
+		c.mu.Unlock()
+		return
+	}
+	seen := c.balancer.Condition()
+	l.meter.Add(now, service.Counts{Reads: float64(seen.Reads), LateReads: float64(seen.LateReads), Handovers: float64(seen.Keyed),
+		LateHandovers: float64(seen.LateKeyed), Asked: float64(seen.Asked), Turned: float64(seen.Turned),
+		Fetches: float64(seen.Fetches), FailedFetches: float64(seen.FailedFetches)})
+	signals := service.NoSignals()
+	l.meter.Fill(&signals)
+	signals[service.Lag], l.lag = l.lag.Seconds(), 0
+	signals[service.Memory], signals[service.Sockets] = memory, sockets
+	if seen.Servers > 0 {
+		signals[service.Out] = float64(seen.Out) / float64(seen.Servers)
+	}
+	if l.asks && l.told > 0 {
+		signals[service.Age] = (now - l.told).Seconds()
+	}
+	changed := l.module.Handle(now, service.Sample{Signals: signals}, nil)
+	c.keep(changed)
+	c.tellLevel(l.module.Level())
+	c.mu.Unlock()
+	c.logLevels(changed)
+}
+
+// asks tells whether a source of the list gives a sign time and again, so that its silence
+// means something.
+func asks(c *Config) bool {
+	return c.Infer && slices.ContainsFunc(c.Places, discovery.Place.Doubted)
+}
+
+// keep remembers changes. c.mu is held.
+func (c *Core) keep(changed []service.Record) {
+	for _, r := range changed {
+		c.levels.kept[c.levels.changes%recordsKept] = r
+		c.levels.changes++
+	}
+}
+
+// tellLevel puts a level into force. c.mu is held.
+func (c *Core) tellLevel(level service.Level) {
+	if level != c.levels.last {
+		c.levels.last = level
+		c.handle(policy.ServiceChange{Level: policy.Service(level)})
+	}
+}
+
+// logLevels logs changes, without a lock.
+func (c *Core) logLevels(changed []service.Record) {
+	for _, r := range changed {
+		c.log.Warn("service level", "from", r.From, "to", r.To, "cause", r.Cause, "figure", r.Figure, "bound", r.Bound, "stay_s", r.Stay,
+			"also", r.Also, "pinned", r.Pinned)
+	}
+}
+
+// Level is the level of service in force.
+func (c *Core) Level() service.Level {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.levels.last
+}
+
+// Stat is one figure, as a client may ask for it.
+type Stat struct{ Name, Value string }
+
+// ServiceStats tell the level in force, the figures behind it and the changes that are
+// kept, the latest first, each a record in JSON.
+func (c *Core) ServiceStats() (list []Stat) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := &c.levels
+	add := func(name string, value any) {
+		text, err := json.Marshal(value)
+		if err != nil {
+			text = []byte(`"unknown"`)
+		}
+		list = append(list, Stat{name, string(text)})
+	}
+	add("service_on", l.on)
+	add("service_level", uint8(l.last))
+	list = append(list, Stat{"service_name", l.last.String()})
+	left, pinned := l.module.Pinned()
+	add("service_pinned", pinned)
+	add("service_pinned_for_s", math.Ceil(left.Seconds()))
+	for i, figure := range l.module.Figures() {
+		if !math.IsNaN(figure) {
+			add("service_"+service.Trouble(i).String(), math.Round(figure*1e4)/1e4)
+		}
+	}
+	add("service_changes", l.changes)
+	for i := l.changes - 1; i >= max(l.changes-recordsKept, 0); i-- {
+		add("service_change_"+strconv.Itoa(i), &l.kept[i%recordsKept])
+	}
+	return list
+}
+
+// roomFor tells whether one more request may be held: where handovers go first, a part of
+// all places is theirs. c.mu is held.
+func (c *Core) roomFor(rules *rules, class int) bool {
+	most := rules.mostHeld
+	if c.levels.last >= service.Handovers && rules.set.Classes[class].Effect != policy.Keyed {
+		most -= most / keptPart
+	}
+	return len(c.requests) < most
+}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -180,7 +180,11 @@
 // member gives membership an event and does what it asks: the connections first, so that
 // the decision module never names a node that they don't know. c.mu is held.
 func (c *Core) member(event membership.Event) {
-	c.news = c.members.Handle(c.now(), event, c.news[:0])
+	now := c.now()
+	if _, told := event.(membership.Told); told {
+		c.levels.told = now
+	}
+	c.news = c.members.Handle(now, event, c.news[:0])
 	update := policy.ListUpdate{Version: c.version, Kind: policy.ListChanges}
 	var there []upstream.Node
 	var gone []string
--- a/internal/front/binary/binary.go
+++ b/internal/front/binary/binary.go
@@ -29,6 +29,7 @@
 	"unicode/utf8"
 
 	codec "wrenroute/internal/binary"
+	"wrenroute/internal/core"
 	"wrenroute/internal/front"
 	"wrenroute/internal/request"
 	"wrenroute/internal/route"
@@ -59,8 +60,7 @@
 	rules  atomic.Pointer[Rules]
 	prefix string // of ids: no other proxy's, nor another run's of this one
 	serial atomic.Uint64
-	stats  func() (clients, open int)
-	begun  time.Time
+	stats  func(kind string) []core.Stat
 
 	mu    sync.Mutex
 	guard *sasl.Guard
@@ -69,12 +69,12 @@
 	waiting atomic.Int32
 }
 
-// New returns a Front without rules, which serves nobody yet. stats counts connections
-// and open requests.
-func New(stats func() (clients, open int)) *Front {
+// New returns a Front without rules, which serves nobody yet. stats are the figures of a
+// kind, as [front.Host] has them.
+func New(stats func(kind string) []core.Stat) *Front {
 	var random [8]byte
 	crand.Read(random[:])
-	return &Front{prefix: "b" + hex.EncodeToString(random[:]) + "-", stats: stats, begun: time.Now(), guard: sasl.NewGuard(),
+	return &Front{prefix: "b" + hex.EncodeToString(random[:]) + "-", stats: stats, guard: sasl.NewGuard(),
 		logins: make(chan struct{}, 1)}
 }
 
@@ -273,21 +273,25 @@
 	s.say(append(out.Append(nil, codec.ResponseMagic), text...))
 }
 
-// stat answers by one response a figure, and an empty one.
+// stat answers by one response a figure, and an empty one. The key names their kind.
 func (s *session) stat(h *codec.Header) error {
-	if h.Body > 0 { // there are no figures of one kind
+	if h.Body > codec.MaxKey {
 		_, err := s.refuse(h, codec.NotFound)
 		return err
 	}
-	clients, open := s.front.stats()
+	kind := make([]byte, h.Body)
+	if _, err := io.ReadFull(s.conn.In, kind); err != nil {
+		return err
+	}
+	list := s.front.stats(string(kind))
+	if list == nil {
+		s.say(codec.AppendStatus(nil, h, codec.NotFound, 0))
+		return nil
+	}
 	var out []byte
-	for _, x := range []struct {
-		name   string
-		figure int
-	}{{"uptime", int(time.Since(s.front.begun).Seconds())}, {"curr_connections", clients}, {"open_requests", open}} {
-		text := strconv.Itoa(x.figure)
-		one := codec.Header{Opcode: h.Opcode, Key: len(x.name), Body: len(x.name) + len(text), Opaque: h.Opaque}
-		out = append(append(one.Append(out, codec.ResponseMagic), x.name...), text...)
+	for _, x := range list {
+		one := codec.Header{Opcode: h.Opcode, Key: len(x.Name), Body: len(x.Name) + len(x.Value), Opaque: h.Opaque}
+		out = append(append(one.Append(out, codec.ResponseMagic), x.Name...), x.Value...)
 	}
 	last := codec.Header{Opcode: h.Opcode, Opaque: h.Opaque}
 	s.say(last.Append(out, codec.ResponseMagic))
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"wrenroute/internal/core"
+	"wrenroute/internal/service"
 	"wrenroute/internal/upstream"
 )
 
@@ -52,10 +53,25 @@
 	Core    *core.Core
 	Bodies  *Budget // of writes being read or held
 	Answers *Budget // of values that clients have yet to take
+	// Stats are the figures of a kind that clients may ask for, "" for the usual ones; nil
+	// where there is no such kind.
+	Stats func(kind string) []core.Stat
 	// Session begins the dialect of a connection whose client sent this byte first.
 	Session func(c *Conn, first byte) Session
 }
 
+// keptPart is the part of the budget of bodies that is kept for keyed writes where they go
+// first.
+const keptPart = 4
+
+// RoomFor takes room for a write's body, if there is any.
+func (h *Host) RoomFor(size int, keyed bool) bool {
+	if !keyed && h.Core.Level() >= service.Handovers {
+		return h.Bodies.TryBut(size, keptPart)
+	}
+	return h.Bodies.Try(size)
+}
+
 // Session is a dialect on one connection. Its methods are called by the
 // connection's reader only.
 type Session interface {
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -63,6 +63,24 @@
 	return s.refuse("CLIENT_ERROR too many bad commands\r\n"), nil
 }
 
+// stats answers by a line a figure. Of a kind that there is not it says ERROR, as to any
+// command that is not known.
+func (s *session) stats(kind string) error {
+	list := s.host.Stats(kind)
+	if list == nil {
+		s.bad++
+		s.say("ERROR\r\n")
+		return nil
+	}
+	s.bad = 0
+	var b strings.Builder
+	for _, x := range list {
+		b.WriteString("STAT " + x.Name + " " + x.Value + "\r\n")
+	}
+	s.say(b.String() + "END\r\n")
+	return nil
+}
+
 func (s *session) command() (lost bool, err error) {
 	in := s.conn.In
 	text, err := in.ReadSlice('\n')
@@ -97,10 +115,13 @@
 		s.say("MN\r\n")
 		return false, nil
 	}
+	if command.Stats {
+		return false, s.stats(command.Key)
+	}
 	var body []byte
 	if command.Verb == request.Set {
 		size := command.Size + 2
-		if !s.host.Bodies.Try(size) {
+		if !s.host.RoomFor(size, command.Idempotency != "") {
 			if _, err := in.Discard(size); err != nil {
 				return false, err
 			}
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -31,7 +31,9 @@
 type Command struct {
 	request.Request
 	Noop bool // mn
-	Size int  // of a Set's value
+	// Stats asks for figures of the kind named by Key, the usual ones for "".
+	Stats bool
+	Size  int // of a Set's value
 }
 
 // ErrUnknown is the error of a command that is none of the known.
@@ -61,6 +63,12 @@
 			return c, &ClientError{Reason: "bad mn"}
 		}
 		return c, nil
+	case "stats":
+		c.Stats = true
+		if c.Key, rest = word(rest); rest != "" || c.Key != "" && !validKey(c.Key) {
+			return c, ErrUnknown
+		}
+		return c, nil
 	case "mg":
 		c.Verb = request.Get
 	case "ms":
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -18,6 +18,7 @@
 	"wrenroute/internal/core"
 	"wrenroute/internal/discovery"
 	"wrenroute/internal/front/binary"
+	"wrenroute/internal/service"
 	"wrenroute/internal/upstream"
 	"wrenroute/internal/wire"
 	"wrenroute/policy"
@@ -140,6 +141,7 @@
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
 	c.Patient = !c.Policy.AskList
+	c.Service.Limits = service.Usual
 	bounds, err := platformBounds(in.Settings, c.Policy.Proxies)
 	if err == nil {
 		err = c.Share(bounds)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/metrics"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +20,7 @@
 	"wrenroute/internal/front"
 	"wrenroute/internal/front/binary"
 	"wrenroute/internal/front/meta"
+	"wrenroute/internal/service"
 )
 
 const (
@@ -40,8 +43,10 @@
 	config *Config // in force; written by Reload only
 	log    *slog.Logger
 	most   int // clients
+	memory int // bytes at the most
 
 	doors []*door // the main one first
+	begun time.Time
 
 	mu       sync.Mutex
 	changed  sync.Cond
@@ -67,15 +72,16 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{core: core, config: config, log: log, most: config.Clients, clients: make(map[*front.Conn]struct{}),
+	s := &Server{core: core, config: config, log: log, most: config.Clients, memory: config.Memory, clients: make(map[*front.Conn]struct{}),
 		longest: longestDeadline(&config.Policy)}
 	s.changed.L = &s.mu
-	s.binary = binary.New(s.Load)
+	s.begun = time.Now()
+	s.binary = binary.New(s.stats)
 	s.binary.Put(config.binaryRules())
 	bodies, answers := front.NewBudget(config.BodyBytes), front.NewBudget(config.AnswerBytes)
 	open := func(address string, listener *net.TCPListener, session func(*front.Host, *front.Conn, byte) front.Session) error {
 		d := &door{TCPListener: listener, shared: listener != nil}
-		d.host = &front.Host{Core: core, Bodies: bodies, Answers: answers}
+		d.host = &front.Host{Core: core, Bodies: bodies, Answers: answers, Stats: s.stats}
 		d.host.Session = func(c *front.Conn, first byte) front.Session { return session(d.host, c, first) }
 		if !d.shared {
 			lc := net.ListenConfig{KeepAlive: -1}
@@ -130,6 +136,21 @@
 	return clients, s.core.Open()
 }
 
+// stats are the figures that a client may ask for: those of a kind, or the usual ones for
+// "". It returns nil where there is no such kind.
+func (s *Server) stats(kind string) []core.Stat {
+	switch kind {
+	case "":
+		clients, open := s.Load()
+		return []core.Stat{{Name: "uptime", Value: strconv.Itoa(int(time.Since(s.begun).Seconds()))},
+			{Name: "curr_connections", Value: strconv.Itoa(clients)}, {Name: "open_requests", Value: strconv.Itoa(open)},
+			{Name: "service_level", Value: strconv.Itoa(int(s.core.Level()))}}
+	case "service":
+		return s.core.ServiceStats()
+	}
+	return nil
+}
+
 // Address returns the address that clients connect to.
 func (s *Server) Address() net.Addr { return s.doors[0].Addr() }
 
@@ -359,18 +380,32 @@
 
 // sweep closes clients that hold a place for nothing, time and again.
 func (s *Server) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepTime)
+	tick, samples := time.NewTicker(sweepTime), time.NewTicker(core.ServiceTick)
 	defer tick.Stop()
+	defer samples.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
 			s.tidy(now)
+		case <-samples.C:
+			s.sample()
 		}
 	}
 }
 
+// sample gives the core the signals that it can't see.
+func (s *Server) sample() {
+	held := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(held)
+	memory := float64(held[0].Value.Uint64()-held[1].Value.Uint64()) / float64(s.memory)
+	s.mu.Lock()
+	clients := len(s.clients)
+	s.mu.Unlock()
+	s.core.Sample(memory, float64(clients)/float64(s.most))
+}
+
 // tidy closes clients that have idled for long, and gives up those that have
 // taken nothing of an answer for longer than any may be waited for. Of those that
 // idle for less it keeps a few, the latest: clients that open a connection for each
@@ -378,7 +413,13 @@
 // end, and makeRoom frees only as many as come. It should cover fronts and
 // pools with a limit of their own as well. It costs a connection anew where more
 // clients than that come back within front.IdleTime.
+//
+// Where handovers go first, half as many idle: a place that is free takes one at once.
 func (s *Server) tidy(now time.Time) {
+	kept := s.most / idlePart
+	if s.core.Level() >= service.Handovers {
+		kept /= 2
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	type idler struct {
@@ -396,7 +437,7 @@
 		}
 	}
 	slices.SortFunc(idlers, func(x, y idler) int { return x.since.Compare(y.since) })
-	for i := 0; i < len(idlers)-s.most/idlePart && now.Sub(idlers[i].since) >= idleLeast; i++ {
+	for i := 0; i < len(idlers)-kept && now.Sub(idlers[i].since) >= idleLeast; i++ {
 		idlers[i].client.CloseIdle()
 	}
 	s.changed.Broadcast() // an idle client may have come up for closing
--- /dev/null
+++ b/internal/service/meter.go
@@ -0,0 +1,59 @@
+package service
+
+import (
+	"math"
+	"time"
+)
+
+// Counts are what has happened since they were last told. They may be any finite figures;
+// what is nonsense makes its share unknown.
+type Counts struct {
+	Reads, LateReads         float64 // requests but keyed writes that ended, of them not in time
+	Handovers, LateHandovers float64 // keyed writes
+	Asked, Turned            float64 // requests that came to the gates, of them turned away there
+	Fetches, FailedFetches   float64 // misses and writes that ended, of them with an error or silence
+}
+
+const (
+	// meterMemory is that of the counts: long enough for a proxy of a few requests a second.
+	meterMemory = 3 * time.Second
+	// meterPrior is how many good ends are assumed besides what was seen: at a proxy of few
+	// requests one that is late must be no trouble.
+	meterPrior = 20.0
+)
+
+// Meter makes shares of counts, fading. The zero Meter is ready.
+type Meter struct {
+	shares [4]struct{ all, bad float64 }
+	at     time.Duration
+	begun  bool
+}
+
+// meterOf are the troubles whose figures a meter has, in the order of its shares.
+var meterOf = [...]Trouble{LateReads, LateHandovers, Turned, Origin}
+
+// Add counts what has happened until now. A clock that goes back counts as one that stands.
+func (m *Meter) Add(now time.Duration, c Counts) {
+	fade := 1.0
+	if m.begun {
+		fade = math.Exp(-float64(max(now-m.at, 0)) / float64(meterMemory))
+	}
+	m.at, m.begun = now, true
+	for i, x := range [...][2]float64{{c.Reads, c.LateReads}, {c.Handovers, c.LateHandovers}, {c.Asked, c.Turned}, {c.Fetches, c.FailedFetches}} {
+		s := &m.shares[i]
+		s.all, s.bad = s.all*fade, s.bad*fade
+		if all, bad := x[0], x[1]; all >= 0 && bad >= 0 && !math.IsInf(all, 0) && bad <= all {
+			s.all, s.bad = s.all+all, s.bad+bad
+		}
+	}
+}
+
+// Fill enters the shares among signals. Of what nothing has happened lately none is known.
+func (m *Meter) Fill(s *Signals) {
+	for i, trouble := range meterOf {
+		s[trouble] = Unknown
+		if x := m.shares[i]; x.all >= 0.5 {
+			s[trouble] = x.bad / (x.all + meterPrior)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -140,6 +140,31 @@
 	Keyless bool          // it drops no repeats, and so gets no keyed requests
 }
 
+// Service says how far service is reduced; the levels are decided elsewhere, from what the
+// proxy as a whole sees, and what each means for a request here.
+type Service uint8
+
+// The levels of service. Each keeps what the ones before it do.
+const (
+	ServiceFull      Service = iota
+	ServiceEconomy           // no second copies, retries paid for, zones crossed only where it pays more
+	ServiceLate              // reads may come after their aim
+	ServiceHandovers         // keyed requests pass all gates
+	ServiceShelter           // of the others only those whose key a record names
+)
+
+// ServiceChange puts a level of service into force.
+type ServiceChange struct{ Level Service }
+
+// Condition counts what became of requests and attempts.
+type Condition struct {
+	Reads, LateReads       int // requests but keyed ones that were sent and ended, of them not served within their aim
+	Keyed, LateKeyed       int // the same of keyed ones
+	Asked, Turned          int // requests at the gates, of them turned away there; none that a level turned away
+	Fetches, FailedFetches int // reads that no record named and writes that ended, of them by an error or silence
+	Servers, Out           int // listed now, of them set aside
+}
+
 // ListUpdate brings news of the server list.
 type ListUpdate struct {
 	Version uint64
@@ -241,6 +266,7 @@
 func (Timer) event()         {}
 func (ProbeResult) event()   {}
 func (PeerMessage) event()   {}
+func (ServiceChange) event() {}
 
 // ActionKind says what an Action asks for.
 type ActionKind uint8
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -182,7 +182,9 @@
 	ranks  map[bool]*ranks // of what comes to each
 	shares []share         // by tenant
 	health []health        // of all servers, by class
-	ends   health          // of attempts at all servers, failed where their connection ended
+	level  Service
+	seen   Condition // since it was last asked for
+	ends   health    // of attempts at all servers, failed where their connection ended
 }
 
 // The kinds of timers, in the low bits of a token; the rest is a request's ID.
@@ -246,10 +248,27 @@
 		}
 	case Timer:
 		b.timer(e)
+	case ServiceChange:
+		b.level = e.Level
 	}
 	return b.out
 }
 
+// Condition returns what has been counted since it was last asked for.
+func (b *Balancer) Condition() Condition {
+	seen := b.seen
+	b.seen = Condition{}
+	for _, s := range b.servers {
+		if s.listed {
+			seen.Servers++
+			if s.Mode == Serving && s.until > b.now {
+				seen.Out++
+			}
+		}
+	}
+	return seen
+}
+
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
 func (b *Balancer) wake(kind int, id uint64, after time.Duration) {
@@ -431,7 +450,13 @@
 		return
 	}
 	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
+	b.seen.Asked++
+	if b.level >= ServiceShelter && !promise && r.class.Effect != Keyed && b.may(r, nil) && b.rng.Float64() > gateLeast {
+		b.giveUp(r)
+		return
+	}
 	if b.may(r, nil) && (b.hopeless(r, s) || !b.admit(r, promise, open)) {
+		b.seen.Turned++
 		// What is shed counts as asked: sends then settle at gateSlack times the good.
 		s.gate.count(b.now, 1, 0, 0)
 		b.gates[promise].count(b.now, 1, 0, 0)
@@ -450,7 +475,7 @@
 // passes by chance alone.
 func (b *Balancer) admit(r *request, promise bool, open float64) bool {
 	below, own, all := b.ranks[promise].place(b.value(r))
-	if open >= 1 || b.rng.Float64() < gateLeast {
+	if open >= 1 || b.rng.Float64() < gateLeast || b.level >= ServiceHandovers && r.class.Effect == Keyed {
 		return true
 	}
 	return b.rng.Float64()*own < below+own-(1-open)*all
@@ -527,7 +552,11 @@
 // hurt where estimates are too high: so a server with nothing out gets one all the
 // same, which corrects them.
 func (b *Balancer) hopeless(r *request, s *server) bool {
-	return s.inFlight > 0 && b.hitTime(s) > min(hopeShare*(r.Deadline-b.now).Seconds(), r.class.Aim.Seconds())
+	most := hopeShare * (r.Deadline - b.now).Seconds()
+	if b.level < ServiceLate {
+		most = min(most, r.class.Aim.Seconds())
+	}
+	return s.inFlight > 0 && b.hitTime(s) > most
 }
 
 // hedge sends a second copy of a read that has long had no answer. It meets
@@ -539,7 +568,7 @@
 	if a.server.heard > a.sent && b.excess(a.server, r.Class) < sickExcess {
 		return
 	}
-	if r.open != 1 || b.retries < 1 || b.gates[true].open(gatePrior) < 1 || b.gates[false].open(gatePrior) < 1 {
+	if b.level >= ServiceEconomy || r.open != 1 || b.retries < 1 || b.gates[true].open(gatePrior) < 1 || b.gates[false].open(gatePrior) < 1 {
 		return
 	}
 	if s, promise := b.choose(r); promise && !tried(r, s) {
@@ -565,13 +594,24 @@
 	case b.may(r, nil):
 		// A queue to be answered in time is gone within an aim. Clients turned
 		// away together must not come back together.
-		b.do(Action{Kind: Refuse, ID: r.ID, After: min(b.jitter(r.class.Aim/2), r.set.Limits.MaxRetryAfter)})
+		b.do(Action{Kind: Refuse, ID: r.ID, After: b.Advice(r.Class)})
 	default:
 		b.do(Action{Kind: Fail, ID: r.ID})
 	}
 	b.end(r)
 }
 
+// Advice is when a refused request of a class is to come again: later the less service
+// there is, and spread also where the longest advice bounds it.
+func (b *Balancer) Advice(class int) time.Duration {
+	most := b.set.Limits.MaxRetryAfter
+	if class < 0 || class >= len(b.set.Classes) {
+		return b.jitter(most / 2)
+	}
+	mean := b.set.Classes[class].Aim / 2 * time.Duration(2+b.level) / 2
+	return min(b.jitter(min(mean, most*2/3)), most)
+}
+
 func (b *Balancer) send(r *request, s *server, promise bool) {
 	expected, aim := b.hitTime(s), r.class.Aim.Seconds()
 	if !promise {
@@ -604,7 +644,7 @@
 			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds()) +
 				max(b.excess(s, r.Class)-sickExcess, 0)*r.class.Aim.Seconds()
 			if s.Zone != b.set.Zone {
-				t += b.set.Prices.CrossZone * r.class.Aim.Seconds()
+				t += b.crossing() * r.class.Aim.Seconds()
 			}
 			if t < least {
 				best, least, named = s, t, r.keyed && miss < 1 && s.record.has(&r.at)
@@ -645,6 +685,15 @@
 	return nil, false
 }
 
+// crossing is the price of an attempt in another zone. With service reduced it has to pay
+// more: crossings add time and load where both are short.
+func (b *Balancer) crossing() float64 {
+	if b.level >= ServiceEconomy {
+		return 2 * b.set.Prices.CrossZone
+	}
+	return b.set.Prices.CrossZone
+}
+
 // weight is a server's part in the rendezvous: its registered size, or how
 // fast its kind of machine has been. Without it the slow kinds are always full,
 // and what overflows from them loads the origin.
@@ -713,7 +762,7 @@
 	a := &r.attempts[e.Attempt]
 	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
 		b.excess(a.server, r.Class) < sickExcess
-	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay() {
+	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay(r) {
 		if s, promise := b.choose(r); s != nil {
 			b.send(r, s, promise)
 			return
@@ -728,11 +777,15 @@
 // connections than a budget foresees must not fail requests that idle servers
 // could answer, since their clients ask again all the same. It might hurt where
 // failing takes a server more work than answering.
-func (b *Balancer) pay() bool {
-	if b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
+func (b *Balancer) pay(r *request) bool {
+	if b.level < ServiceEconomy && b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
 		return true
 	}
-	if b.retries < 1 {
+	kept := 0.0 // for keyed requests
+	if b.level >= ServiceHandovers && r.class.Effect != Keyed {
+		kept = retryCap / 4
+	}
+	if b.retries < 1+kept {
 		return false
 	}
 	b.retries--
@@ -741,6 +794,9 @@
 
 // end drops a request once nothing of it is out.
 func (b *Balancer) end(r *request) {
+	if !r.ended {
+		b.count(r)
+	}
 	if !r.ended && r.set.Limits.Cancel {
 		for i := range r.attempts {
 			if !r.attempts[i].done {
@@ -754,6 +810,22 @@
 	}
 }
 
+// count enters a request that ends among what is seen of all. One whose client left before
+// the aim tells of its patience; one that was never sent, of the gates.
+func (b *Balancer) count(r *request) {
+	late := 0
+	if early := b.now-r.arrived <= r.class.Aim; !r.served && early && len(r.attempts) > 0 && r.open > 0 || len(r.attempts) == 0 {
+		return
+	} else if !r.served || !early {
+		late = 1
+	}
+	if r.class.Effect == Keyed {
+		b.seen.Keyed, b.seen.LateKeyed = b.seen.Keyed+1, b.seen.LateKeyed+late
+	} else {
+		b.seen.Reads, b.seen.LateReads = b.seen.Reads+1, b.seen.LateReads+late
+	}
+}
+
 // learn updates a server's estimates from an outcome.
 func (b *Balancer) learn(r *request, a *attempt, e Outcome) {
 	s := a.server
@@ -768,11 +840,16 @@
 	if e.Result != Cancelled && e.Result != TimedOut && e.Result != ConnectFailed {
 		s.heard = b.now
 	}
+	if r.Key != "" && !a.promise && (e.Note == NoteMiss || e.Note == NoteMissShared || r.Write && e.Result == Served) {
+		b.seen.Fetches++
+	} else if r.Key != "" && !a.promise && (e.Result == Errored || e.Result == TimedOut) {
+		b.seen.Fetches, b.seen.FailedFetches = b.seen.Fetches+1, b.seen.FailedFetches+1
+	}
 	good, failed, broken, sick := 0.0, 0.0, 0.0, false
 	switch e.Result {
 	case Served:
 		s.fails, s.until = 0, 0
-		if b.now-r.arrived <= r.class.Aim {
+		if b.now-r.arrived <= r.class.Aim || b.level >= ServiceLate && r.class.Effect != Keyed {
 			good = 1
 		}
 		b.retries = min(b.retries+retryShare, retryCap)
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -319,6 +319,7 @@
 		j.ended = true
 		w.handle(policy.Departure{ID: j.ID})
 	case k < 97:
+		w.handle(policy.ServiceChange{Level: policy.Service(w.rng.IntN(6))})
 		w.handle(policy.Timer{Token: w.rng.Uint64() >> 1})
 		w.handle(policy.Outcome{ID: 1 << 40, Server: "nobody"})
 		w.handle(policy.ProbeResult{Server: "nobody", Result: policy.TimedOut})
--- /dev/null
+++ b/policy/service_test.go
@@ -0,0 +1,227 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// at puts a level into force.
+func at(b *Balancer, now time.Duration, level Service) {
+	b.Handle(now, ServiceChange{Level: level}, nil)
+}
+
+// warm has every server know a key.
+func warm(b *Balancer, key string) {
+	p := places(hash(key))
+	for _, s := range b.servers {
+		s.record.add(&p)
+	}
+}
+
+// TestEconomyMakesNoSecondCopies guards against copies and unpaid retries that add load where
+// there is trouble, for every level from economy on.
+func TestEconomyMakesNoSecondCopies(t *testing.T) {
+	for level := ServiceFull; level <= ServiceShelter; level++ {
+		b, now := crowded(t, 1)
+		b.set.Limits.Duplicates = true
+		shut(b, now, 1000) // as if all came in time
+		warm(b, "k")
+		at(b, now, level)
+		out := b.Handle(now, Arrival{ID: 1, Tenant: 1, Key: "k", Deadline: now + 2*time.Second}, nil)
+		copies := 0
+		for _, a := range out {
+			if a.Kind == SetTimer && a.Token&3 == timerHedge {
+				copies += len(sent(b.Handle(now+a.After, Timer{Token: a.Token}, nil)))
+			}
+		}
+		if want := map[bool]int{true: 1}[level < ServiceEconomy]; copies != want {
+			t.Errorf("level %d: %d second copies, want %d", level, copies, want)
+		}
+		b.retries = 0
+		b.Handle(now, Arrival{ID: 2, Tenant: 1, Key: "k", Deadline: now + 2*time.Second}, nil)
+		to := b.requests[2].attempts[0].server.Server
+		again := sent(b.Handle(now, Outcome{ID: 2, Server: to, Result: ConnectFailed}, nil))
+		if want := map[bool]int{true: 1}[level < ServiceEconomy]; len(again) != want {
+			t.Errorf("level %d: %d retries without a budget, want %d", level, len(again), want)
+		}
+	}
+}
+
+// TestEconomyCrossesZonesForMore guards the price of a crossing: from economy on a far server
+// must be faster by more.
+func TestEconomyCrossesZonesForMore(t *testing.T) {
+	b, now := crowded(t, 1)
+	b.set.Zones, b.set.Prices.CrossZone = []string{"a", "b"}, 0.1
+	near, far := b.servers["a"], b.servers["b"]
+	far.Zone = 1
+	b.list = []*server{near, far}
+	for _, s := range b.list {
+		s.sampled, s.fastest = now, 0.01
+	}
+	near.work, far.work = 0.2, 0.05 // 0.15 s of an aim of 1 s: more than one price, less than two
+	warm(b, "k")
+	for level, want := range map[Service]string{ServiceFull: "b", ServiceEconomy: "a", ServiceShelter: "a"} {
+		at(b, now, level)
+		r := &request{Arrival: Arrival{Key: "k"}, set: b.set, class: &b.set.Classes[0], keyed: true, hash: hash("k"), at: places(hash("k"))}
+		r.Deadline = now + time.Second
+		b.now = now
+		if s, _ := b.choose(r); s.Server != want {
+			t.Errorf("level %d: sent to %s, want %s", level, s.Server, want)
+		}
+	}
+}
+
+// TestLateReadsCountAsServed guards the level at which reads may come late: gates must not
+// shut for answers that clients still wait for, nor expected times over the aim turn away.
+func TestLateReadsCountAsServed(t *testing.T) {
+	for _, level := range []Service{ServiceEconomy, ServiceLate} {
+		b, now := crowded(t, 1)
+		for _, g := range b.gates {
+			*g = gate{keep: 0.99}
+		}
+		at(b, now, level)
+		sends := 0
+		for i := range 400 {
+			now += 10 * time.Millisecond
+			id := uint64(i + 1)
+			out := b.Handle(now, Arrival{ID: id, Tenant: 1, Key: "k", Deadline: now + 2*time.Second}, nil)
+			for _, to := range sent(out) {
+				sends++
+				// It takes 1.3 s, over the aim of 1 s.
+				b.requests[id].arrived -= 1300 * time.Millisecond
+				b.Handle(now, Outcome{ID: id, Server: to, Result: Served, Took: 1300 * time.Millisecond, Note: NoteMiss, Final: true}, nil)
+			}
+		}
+		if late := level >= ServiceLate; late && sends < 395 || !late && sends > 200 {
+			t.Errorf("level %d: %d of 400 were sent", level, sends)
+		}
+	}
+}
+
+// TestHandoversFirst guards the levels from handovers on: a gate that is nearly shut lets all
+// keyed requests through, and a part of the retries is theirs.
+func TestHandoversFirst(t *testing.T) {
+	b, now := crowded(t, 0.01)
+	handover := func(i int) Arrival {
+		return Arrival{ID: uint64(i + 1), Class: 1, Tenant: 1, Key: "h", Write: true}
+	}
+	if share := passed(b, now, 0.01, 500, handover); share > 0.2 {
+		t.Errorf("with full service %.2f of what is all handovers passed a gate that is shut", share)
+	}
+	at(b, now, ServiceHandovers)
+	if share := passed(b, now, 0.01, 500, handover); share < 0.99 {
+		t.Errorf("%.2f of the handovers passed", share)
+	}
+	b.retries = retryCap / 4
+	if b.pay(&request{class: &b.set.Classes[0]}) {
+		t.Error("a read spent what is kept for handovers")
+	}
+	if !b.pay(&request{class: &b.set.Classes[1]}) {
+		t.Error("a handover may not spend what is kept for it")
+	}
+}
+
+// TestShelterServesWhatIsKnown guards the last level: reads that would fetch are turned away but
+// for a few that show a recovery, those that a record names and handovers are not; and what
+// the level turns away is no sign of trouble that would keep it.
+func TestShelterServesWhatIsKnown(t *testing.T) {
+	b, now := crowded(t, 1)
+	shut(b, now, 1000)
+	at(b, now, ServiceShelter)
+	warm(b, "known")
+	ask := func(from uint64, n int, a Arrival) (share float64) {
+		return passed(b, now, 1000, n, func(i int) Arrival {
+			a.ID = from + uint64(i)
+			return a
+		})
+	}
+	if share := ask(1, 1000, Arrival{Tenant: 1, Key: "new"}); share < 0.005 || share > 0.08 {
+		t.Errorf("%.3f of unknown reads passed, want about %v", share, gateLeast)
+	}
+	if turned := b.Condition().Turned; turned > 0 {
+		t.Errorf("%d turned away by the level count as turned away by gates", turned)
+	}
+	if share := ask(2000, 100, Arrival{Tenant: 1, Key: "known"}); share < 1 {
+		t.Errorf("%.2f of known reads passed", share)
+	}
+	if share := ask(3000, 100, Arrival{Class: 1, Tenant: 1, Key: "new", Write: true}); share < 1 {
+		t.Errorf("%.2f of handovers passed", share)
+	}
+}
+
+// TestLevelChangesBetweenArrivalAndRetry guards requests that are out as a level comes into
+// force: each keeps its one answer, and a keyed one that may have run its window.
+func TestLevelChangesBetweenArrivalAndRetry(t *testing.T) {
+	for level := ServiceEconomy; level <= ServiceShelter; level++ {
+		b, now := crowded(t, 1)
+		shut(b, now, 1000)
+		out := b.Handle(now, Arrival{ID: 1, Class: 1, Tenant: 1, Key: "h", Write: true, Deadline: now + 2*time.Second}, nil)
+		to := sent(out)[0]
+		at(b, now, level)
+		out = b.Handle(now+100*time.Millisecond, Outcome{ID: 1, Server: to, Result: Reset}, nil)
+		if again := sent(out); len(again) != 1 {
+			t.Fatalf("level %d: a handover that was reset got %+v", level, out)
+		} else {
+			to = again[0]
+		}
+		at(b, now, ServiceFull)
+		out = b.Handle(now+1500*time.Millisecond, Outcome{ID: 1, Attempt: 1, Server: to, Result: Reset}, nil)
+		if len(out) != 1 || out[0].Kind != Refuse { // the group of all drops repeats, so asking again is harmless
+			t.Errorf("level %d: beyond the window: %+v", level, out)
+		}
+	}
+}
+
+// TestAdviceGrowsAndIsSpread guards against clients that are turned away together and come
+// back together, also where the longest advice bounds it.
+func TestAdviceGrowsAndIsSpread(t *testing.T) {
+	for _, most := range []time.Duration{10 * time.Second, 300 * time.Millisecond} {
+		b, now := crowded(t, 1)
+		b.set.Limits.MaxRetryAfter = most
+		before := time.Duration(0)
+		for level := ServiceFull; level <= ServiceShelter; level++ {
+			at(b, now, level)
+			sum, least, last := time.Duration(0), most, time.Duration(0)
+			for range 1000 {
+				a := b.Advice(0)
+				if a <= 0 || a > most {
+					t.Fatalf("advice %v of at most %v", a, most)
+				}
+				sum, least, last = sum+a, min(least, a), max(last, a)
+			}
+			if last < 2*least {
+				t.Errorf("level %d, at most %v: from %v to %v is hardly spread", level, most, least, last)
+			}
+			if most > time.Second && sum <= before*11/10 {
+				t.Errorf("level %d: mean advice %v after %v", level, sum/1000, before/1000)
+			}
+			before = sum
+		}
+	}
+}
+
+// TestConditionCountsRequests guards the signals: what was served late or not at all, by kind,
+// once each, and nothing of clients that left early.
+func TestConditionCountsRequests(t *testing.T) {
+	b, now := crowded(t, 1)
+	shut(b, now, 1000)
+	serve := func(id uint64, class int, took time.Duration, result Result, note Note) {
+		out := b.Handle(now, Arrival{ID: id, Class: class, Tenant: 1, Key: "k", Write: class == 1, Deadline: now + 2*time.Second}, nil)
+		b.Handle(now+took, Outcome{ID: id, Server: sent(out)[0], Result: result, Took: took, Note: note, Final: true}, nil)
+	}
+	serve(1, 0, 100*time.Millisecond, Served, NoteMiss)
+	serve(2, 0, 1500*time.Millisecond, Served, NoteMiss)
+	serve(3, 1, 100*time.Millisecond, Served, NoteNone)
+	serve(4, 1, 1500*time.Millisecond, Errored, NoteNone)
+	out := b.Handle(now, Arrival{ID: 5, Tenant: 1, Key: "x", Deadline: now + 2*time.Second}, nil)
+	b.Handle(now+time.Millisecond, Departure{ID: 5}, nil)
+	b.Handle(now+time.Millisecond, Outcome{ID: 5, Server: sent(out)[0], Result: Cancelled, Final: true}, nil)
+	got := b.Condition()
+	want := Condition{Reads: 2, LateReads: 1, Keyed: 2, LateKeyed: 1, Asked: 5, Fetches: 3, FailedFetches: 1, Servers: 4} // the second read was promised
+	if got != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
+	if again := b.Condition(); again != (Condition{Servers: 4}) {
+		t.Errorf("counted again: %+v", again)
+	}
+}
