Turn away by half the aim, promise no harmless repeat of what may have run; rehearse degrade

Need: the first rehearsals of overloads showed handovers carried out twice (38 in five scenarios): a keyed request that may have run was refused as busy, and its client came back beyond the window. And half of what was served in an overload came just after its aim. Change: such a request fails, which promises nothing. Hopeless is what is expected to take over half the aim. Where handovers go first, reads fetch only as far as those stay in time; late fetches count as good at the level late alone. rehearse degrade plays six overloads without and with levels; phases with rate, swing, flood, origin brown-outs, zones gone.

--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,11 @@
 	rng   *rand.Rand
 	zipf  *rand.Zipf
 	pools [][]*link // by proxy and dialect, idle, the latest last
+	// What tenants have left of their shares, a second's worth at the most.
+	shares []struct {
+		left float64
+		at   time.Time
+	}
 }
 
 // link is a client's connection to a proxy.
@@ -68,11 +74,16 @@
 func newClients(f *fleet, t *tally) *clients {
 	l := f.scenario.Load
 	rng := rand.New(rand.NewPCG(f.scenario.Seed, 5))
-	return &clients{fleet: f, load: l, tally: t, rng: rng, zipf: rand.NewZipf(rng, l.Skew, 4, uint64(l.Keys-1)),
+	c := &clients{fleet: f, load: l, tally: t, rng: rng, zipf: rand.NewZipf(rng, l.Skew, 4, uint64(l.Keys-1)),
 		pools: make([][]*link, 2*len(f.proxies)),
 		kinds: [2]kind{{name: "read", aim: 500 * time.Millisecond, deadline: 2 * time.Second},
 			{name: "write", write: true, aim: 750 * time.Millisecond, deadline: 2500 * time.Millisecond,
 				window: time.Duration(f.scenario.Fleet.Window)}}}
+	c.shares = slices.Grow(c.shares, len(l.Tenants))[:len(l.Tenants)]
+	for i := range c.shares {
+		c.shares[i].at = t.began
+	}
+	return c
 }
 
 // errand is one request of a client, through all its tries.
@@ -82,6 +93,7 @@
 	share                    float64 // of the deadline that a try waits
 	marked                   bool
 	value                    string // of a write: no other has it
+	over                     bool   // its tenant's share
 	binary                   bool
 	ticket                   uint64 // of a binary write; 0 for none yet
 }
@@ -105,10 +117,27 @@
 	default:
 		e.key = fmt.Sprint("k", c.zipf.Uint64())
 	}
+	phase, since := c.tally.place(time.Now())
 	if n := len(c.load.Tenants); n > 0 {
-		e.tenant = c.load.Tenants[r.IntN(n)]
+		tenant := r.IntN(n)
+		// In a flood the first asks for several times its part, the others for theirs.
+		if p := phase.Flood; p > 1 && r.Float64() < (p-1)/(p-1+float64(n)) {
+			tenant = 0
+		}
+		e.tenant, e.over = c.load.Tenants[tenant], !c.within(tenant)
 	}
-	return e, time.Duration(r.ExpFloat64() / c.load.Rate * float64(time.Second))
+	return e, time.Duration(r.ExpFloat64() / (c.load.Rate * phase.rate(since, len(c.load.Tenants))) * float64(time.Second))
+}
+
+// within tells whether a tenant's next request is within its share. c.mu is held.
+func (c *clients) within(tenant int) bool {
+	s, now, quota := &c.shares[tenant], time.Now(), float64(c.load.Quota)
+	s.left, s.at = min(s.left+now.Sub(s.at).Seconds()*quota, quota), now
+	if s.left < 1 {
+		return false
+	}
+	s.left--
+	return true
 }
 
 // run sends requests until ctx ends, and returns when all of them are over.
@@ -156,7 +185,7 @@
 // carry takes one request through its tries.
 func (c *clients) carry(e *errand) {
 	begun := time.Now()
-	note := c.tally.begin(begun)
+	note := c.tally.begin(begun, e.kind.write, e.over)
 	wait := e.kind.deadline
 	for first := true; ; first = false {
 		e.lastOut = time.Since(begun)
--- /dev/null
+++ b/internal/rehearse/degrade.go
@@ -0,0 +1,234 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"wrenroute/internal/service"
+)
+
+// Change is one change of a proxy's level of service, as it keeps it, at seconds from the
+// rehearsal's beginning.
+type Change struct {
+	At float64 `json:"at_s"`
+	service.Record
+}
+
+// levels asks all proxies for the changes of their levels.
+func (f *fleet) levels(began time.Time) (all [][]Change) {
+	for _, d := range f.proxies {
+		records, err := askLevels(d.address)
+		if err != nil {
+			f.say("proxy %d tells no levels: %v", d.index, err)
+		}
+		var list []Change
+		for _, r := range records {
+			list = append(list, Change{At: time.Duration(int64(r.At) - began.UnixNano()).Seconds(), Record: r})
+		}
+		all = append(all, list)
+	}
+	return all
+}
+
+var errStats = errors.New("no figures")
+
+// askLevels asks a proxy for the records that it keeps, the oldest first.
+func askLevels(address string) (records []service.Record, err error) {
+	socket, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer socket.Close()
+	socket.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprint(socket, "stats service\r\n")
+	for in := bufio.NewReader(socket); ; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return nil, err
+		}
+		line = strings.TrimRight(line, "\r\n")
+		if line == "END" {
+			return records, nil
+		}
+		name, value, ok := strings.Cut(strings.TrimPrefix(line, "STAT "), " ")
+		if !ok {
+			return nil, errStats
+		}
+		if strings.HasPrefix(name, "service_change_") {
+			var r service.Record
+			if err := json.Unmarshal([]byte(value), &r); err != nil {
+				return nil, err
+			}
+			records = append([]service.Record{r}, records...)
+		}
+	}
+}
+
+// DegradeReport compares service that is reduced on purpose with service that is not, by
+// the same seeds.
+type DegradeReport struct {
+	Pairs []DegradePair `json:"pairs"`
+}
+
+// DegradePair is one scenario, played without and with levels of service.
+type DegradePair struct {
+	Without *Report `json:"without"`
+	With    *Report `json:"with"`
+}
+
+// DegradeScenarios are those that Degrade plays.
+var DegradeScenarios = []string{"degrade-swing", "degrade-origin", "degrade-late", "degrade-zone", "degrade-flood", "degrade-two"}
+
+// Degrade plays scenarios side by side, each by turns without and with levels of service:
+// a fleet of these takes a quarter of a core.
+func Degrade(ctx context.Context, names []string, o Options) (*DegradeReport, error) {
+	report := &DegradeReport{Pairs: make([]DegradePair, len(names))}
+	errs := make([]error, len(names))
+	var tasks sync.WaitGroup
+	for i, name := range names {
+		tasks.Go(func() { errs[i] = report.Pairs[i].play(ctx, name, o) })
+	}
+	tasks.Wait()
+	return report, errors.Join(errs...)
+}
+
+func (p *DegradePair) play(ctx context.Context, name string, o Options) error {
+	for unreduced, into := range map[bool]**Report{true: &p.Without, false: &p.With} {
+		s, err := Load(name)
+		if err != nil {
+			return err
+		}
+		s.Fleet.Unreduced = unreduced
+		own := o
+		own.Folder = filepath.Join(o.Folder, fmt.Sprintf("%s-%v", s.Name, !unreduced))
+		if err := os.MkdirAll(own.Folder, 0o755); err != nil {
+			return err
+		}
+		own.Progress = func(format string, a ...any) {
+			o.Progress("%s, reduced %v: %s", s.Name, !unreduced, fmt.Sprintf(format, a...))
+		}
+		if *into, err = Play(ctx, s, own); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// OK tells whether all rules held, and every change had a cause.
+func (r *DegradeReport) OK() bool {
+	for _, p := range r.Pairs {
+		if !p.Without.OK() || !p.With.OK() {
+			return false
+		}
+		for _, changes := range p.With.Levels {
+			for _, c := range changes {
+				if c.Cause == "" {
+					return false
+				}
+			}
+		}
+	}
+	return len(r.Pairs) > 0
+}
+
+// whole sums up all phases.
+func (r *Report) whole() (sum PhaseReport) {
+	for _, p := range r.Phases {
+		sum.Handovers += p.Handovers
+		sum.HandoversInTime += p.HandoversInTime
+		sum.Worth += p.Worth
+		sum.Earned += p.Earned
+		sum.Offered += p.Offered
+		sum.InTime += p.InTime
+		sum.Retries += p.Retries
+		sum.Fetches += p.Fetches
+	}
+	return sum
+}
+
+// changes counts those of all proxies, and returns the worst level and how long after the
+// last phase had begun the last proxy was back at full service; it is negative where one
+// was not.
+func (r *Report) changes() (n int, worst service.Level, full float64) {
+	calm := 0.0
+	for _, p := range r.Phases[:max(len(r.Phases)-1, 0)] {
+		calm += p.Seconds
+	}
+	for _, list := range r.Levels {
+		n += len(list)
+		for _, c := range list {
+			worst = max(worst, c.Level)
+		}
+		if len(list) == 0 {
+			continue
+		}
+		if last := list[len(list)-1]; last.Level != service.Full {
+			full = -1
+		} else if full >= 0 {
+			full = max(full, last.At-calm)
+		}
+	}
+	return n, worst, full
+}
+
+func part(a, b float64) float64 { return a / max(b, 1e-9) }
+
+// Print writes the report as tables, its verdict last.
+func (r *DegradeReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "scenario\treduced\thandovers\tin time\tworth\tearned\treads in time\tretries\tfetches\tchanges\tworst level\tfull after s\t")
+	for _, p := range r.Pairs {
+		for _, x := range []struct {
+			reduced string
+			r       *Report
+		}{{"no", p.Without}, {"yes", p.With}} {
+			s := x.r.whole()
+			n, worst, full := x.r.changes()
+			fmt.Fprintf(w, "%s\t%s\t%d\t%.4f\t%.0f\t%.4f\t%.4f\t%d\t%d\t%d\t%s\t%.1f\t\n", x.r.Scenario, x.reduced, s.Handovers,
+				part(float64(s.HandoversInTime), float64(s.Handovers)), s.Worth, part(s.Earned, s.Worth),
+				part(float64(s.InTime-s.HandoversInTime), float64(s.Offered-s.Handovers)), s.Retries, s.Fetches, n, worst, full)
+		}
+	}
+	w.Flush()
+	fmt.Fprintln(out, "by phase: handovers in time, worth earned, without and with")
+	w = tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	for _, p := range r.Pairs {
+		for i, a := range p.Without.Phases {
+			b := p.With.Phases[i]
+			fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t\n", p.With.Scenario, a.Name, part(float64(a.HandoversInTime), float64(a.Handovers)),
+				part(float64(b.HandoversInTime), float64(b.Handovers)), part(a.Earned, a.Worth), part(b.Earned, b.Worth))
+		}
+	}
+	w.Flush()
+	for _, p := range r.Pairs {
+		for i, list := range p.With.Levels {
+			for _, c := range list {
+				fmt.Fprintf(out, "  %s proxy %d %6.1f s: %s to %s by %s %.3f (bound %.3f)\n", p.With.Scenario, i, c.At, c.From, c.To, c.Cause, c.Figure, c.Bound)
+			}
+		}
+		for _, x := range []*Report{p.Without, p.With} {
+			fmt.Fprintf(out, "%s: %s\n", x.Scenario, x.Verdict())
+			if !x.OK() {
+				for _, problem := range x.Problems {
+					fmt.Fprintln(out, "  "+strings.ReplaceAll(problem, "\n", " | "))
+				}
+			}
+		}
+	}
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	fmt.Fprintf(out, "verdict: %s scenarios=%d\n", word, len(r.Pairs))
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -57,6 +57,7 @@
 	}
 	tasks.Wait()
 	f.footprints(&report.End)
+	report.Levels = f.levels(began)
 	f.stop()
 	// What a proxy still had out at a node may take effect yet.
 	settle(func() int { return f.origin.Stats().Writes })
@@ -200,6 +201,23 @@
 		if err := n.Restart(); err != nil {
 			f.problem("node %d: %v", e.Node, err)
 		}
+	case "brown":
+		f.origin.SetWork(time.Duration(e.By))
+	case "dark", "light":
+		for i, n := range f.nodes {
+			if f.scenario.Fleet.Zones[i%len(f.scenario.Fleet.Zones)] != e.Zone {
+				continue
+			}
+			var err error
+			if e.Do == "dark" {
+				err = n.SetFault(node.Fault{Kind: node.Refuse})
+			} else if err = n.Restart(); err == nil {
+				f.tellNode(i, func(x *list.Entry) { x.Status, x.Since = "up", n.Started().UnixMilli() })
+			}
+			if err != nil {
+				f.problem("node %d: %v", i, err)
+			}
+		}
 	case "leave", "return":
 		for i := range e.Times {
 			f.tellNode(i, func(x *list.Entry) { x.Status = map[string]string{"leave": "removed", "return": "up"}[e.Do] })
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -17,6 +17,7 @@
 	Phases   []PhaseReport `json:"phases"`
 	Start    []Footprint   `json:"start"` // by proxy, at the end of the first phase
 	End      []Footprint   `json:"end"`
+	Levels   [][]Change    `json:"levels"` // of service, by proxy
 	Restarts int           `json:"restarts"`
 	Reloads  int           `json:"reloads"`
 
@@ -57,6 +58,12 @@
 	P99     float64 `json:"p99_ms"`
 	Fetches int     `json:"fetches"`
 	Retries int     `json:"retries"`
+	// Of handovers alone.
+	Handovers       int `json:"handovers"`
+	HandoversInTime int `json:"handovers_in_time"`
+	// What was asked for and served is worth, as tallies count it.
+	Worth  float64 `json:"worth"`
+	Earned float64 `json:"earned"`
 }
 
 // Share is the part of what was offered that was answered in time, in per cent.
--- a/internal/rehearse/tally.go
+++ b/internal/rehearse/tally.go
@@ -57,6 +57,28 @@
 type count struct {
 	offered, inTime, late, refused, failed, retries int
 	latencies                                       []float32 // of served ones, seconds
+	handovers, handoversInTime                      int
+	worth, earned                                   float64
+}
+
+// What requests are worth: handovers twice as much, late ones and those over their tenant's
+// share little.
+const (
+	handoverWorth = 2
+	lateWorth     = 0.3
+	overWorth     = 0.2
+)
+
+// worthOf is what answering a request in time is worth.
+func worthOf(handover, over bool) float64 {
+	worth := 1.0
+	if handover {
+		worth = handoverWorth
+	}
+	if over {
+		worth *= overWorth
+	}
+	return worth
 }
 
 // broken counts what the rules forbid, and what looks like it but is not.
@@ -72,12 +94,25 @@
 }
 
 // note is a request's place in the tally.
-type note struct{ phase int }
+type note struct {
+	phase    int
+	handover bool
+	worth    float64
+}
 
 func newTally(phases []Phase, began time.Time) *tally {
 	return &tally{phases: phases, began: began, counts: make([]count, len(phases))}
 }
 
+// place returns the phase that a time lies in, and the time since it began.
+func (t *tally) place(at time.Time) (*Phase, time.Duration) {
+	i, since := t.phaseAt(at), at.Sub(t.began)
+	for _, p := range t.phases[:i] {
+		since -= time.Duration(p.For)
+	}
+	return &t.phases[i], since
+}
+
 // phaseAt returns the phase that a time lies in, the last for any after it.
 func (t *tally) phaseAt(at time.Time) int {
 	since := at.Sub(t.began)
@@ -89,11 +124,16 @@
 	return len(t.phases) - 1
 }
 
-func (t *tally) begin(at time.Time) note {
-	n := note{phase: t.phaseAt(at)}
+func (t *tally) begin(at time.Time, handover, over bool) note {
+	n := note{phase: t.phaseAt(at), handover: handover, worth: worthOf(handover, over)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counts[n.phase].offered++
+	c := &t.counts[n.phase]
+	c.offered++
+	c.worth += n.worth
+	if handover {
+		c.handovers++
+	}
 	return n
 }
 
@@ -112,8 +152,13 @@
 		c.latencies = append(c.latencies, float32(took.Seconds()))
 		if took <= aim {
 			c.inTime++
+			c.earned += n.worth
+			if n.handover {
+				c.handoversInTime++
+			}
 		} else {
 			c.late++
+			c.earned += lateWorth * n.worth
 		}
 	case as == refused:
 		c.refused++
@@ -171,7 +216,8 @@
 		slices.Sort(c.latencies)
 		p := PhaseReport{Name: t.phases[i].Name, Seconds: time.Duration(t.phases[i].For).Seconds(), Offered: c.offered,
 			InTime: c.inTime, Late: c.late, Refused: c.refused, Failed: c.failed, Retries: c.retries,
-			P50: quantile(c.latencies, 0.5), P99: quantile(c.latencies, 0.99)}
+			P50: quantile(c.latencies, 0.5), P99: quantile(c.latencies, 0.99),
+			Handovers: c.handovers, HandoversInTime: c.handoversInTime, Worth: c.worth, Earned: c.earned}
 		list = append(list, p)
 	}
 	rules = t.rules
--- a/internal/service/meter.go
+++ b/internal/service/meter.go
@@ -20,6 +20,9 @@
 	// meterPrior is how many good ends are assumed besides what was seen: at a proxy of few
 	// requests one that is late must be no trouble.
 	meterPrior = 20.0
+	// handoverPrior is that of handovers, of which there are few: a third of them late must
+	// not take until it is over to show.
+	handoverPrior = 5.0
 )
 
 // Meter makes shares of counts, fading. The zero Meter is ready.
@@ -53,7 +56,11 @@
 	for i, trouble := range meterOf {
 		s[trouble] = Unknown
 		if x := m.shares[i]; x.all >= 0.5 {
-			s[trouble] = x.bad / (x.all + meterPrior)
+			prior := meterPrior
+			if trouble == LateHandovers {
+				prior = handoverPrior
+			}
+			s[trouble] = x.bad / (x.all + prior)
 		}
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -37,8 +37,8 @@
 // The levels. What each does is decided in package policy, for its limits in the core.
 const (
 	Full      Level = iota // nothing is held back
-	Economy                // no second copies, retries rationed, zones crossed only where it pays
-	Late                   // reads may come late; what is worth least is turned away first
+	Economy                // no second copies, retries rationed
+	Late                   // reads that have to be fetched may come late
 	Handovers              // a part of every limit is kept for keyed writes
 	Shelter                // only what caches are known to hold, and handovers
 	levels
@@ -94,7 +94,7 @@
 // quarters are, as those that are left still serve their keys.
 var Troubles = [troubles]Threshold{
 	LateReads:     {"late_reads", [...]float64{0.10, 0.25, 0.45, 0.75}, 0.6},
-	LateHandovers: {"late_handovers", [...]float64{0.05, 0.10, 0.20, 0}, 0.6},
+	LateHandovers: {"late_handovers", [...]float64{0.12, 0.18, 0.25, 0.40}, 0.6},
 	Turned:        {"turned_away", [...]float64{0.05, 0.20, 0.40, 0.75}, 0.6},
 	Origin:        {"origin_failed", [...]float64{0.10, 0.25, 0.40, 0.60}, 0.6},
 	Lag:           {"lag_s", [...]float64{0.05, 0.15, 0.40, 1}, 0.5},
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -455,6 +455,8 @@
 		j.answer = []byte("CLIENT_ERROR " + err.Error() + "\r\n")
 	case command.Noop:
 		j.answer = []byte("MN\r\n")
+	case command.Stats:
+		j.answer = []byte("ERROR\r\n")
 	}
 	return true, err
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -144,12 +144,13 @@
 // proxy as a whole sees, and what each means for a request here.
 type Service uint8
 
-// The levels of service. Each keeps what the ones before it do.
+// The levels of service. Each keeps what the ones before it do, but that from handovers on
+// late fetches are none of the good: they are what makes handovers late.
 const (
 	ServiceFull      Service = iota
-	ServiceEconomy           // no second copies, retries paid for, zones crossed only where it pays more
-	ServiceLate              // reads may come after their aim
-	ServiceHandovers         // keyed requests pass all gates
+	ServiceEconomy           // no second copies, retries paid for
+	ServiceLate              // reads that no record names may come after their aim
+	ServiceHandovers         // keyed requests pass all gates, and reads fetch only as far as those stay in time
 	ServiceShelter           // of the others only those whose key a record names
 )
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
 	gateLeast    = 0.03            // always passes, to see a recovery
 	hopeShare    = 0.8             // of a client's wait that its answer may be expected to take
+	aimShare     = 0.5             // and of its aim: times scatter round what is expected
 	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
 	healthPrior  = 12.0            // attempts assumed to fail as often as elsewhere: a few seen at a small proxy must move no keys
 	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
@@ -90,10 +91,12 @@
 // clients that ask again keep a queue full of work that nobody waits for; more
 // when nearly all that is sent comes in time, as the queue is empty again.
 func (g *gate) open(prior float64) float64 {
-	clear := max(0, 5*(g.good+prior)/(g.ended+prior)-4)
-	return max(gateLeast, min(1, gateSlack*(1+gateHaste*clear)*(g.good+prior)/(g.asked+prior)))
+	return max(gateLeast, min(1, gateSlack*(1+gateHaste*g.clear(prior))*(g.good+prior)/(g.asked+prior)))
 }
 
+// clear is 1 when all that ended came in time, and 0 when less than four in five did.
+func (g *gate) clear(prior float64) float64 { return max(0, 5*(g.good+prior)/(g.ended+prior)-4) }
+
 // health counts attempts that ended and those of them that failed, both fading.
 type health struct {
 	ended, failed float64
@@ -180,6 +183,7 @@
 	// origin must not close the way to what the caches hold.
 	gates  map[bool]*gate
 	ranks  map[bool]*ranks // of what comes to each
+	keyed  gate            // of keyed requests, at all servers
 	shares []share         // by tenant
 	health []health        // of all servers, by class
 	level  Service
@@ -206,6 +210,7 @@
 		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
 		origin: 0.1, work: 0.05, fastest: 0.001, health: make([]health, len(set.Classes)),
 		ranks: map[bool]*ranks{true: {}, false: {}},
+		keyed: gate{keep: gateKeep},
 		gates: map[bool]*gate{true: {keep: gateKeep}, false: {keep: gateKeep}}}, nil
 }
 
@@ -428,8 +433,8 @@
 		switch {
 		case r.class.Effect == Unsafe:
 			return false
-		case s == nil:
-			return r.class.Group == GroupAll
+		case s == nil: // busy would promise that a repeat is harmless, however late it comes
+			return false
 		case b.now >= a.sent+r.class.Window-r.set.Tick, r.class.Group == GroupZone && s.Zone != a.server.Zone,
 			r.class.Group == GroupCell && s.Cell != a.server.Cell:
 			return false
@@ -451,7 +456,7 @@
 	}
 	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
 	b.seen.Asked++
-	if b.level >= ServiceShelter && !promise && r.class.Effect != Keyed && b.may(r, nil) && b.rng.Float64() > gateLeast {
+	if !promise && r.class.Effect != Keyed && b.may(r, nil) && b.rng.Float64() > b.fetches() {
 		b.giveUp(r)
 		return
 	}
@@ -543,6 +548,21 @@
 	at   time.Duration
 }
 
+// fetches is the share of reads without a promise that the level of service lets through.
+// They and keyed requests meet at the origin, and what is queued there makes both late: where
+// handovers go first, only as many fetch as leave nearly all handovers in time. It meets an
+// origin that has become slow. It might hurt where handovers are late for another reason.
+func (b *Balancer) fetches() float64 {
+	switch {
+	case b.level >= ServiceShelter:
+		return gateLeast
+	case b.level >= ServiceHandovers:
+		b.keyed.count(b.now, 0, 0, 0)
+		return max(gateLeast, b.keyed.clear(gatePrior))
+	}
+	return 1
+}
+
 // hopeless tells whether s can hardly answer a request before its client gives up.
 // It is turned away at once then: its work would go on unawaited, and clients that
 // ask again for want of an answer fill the servers with such work. It meets
@@ -553,8 +573,8 @@
 // same, which corrects them.
 func (b *Balancer) hopeless(r *request, s *server) bool {
 	most := hopeShare * (r.Deadline - b.now).Seconds()
-	if b.level < ServiceLate {
-		most = min(most, r.class.Aim.Seconds())
+	if b.level < ServiceHandovers || r.class.Effect != Keyed {
+		most = min(most, aimShare*r.class.Aim.Seconds())
 	}
 	return s.inFlight > 0 && b.hitTime(s) > most
 }
@@ -644,7 +664,7 @@
 			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds()) +
 				max(b.excess(s, r.Class)-sickExcess, 0)*r.class.Aim.Seconds()
 			if s.Zone != b.set.Zone {
-				t += b.crossing() * r.class.Aim.Seconds()
+				t += b.set.Prices.CrossZone * r.class.Aim.Seconds()
 			}
 			if t < least {
 				best, least, named = s, t, r.keyed && miss < 1 && s.record.has(&r.at)
@@ -685,15 +705,6 @@
 	return nil, false
 }
 
-// crossing is the price of an attempt in another zone. With service reduced it has to pay
-// more: crossings add time and load where both are short.
-func (b *Balancer) crossing() float64 {
-	if b.level >= ServiceEconomy {
-		return 2 * b.set.Prices.CrossZone
-	}
-	return b.set.Prices.CrossZone
-}
-
 // weight is a server's part in the rendezvous: its registered size, or how
 // fast its kind of machine has been. Without it the slow kinds are always full,
 // and what overflows from them loads the origin.
@@ -762,7 +773,7 @@
 	a := &r.attempts[e.Attempt]
 	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
 		b.excess(a.server, r.Class) < sickExcess
-	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay(r) {
+	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay(r, e.Result) {
 		if s, promise := b.choose(r); s != nil {
 			b.send(r, s, promise)
 			return
@@ -775,10 +786,12 @@
 // overload, so it is paid for from what successes have earned once the gates shed.
 // Until then the limit of attempts bounds it: networks that break more
 // connections than a budget foresees must not fail requests that idle servers
-// could answer, since their clients ask again all the same. It might hurt where
+// could answer, since their clients ask again all the same. Where service is reduced
+// only what tells nothing of load is tried again so freely. It might hurt where
 // failing takes a server more work than answering.
-func (b *Balancer) pay(r *request) bool {
-	if b.level < ServiceEconomy && b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
+func (b *Balancer) pay(r *request, result Result) bool {
+	network := result == Reset || result == ConnectFailed || result == Spoilt
+	if (b.level < ServiceEconomy || network) && b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
 		return true
 	}
 	kept := 0.0 // for keyed requests
@@ -820,6 +833,7 @@
 		late = 1
 	}
 	if r.class.Effect == Keyed {
+		b.keyed.count(b.now, 1, 1, float64(1-late))
 		b.seen.Keyed, b.seen.LateKeyed = b.seen.Keyed+1, b.seen.LateKeyed+late
 	} else {
 		b.seen.Reads, b.seen.LateReads = b.seen.Reads+1, b.seen.LateReads+late
@@ -849,7 +863,9 @@
 	switch e.Result {
 	case Served:
 		s.fails, s.until = 0, 0
-		if b.now-r.arrived <= r.class.Aim || b.level >= ServiceLate && r.class.Effect != Keyed {
+		// A slow origin makes fetches late that nobody is worse off for; a queue at the
+		// nodes makes all late, so what a record promised has to come in time all the same.
+		if b.now-r.arrived <= r.class.Aim || b.level == ServiceLate && r.keyed && !a.promise {
 			good = 1
 		}
 		b.retries = min(b.retries+retryShare, retryCap)
