Let late fetches count only while promised reads come in time; open shelter by handovers

Change: late fetches are good only while the gate of promised reads is open; shelter lets up to a quarter of the fetches through as handovers come in time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
 	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
 	overdueMost  = 0.6             // of the aim: anything later is too late for a second copy
+	shelterShare = 0.25            // of fetches at the most, where only what is known is served
 	rankSteps    = 16
 	rankKeep     = 0.995 // of the values seen, at each: some two hundred
 	shareBurst   = 1.0   // seconds of a quota that may come at once
@@ -555,14 +556,15 @@
 // handovers go first, only as many fetch as leave nearly all handovers in time. It meets an
 // origin that has become slow. It might hurt where handovers are late for another reason.
 func (b *Balancer) fetches() float64 {
-	switch {
-	case b.level >= ServiceShelter:
-		return gateLeast
-	case b.level >= ServiceHandovers:
-		b.keyed.count(b.now, 0, 0, 0)
-		return max(gateLeast, b.keyed.clear(gatePrior))
+	if b.level < ServiceHandovers {
+		return 1
 	}
-	return 1
+	b.keyed.count(b.now, 0, 0, 0)
+	clear := b.keyed.clear(gatePrior)
+	if b.level >= ServiceShelter {
+		clear *= shelterShare
+	}
+	return max(gateLeast, clear)
 }
 
 // hopeless tells whether s can hardly answer a request before its client gives up.
@@ -870,8 +872,8 @@
 	case Served:
 		s.fails, s.until = 0, 0
 		// A slow origin makes fetches late that nobody is worse off for; a queue at the
-		// nodes makes all late, so what a record promised has to come in time all the same.
-		if b.now-r.arrived <= r.class.Aim || b.level == ServiceLate && r.keyed && !a.promise {
+		// nodes, which what a record promised shows, makes all late.
+		if b.now-r.arrived <= r.class.Aim || b.level == ServiceLate && r.keyed && !a.promise && b.gates[true].open(gatePrior) == 1 {
 			good = 1
 		}
 		b.retries = min(b.retries+retryShare, retryCap)
