Count the origin's time among the signals of reduced service

Change: what the origin adds to fetches and writes, in aims of their classes, is a trouble of its own; tests of it, and of late fetches while nodes queue.

--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -92,7 +92,8 @@
 	seen := c.balancer.Condition()
 	l.meter.Add(now, service.Counts{Reads: float64(seen.Reads), LateReads: float64(seen.LateReads), Handovers: float64(seen.Keyed),
 		LateHandovers: float64(seen.LateKeyed), Asked: float64(seen.Asked), Turned: float64(seen.Turned),
-		Fetches: float64(seen.Fetches), FailedFetches: float64(seen.FailedFetches)})
+		Fetches: float64(seen.Fetches), FailedFetches: float64(seen.FailedFetches),
+		Timed: float64(seen.Timed), FetchTime: seen.FetchTime})
 	signals := service.NoSignals()
 	l.meter.Fill(&signals)
 	signals[service.Lag], l.lag = l.lag.Seconds(), 0
--- a/internal/service/meter.go
+++ b/internal/service/meter.go
@@ -12,6 +12,7 @@
 	Handovers, LateHandovers float64 // keyed writes
 	Asked, Turned            float64 // requests that came to the gates, of them turned away there
 	Fetches, FailedFetches   float64 // misses and writes that ended, of them with an error or silence
+	Timed, FetchTime         float64 // those that were measured, and the sum of what the origin added, in aims
 }
 
 const (
@@ -20,20 +21,20 @@
 	// meterPrior is how many good ends are assumed besides what was seen: at a proxy of few
 	// requests one that is late must be no trouble.
 	meterPrior = 20.0
-	// handoverPrior is that of handovers, of which there are few: a third of them late must
-	// not take until it is over to show.
+	// handoverPrior is that of handovers and of times, of which there are few: a third of them
+	// late must not take until it is over to show.
 	handoverPrior = 5.0
 )
 
 // Meter makes shares of counts, fading. The zero Meter is ready.
 type Meter struct {
-	shares [4]struct{ all, bad float64 }
+	shares [5]struct{ all, bad float64 }
 	at     time.Duration
 	begun  bool
 }
 
 // meterOf are the troubles whose figures a meter has, in the order of its shares.
-var meterOf = [...]Trouble{LateReads, LateHandovers, Turned, Origin}
+var meterOf = [...]Trouble{LateReads, LateHandovers, Turned, Origin, OriginTime}
 
 // Add counts what has happened until now. A clock that goes back counts as one that stands.
 func (m *Meter) Add(now time.Duration, c Counts) {
@@ -42,10 +43,10 @@
 		fade = math.Exp(-float64(max(now-m.at, 0)) / float64(meterMemory))
 	}
 	m.at, m.begun = now, true
-	for i, x := range [...][2]float64{{c.Reads, c.LateReads}, {c.Handovers, c.LateHandovers}, {c.Asked, c.Turned}, {c.Fetches, c.FailedFetches}} {
+	for i, x := range [...][2]float64{{c.Reads, c.LateReads}, {c.Handovers, c.LateHandovers}, {c.Asked, c.Turned}, {c.Fetches, c.FailedFetches}, {c.Timed, c.FetchTime}} {
 		s := &m.shares[i]
 		s.all, s.bad = s.all*fade, s.bad*fade
-		if all, bad := x[0], x[1]; all >= 0 && bad >= 0 && !math.IsInf(all, 0) && bad <= all {
+		if all, bad := x[0], x[1]; all >= 0 && bad >= 0 && !math.IsInf(all, 0) && !math.IsInf(bad, 0) && (bad <= all || meterOf[i] == OriginTime) {
 			s.all, s.bad = s.all+all, s.bad+bad
 		}
 	}
@@ -57,7 +58,7 @@
 		s[trouble] = Unknown
 		if x := m.shares[i]; x.all >= 0.5 {
 			prior := meterPrior
-			if trouble == LateHandovers {
+			if trouble == LateHandovers || trouble == OriginTime {
 				prior = handoverPrior
 			}
 			s[trouble] = x.bad / (x.all + prior)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -72,6 +72,7 @@
 	LateHandovers                // the same of keyed writes
 	Turned                       // share of what was asked for that was turned away
 	Origin                       // share of the misses and writes that failed
+	OriginTime                   // what the origin adds to fetches and writes, in aims of their classes
 	Lag                          // seconds by which timers fired late, at the most
 	Memory                       // share of the limit that is held
 	Sockets                      // share of the clients' places that is held
@@ -88,7 +89,8 @@
 	Exit  float64
 }
 
-// Troubles are the conditions of entry and exit. Shares of late and turned-away requests
+// Troubles are the conditions of entry and exit. The origin's time is there since it shows a
+// brown-out before anything has failed: an answer that is late takes its lateness to come. Shares of late and turned-away requests
 // begin where the service's promise does (a tenth late); memory ends where the collector
 // can no longer keep under the limit, and shelter frees none; nodes that are out call for no shelter before three
 // quarters are, as those that are left still serve their keys.
@@ -97,6 +99,7 @@
 	LateHandovers: {"late_handovers", [...]float64{0.12, 0.18, 0.25, 0.40}, 0.6},
 	Turned:        {"turned_away", [...]float64{0.05, 0.20, 0.40, 0.75}, 0.6},
 	Origin:        {"origin_failed", [...]float64{0.10, 0.25, 0.40, 0.60}, 0.6},
+	OriginTime:    {"origin_time", [...]float64{0.50, 0.90, 1.60, 0}, 0.6},
 	Lag:           {"lag_s", [...]float64{0.05, 0.15, 0.40, 1}, 0.5},
 	Memory:        {"memory", [...]float64{0.75, 0.85, 0.95, 0}, 0.88},
 	Sockets:       {"sockets", [...]float64{0.75, 0.88, 0.95, 0}, 0.85},
--- a/policy/api.go
+++ b/policy/api.go
@@ -159,11 +159,13 @@
 
 // Condition counts what became of requests and attempts.
 type Condition struct {
-	Reads, LateReads       int // requests but keyed ones that were sent and ended, of them not served within their aim
-	Keyed, LateKeyed       int // the same of keyed ones
-	Asked, Turned          int // requests at the gates, of them turned away there; none that a level turned away
-	Fetches, FailedFetches int // reads that no record named and writes that ended, of them by an error or silence
-	Servers, Out           int // listed now, of them set aside
+	Reads, LateReads       int     // requests but keyed ones that were sent and ended, of them not served within their aim
+	Keyed, LateKeyed       int     // the same of keyed ones
+	Asked, Turned          int     // requests at the gates, of them turned away there; none that a level turned away
+	Fetches, FailedFetches int     // reads that no record named and writes that ended, of them by an error or silence
+	Timed                  int     // fetches and writes that were served and measured
+	FetchTime              float64 // what the origin added to them, in aims of their classes
+	Servers, Out           int     // listed now, of them set aside
 }
 
 // ListUpdate brings news of the server list.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -937,6 +937,10 @@
 		s.worth += (hit - s.worth) * loadWeight
 	}
 	if miss || r.Write {
+		if s.sampled > 0 && r.class.Aim > 0 {
+			b.seen.Timed++
+			b.seen.FetchTime += max(took-s.fastest-s.work, 0) / r.class.Aim.Seconds()
+		}
 		if miss && s.sampled > 0 {
 			b.origin += (max(took-s.fastest-s.work, 0) - b.origin) * loadWeight
 		}
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// TestLateFetchesDoNotCountInAQueue guards against nodes whose queue makes all late: fetches
+// that come late are no good then, at the level late either.
+func TestLateFetchesDoNotCountInAQueue(t *testing.T) {
+	b, now := crowded(t, 1)
+	at(b, now, ServiceLate)
+	for _, promised := range []float64{1, 0.5} {
+		shut(b, now, 1000)
+		*b.gates[true] = gate{asked: 1e6, ended: 1e6, good: promised * 1e6, at: now, keep: 1}
+		*b.gates[false] = gate{at: now, keep: 1}
+		out := b.Handle(now, Arrival{ID: uint64(10 * promised), Tenant: 1, Key: fmt.Sprint(promised), Deadline: now + 2*time.Second}, nil)
+		b.Handle(now+1300*time.Millisecond, Outcome{ID: uint64(10 * promised), Server: sent(out)[0], Result: Served, Took: 1300 * time.Millisecond, Note: NoteMiss, Final: true}, nil)
+		if got, want := b.gates[false].good, map[bool]float64{true: 1}[promised == 1]; got != want {
+			t.Errorf("with %.1f of promised reads in time a late fetch counts %v, want %v", promised, got, want)
+		}
+	}
+}
+
 // TestHandoversFirst guards the levels from handovers on: a gate that is nearly shut lets all
 // keyed requests through, and a part of the retries is theirs.
 func TestHandoversFirst(t *testing.T) {
@@ -216,10 +233,21 @@
 	b.Handle(now+time.Millisecond, Departure{ID: 5}, nil)
 	b.Handle(now+time.Millisecond, Outcome{ID: 5, Server: sent(out)[0], Result: Cancelled, Final: true}, nil)
 	got := b.Condition()
+	if got.Timed != 0 || got.FetchTime != 0 { // no server has answered a hit that tells its own time
+		t.Errorf("measured %d fetches as %v", got.Timed, got.FetchTime)
+	}
 	want := Condition{Reads: 2, LateReads: 1, Keyed: 2, LateKeyed: 1, Asked: 5, Fetches: 3, FailedFetches: 1, Servers: 4} // the second read was promised
 	if got != want {
 		t.Errorf("counted %+v, want %+v", got, want)
 	}
+	for _, s := range b.servers {
+		s.sampled, s.fastest, s.work = now, 0.01, 0.09
+	}
+	serve(6, 0, 600*time.Millisecond, Served, NoteMiss)
+	serve(7, 1, 1100*time.Millisecond, Served, NoteNone)
+	if got := b.Condition(); got.Timed != 2 || got.FetchTime < 1.49 || got.FetchTime > 1.51 {
+		t.Errorf("of 0.5 and 1 s more: %d fetches as %v aims", got.Timed, got.FetchTime)
+	}
 	if again := b.Condition(); again != (Condition{Servers: 4}) {
 		t.Errorf("counted again: %+v", again)
 	}
