--- a/internal/binary/binary.go
+++ b/internal/binary/binary.go
@@ -93,12 +93,11 @@
 	NotSupported   Status = 0x0083
 	Internal       Status = 0x0084
 	Busy           Status = 0x0085
-	Temporary      Status = 0x0086
 )
 
 var statusTexts = map[Status]string{NotFound: "Not found", Exists: "Data exists for key", TooLarge: "Too large",
 	Invalid: "Invalid arguments", AuthError: "Auth failure", AuthContinue: "Continue", UnknownCommand: "Unknown command",
-	OutOfMemory: "Out of memory", NotSupported: "Not supported", Internal: "Internal error", Busy: "Busy", Temporary: "Temporary failure"}
+	OutOfMemory: "Out of memory", NotSupported: "Not supported", Internal: "Internal error", Busy: "Busy"}
 
 // String is the text that a response with the status has for a value.
 func (s Status) String() string { return statusTexts[s] }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,7 +71,6 @@
 	server string
 	sent   time.Duration
 	ended  bool
-	mayRun bool
 }
 
 // Core holds the decision module and carries out what it decides. All events
@@ -221,8 +220,7 @@
 		}
 	case policy.Refuse:
 		if r := c.requests[a.ID]; r != nil {
-			ran := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
-			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After, Ran: ran})
+			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After})
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
@@ -364,7 +362,7 @@
 		return
 	}
 	now := c.now()
-	a := &attempt{server: action.Server, sent: now, mayRun: true, Attempt: upstream.Attempt{ID: r.id,
+	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{ID: r.id,
 		Number: len(r.attempts), Request: r.request, Deadline: r.expires}}
 	r.attempts = append(r.attempts, a)
 	r.open++
@@ -397,7 +395,7 @@
 	if a.ended {
 		return
 	}
-	a.ended, a.mayRun = true, policy.MayHaveRun(result)
+	a.ended = true
 	r.open--
 	o := policy.Outcome{ID: r.id, Attempt: a.Number, Server: a.server, Result: result, Took: c.now() - a.sent,
 		Final: r.over}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -19,8 +19,8 @@
 	// ServiceTick is the time between two samples of the signals.
 	ServiceTick = 250 * time.Millisecond
 	recordsKept = 64
-	// One part in so many of the held requests is kept for keyed writes where they go first.
-	keptPart = 4
+	// KeptPart: one part in so many of held requests and bodies is kept for keyed writes where they go first.
+	KeptPart = 4
 )
 
 // ServiceConfig says how service is reduced.
@@ -54,6 +54,10 @@
 // the one in force is not begun anew.
 func (c *Core) adopt(next *ServiceConfig, now time.Duration) (changed []service.Record) {
 	l := &c.levels
+	if next.On && !l.on { // what went on meanwhile was not sampled, and is no sign of now
+		c.balancer.Condition()
+		l.meter, l.lag = service.Meter{}, 0
+	}
 	l.on = next.On
 	l.module.SetLimits(next.Limits)
 	if !l.on {
@@ -187,7 +191,7 @@
 func (c *Core) roomFor(rules *rules, class int) bool {
 	most := rules.mostHeld
 	if c.levels.last >= service.Handovers && rules.set.Classes[class].Effect != policy.Keyed {
-		most -= most / keptPart
+		most -= most / KeptPart
 	}
 	return len(c.requests) < most
 }
--- a/internal/front/binary/binary.go
+++ b/internal/front/binary/binary.go
@@ -105,11 +105,10 @@
 // reply is the place of a request's answer.
 type reply struct {
 	front.Slot
-	host     *front.Host
-	head     codec.Header // of the command
-	key      string       // of a get that its answer names
-	size     int          // of its body, as budgeted
-	ticketed bool
+	host *front.Host
+	head codec.Header // of the command
+	key  string       // of a get that its answer names
+	size int          // of its body, as budgeted
 }
 
 // Release implements core.Reply.
@@ -145,12 +144,6 @@
 			r.status(codec.NotFound, 0)
 		}
 	case request.Busy:
-		if r.ticketed && a.Ran {
-			// It is harmless to repeat with this ticket alone. Who reads anew and writes
-			// again would do it twice, so it must not pass for never done.
-			r.status(codec.Temporary, 0)
-			return
-		}
 		r.status(codec.Busy, a.After)
 	case request.Bad:
 		r.status(codec.Invalid, 0)
@@ -345,7 +338,7 @@
 		_, err := s.refuse(h, codec.Busy)
 		return err
 	}
-	r := &reply{host: s.host, head: *h, size: h.Body, ticketed: h.CAS != 0}
+	r := &reply{host: s.host, head: *h, size: h.Body}
 	body := make([]byte, h.Body)
 	if _, err := io.ReadFull(s.conn.In, body); err != nil {
 		r.Release()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -60,14 +60,11 @@
 	Session func(c *Conn, first byte) Session
 }
 
-// keptPart is the part of the budget of bodies that is kept for keyed writes where they go
-// first.
-const keptPart = 4
-
-// RoomFor takes room for a write's body, if there is any.
+// RoomFor takes room for a write's body, if there is any. Where handovers go first a part of
+// all room is theirs.
 func (h *Host) RoomFor(size int, keyed bool) bool {
 	if !keyed && h.Core.Level() >= service.Handovers {
-		return h.Bodies.TryBut(size, keptPart)
+		return h.Bodies.TryBut(size, core.KeptPart)
 	}
 	return h.Bodies.Try(size)
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -67,7 +67,6 @@
 	Receipt string        // of Stored
 	After   time.Duration // of Busy: when to come again, 0 for no advice
 	Reason  string        // of Bad
-	Ran     bool          // of Busy: an attempt may have run, and a repeat is harmless by its key alone
 	Flags   uint32        // of Value
 	Hit     bool          // the node had a copy
 	Miss    bool          // it had none
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -90,10 +90,10 @@
 }
 
 // Troubles are the conditions of entry and exit. The origin's time is there since it shows a
-// brown-out before anything has failed: an answer that is late takes its lateness to come. Shares of late and turned-away requests
-// begin where the service's promise does (a tenth late); memory ends where the collector
-// can no longer keep under the limit, and shelter frees none; nodes that are out call for no shelter before three
-// quarters are, as those that are left still serve their keys.
+// brown-out before anything has failed. Shares of late and turned-away requests begin where
+// the service's promise does (a tenth late); memory ends where the collector can no longer
+// keep under the limit, and shelter frees none; nodes that are out call for no shelter before
+// three quarters are, as those that are left still serve their keys.
 var Troubles = [troubles]Threshold{
 	LateReads:     {"late_reads", [...]float64{0.10, 0.25, 0.45, 0.75}, 0.6},
 	LateHandovers: {"late_handovers", [...]float64{0.12, 0.18, 0.25, 0.40}, 0.6},
@@ -112,7 +112,7 @@
 	if t < troubles {
 		return Troubles[t].Name
 	}
-	return "pin"
+	return "none"
 }
 
 // Unknown is the figure of a signal that is not there.
@@ -181,7 +181,7 @@
 
 // state is what is known of one trouble.
 type state struct {
-	figure float64               // smoothed
+	figure float64               // the last
 	known  bool                  // there is one
 	heard  time.Duration         // when, in own time
 	calls  Level                 // the level that it calls for
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -331,10 +331,9 @@
 			t.Errorf("of nonsense %v is %v", trouble, s[trouble])
 		}
 	}
-	if meter.Add(time.Hour, Counts{}); true {
-		if meter.Fill(&s); !math.IsNaN(s[Turned]) {
-			t.Errorf("an hour later: %v", s[Turned])
-		}
+	meter.Add(time.Hour, Counts{})
+	if meter.Fill(&s); !math.IsNaN(s[Turned]) {
+		t.Errorf("an hour later: %v", s[Turned])
 	}
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -227,7 +227,7 @@
 		return Answer{Kind: request.Missing}, nil
 	case codec.Busy:
 		return Answer{Kind: request.Busy, After: r.Advice()}, nil
-	case codec.Internal, codec.Temporary:
+	case codec.Internal:
 		return Answer{Kind: request.Failed}, nil
 	}
 	return Answer{Kind: request.Bad}, nil
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -434,9 +434,7 @@
 			continue
 		}
 		switch {
-		case r.class.Effect == Unsafe:
-			return false
-		case s == nil: // busy would promise that a repeat is harmless, however late it comes
+		case r.class.Effect == Unsafe, s == nil: // busy would promise that a repeat is harmless, however late it comes
 			return false
 		case b.now >= a.sent+r.class.Window-r.set.Tick, r.class.Group == GroupZone && s.Zone != a.server.Zone,
 			r.class.Group == GroupCell && s.Cell != a.server.Cell:
@@ -523,7 +521,7 @@
 }
 
 // spend tells whether a request is over its tenant's share: each proxy grants its part
-// of the quota, and a burst of so much as rankBurst brings.
+// of the quota, and a burst of what shareBurst brings.
 func (b *Balancer) spend(r *request) bool {
 	if r.Tenant < 0 || r.Tenant >= len(b.set.Tenants) {
 		return false
