--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	holdPause    = 25 * time.Millisecond // well under any aim, well over a tick
 	gateMemory   = 2 * time.Second
 	gateKeep     = 0.95 // of it at each count: a fleet's gate sees twenty events, however few the requests
-	gatePrior    = 1    // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
+	gatePrior    = 1.25 // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
 	serverPrior  = 5    // one server's counts are small, and chance must not shut it
 	gateSlack    = 1.1
 	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
