Name the module as the project, before anything public is imported by it

Need: the client library will be imported from outside, and the module was still called wrenroute. Only import paths change.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"wrenroute/internal/wire"
-	"wrenroute/policy"
+	"mulleinpier/internal/wire"
+	"mulleinpier/policy"
 )
 
 func main() {
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -18,11 +18,11 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/config"
-	"wrenroute/internal/notify"
-	"wrenroute/internal/rehearse"
-	"wrenroute/internal/standin/double"
-	"wrenroute/internal/standin/relay"
+	"mulleinpier/internal/config"
+	"mulleinpier/internal/notify"
+	"mulleinpier/internal/rehearse"
+	"mulleinpier/internal/standin/double"
+	"mulleinpier/internal/standin/relay"
 )
 
 const usage = `Usage:
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -18,11 +18,11 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/rehearse"
-	"wrenroute/internal/service"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/script"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/rehearse"
+	"mulleinpier/internal/service"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/script"
+	"mulleinpier/internal/testwait"
 )
 
 // bin holds the programs, built as they are shipped.
@@ -33,7 +33,7 @@
 	if err == nil {
 		bin = folder
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", bin, "wrenroute/cmd/yarrowspan", "wrenroute/cmd/rehearse").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", bin, "mulleinpier/cmd/yarrowspan", "mulleinpier/cmd/rehearse").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
--- a/cmd/yarrowspan/binary_test.go
+++ b/cmd/yarrowspan/binary_test.go
@@ -12,7 +12,7 @@
 	"github.com/couchbase/gomemcached"
 	memcached "github.com/couchbase/gomemcached/client"
 
-	"wrenroute/internal/standin/node"
+	"mulleinpier/internal/standin/node"
 )
 
 // TestClientLibraryOfOthers has a client that was written elsewhere prove who it is, read
--- a/cmd/yarrowspan/catalogue_test.go
+++ b/cmd/yarrowspan/catalogue_test.go
@@ -6,9 +6,9 @@
 	"syscall"
 	"testing"
 
-	"wrenroute/internal/standin/consul"
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/standin/consul"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/testwait"
 )
 
 // TestDaemonStandsInTheCatalogue has the daemon register, serve, drain and leave, and a
--- a/cmd/yarrowspan/daemon_test.go
+++ b/cmd/yarrowspan/daemon_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/standin/origin"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/standin/origin"
+	"mulleinpier/internal/testwait"
 )
 
 // rig is a daemon of its own process between stand-in nodes and a test's clients.
--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -17,10 +17,10 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/config"
-	"wrenroute/internal/daemon"
-	"wrenroute/internal/proxy"
-	"wrenroute/internal/sasl"
+	"mulleinpier/internal/config"
+	"mulleinpier/internal/daemon"
+	"mulleinpier/internal/proxy"
+	"mulleinpier/internal/sasl"
 )
 
 const usage = `Usage:
--- a/internal/binary/binary_test.go
+++ b/internal/binary/binary_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 // TestEveryOpcodeHasAFate walks all 256 through, against the list written down
--- a/internal/binary/node.go
+++ b/internal/binary/node.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 // Node is the dialect towards cache nodes. It has no room for a request's id, class,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,17 +17,17 @@
 	"strings"
 	"time"
 
-	"wrenroute/internal/consul"
-	"wrenroute/internal/core"
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/front/binary"
-	"wrenroute/internal/membership"
-	"wrenroute/internal/proxy"
-	"wrenroute/internal/route"
-	"wrenroute/internal/sasl"
-	"wrenroute/internal/service"
-	"wrenroute/internal/ticket"
-	"wrenroute/policy"
+	"mulleinpier/internal/consul"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/front/binary"
+	"mulleinpier/internal/membership"
+	"mulleinpier/internal/proxy"
+	"mulleinpier/internal/route"
+	"mulleinpier/internal/sasl"
+	"mulleinpier/internal/service"
+	"mulleinpier/internal/ticket"
+	"mulleinpier/policy"
 )
 
 // Config is all that the daemon is told.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 func write(t *testing.T, text string) string {
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/discovery"
-	standin "wrenroute/internal/standin/consul"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/discovery"
+	standin "mulleinpier/internal/standin/consul"
+	"mulleinpier/internal/testwait"
 )
 
 func start(t *testing.T, token string) (*standin.Catalogue, *standin.Agent) {
--- a/internal/consul/source.go
+++ b/internal/consul/source.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"wrenroute/internal/discovery"
+	"mulleinpier/internal/discovery"
 )
 
 // The bounds of following a service.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,12 +9,12 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/membership"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/upstream"
-	"wrenroute/policy"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/membership"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/upstream"
+	"mulleinpier/policy"
 )
 
 // Reply is where a request's answer goes.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 // releases is a Reply that counts how often it was released.
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/service"
-	"wrenroute/policy"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/service"
+	"mulleinpier/policy"
 )
 
 // This file keeps the level of service: it gathers the signals, has package service decide,
--- a/internal/core/level_test.go
+++ b/internal/core/level_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"wrenroute/internal/service"
-	"wrenroute/policy"
+	"mulleinpier/internal/service"
+	"mulleinpier/policy"
 )
 
 // TestLevelsAgree guards the numbers that pass from package service to package policy.
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/binary"
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/membership"
-	"wrenroute/internal/upstream"
-	"wrenroute/policy"
+	"mulleinpier/internal/binary"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/membership"
+	"mulleinpier/internal/upstream"
+	"mulleinpier/policy"
 )
 
 // This file follows the sources of the list of nodes, has membership decide what they
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,11 +18,11 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/config"
-	"wrenroute/internal/consul"
-	"wrenroute/internal/lifecycle"
-	"wrenroute/internal/notify"
-	"wrenroute/internal/proxy"
+	"mulleinpier/internal/config"
+	"mulleinpier/internal/consul"
+	"mulleinpier/internal/lifecycle"
+	"mulleinpier/internal/notify"
+	"mulleinpier/internal/proxy"
 )
 
 // Options say what to run.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"wrenroute/internal/membership"
+	"mulleinpier/internal/membership"
 )
 
 const (
--- a/internal/discovery/file_test.go
+++ b/internal/discovery/file_test.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"testing"
 
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/testwait"
 )
 
 // follow watches a node file as the core does: anew each time a watch ends.
--- a/internal/front/binary/binary.go
+++ b/internal/front/binary/binary.go
@@ -28,13 +28,13 @@
 	"time"
 	"unicode/utf8"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/core"
-	"wrenroute/internal/front"
-	"wrenroute/internal/request"
-	"wrenroute/internal/route"
-	"wrenroute/internal/sasl"
-	"wrenroute/internal/ticket"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/front"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/route"
+	"mulleinpier/internal/sasl"
+	"mulleinpier/internal/ticket"
 )
 
 // Rules are what a configuration says of binary clients. They are replaced whole.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -19,9 +19,9 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/core"
-	"wrenroute/internal/service"
-	"wrenroute/internal/upstream"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/service"
+	"mulleinpier/internal/upstream"
 )
 
 const (
--- a/internal/front/conn_test.go
+++ b/internal/front/conn_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/core"
-	"wrenroute/internal/testwait"
-	"wrenroute/internal/upstream"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/testwait"
+	"mulleinpier/internal/upstream"
 )
 
 // echo is a dialect whose commands are lines, each answered at once.
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -8,9 +8,9 @@
 	"io"
 	"strings"
 
-	"wrenroute/internal/front"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
+	"mulleinpier/internal/front"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
 )
 
 // A connection that sends so many commands in a row that can't be meant is noise: it
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -14,7 +14,7 @@
 	"time"
 	"unicode/utf8"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 // The bounds of what is accepted.
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -12,8 +12,8 @@
 	"strings"
 	"testing"
 
-	"wrenroute/internal/config"
-	"wrenroute/internal/proxy"
+	"mulleinpier/internal/config"
+	"mulleinpier/internal/proxy"
 )
 
 // BenchmarkRead measures a read of a meta client at a meta node through the whole
--- a/internal/proxy/binary_test.go
+++ b/internal/proxy/binary_test.go
@@ -13,16 +13,16 @@
 	"testing"
 	"time"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/config"
-	"wrenroute/internal/front"
-	"wrenroute/internal/proxy"
-	"wrenroute/internal/sasl"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/standin/origin"
-	"wrenroute/internal/standin/script"
-	"wrenroute/internal/testwait"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/config"
+	"mulleinpier/internal/front"
+	"mulleinpier/internal/proxy"
+	"mulleinpier/internal/sasl"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/standin/origin"
+	"mulleinpier/internal/standin/script"
+	"mulleinpier/internal/testwait"
 )
 
 // window is the stand-in nodes', and that of the class write.
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -15,13 +15,13 @@
 	"strings"
 	"time"
 
-	"wrenroute/internal/core"
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/front/binary"
-	"wrenroute/internal/service"
-	"wrenroute/internal/upstream"
-	"wrenroute/internal/wire"
-	"wrenroute/policy"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/front/binary"
+	"mulleinpier/internal/service"
+	"mulleinpier/internal/upstream"
+	"mulleinpier/internal/wire"
+	"mulleinpier/policy"
 )
 
 // Config is what a proxy is told, and what follows from it. Both readers, of the
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/discovery"
+	"mulleinpier/internal/discovery"
 )
 
 // patience bounds each wait of these tests; none of them depends on its length.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -15,12 +15,12 @@
 	"syscall"
 	"time"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/core"
-	"wrenroute/internal/front"
-	"wrenroute/internal/front/binary"
-	"wrenroute/internal/front/meta"
-	"wrenroute/internal/service"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/front"
+	"mulleinpier/internal/front/binary"
+	"mulleinpier/internal/front/meta"
+	"mulleinpier/internal/service"
 )
 
 const (
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/service"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/testwait"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/service"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/testwait"
 )
 
 // stats asks a proxy for figures as a meta client.
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/consul"
-	"wrenroute/internal/standin/list"
-	"wrenroute/internal/standin/script"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/consul"
+	"mulleinpier/internal/standin/list"
+	"mulleinpier/internal/standin/script"
+	"mulleinpier/internal/testwait"
 )
 
 // TestReloadBetweenSources moves a proxy under load from the platform's source to Consul
--- a/internal/rehearse/binary.go
+++ b/internal/rehearse/binary.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/caller"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/caller"
 )
 
 // This file holds the clients that speak the binary protocol. What they send has no id:
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -15,9 +15,9 @@
 	"sync/atomic"
 	"time"
 
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/caller"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/caller"
 )
 
 const (
--- a/internal/rehearse/conform.go
+++ b/internal/rehearse/conform.go
@@ -13,11 +13,11 @@
 	"text/tabwriter"
 	"time"
 
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/list"
-	"wrenroute/internal/standin/script"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/list"
+	"mulleinpier/internal/standin/script"
 )
 
 // The conformance suite: one table of cases, each played with both dialects of clients
--- a/internal/rehearse/cost.go
+++ b/internal/rehearse/cost.go
@@ -17,12 +17,12 @@
 	"github.com/google/pprof/profile"
 	"golang.org/x/sys/unix"
 
-	"wrenroute/internal/binary"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/standin/origin"
+	"mulleinpier/internal/binary"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/standin/origin"
 )
 
 // CostOptions say how to measure what a proxy costs.
--- a/internal/rehearse/degrade.go
+++ b/internal/rehearse/degrade.go
@@ -15,7 +15,7 @@
 	"text/tabwriter"
 	"time"
 
-	"wrenroute/internal/service"
+	"mulleinpier/internal/service"
 )
 
 // Change is one change of a proxy's level of service, as it keeps it, at seconds from the
--- a/internal/rehearse/directory.go
+++ b/internal/rehearse/directory.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/standin/consul"
-	"wrenroute/internal/standin/list"
+	"mulleinpier/internal/standin/consul"
+	"mulleinpier/internal/standin/list"
 )
 
 // directory is where the proxies of a fleet learn of its nodes. It knows when each was
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -13,9 +13,9 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/standin/list"
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/standin/origin"
+	"mulleinpier/internal/standin/list"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/standin/origin"
 )
 
 // proxyHost is a loopback address that no connection goes out from: while a
--- a/internal/rehearse/members.go
+++ b/internal/rehearse/members.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/standin/consul"
+	"mulleinpier/internal/standin/consul"
 )
 
 // MembersOptions say how to measure what following a catalogue costs.
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/standin/list"
-	"wrenroute/internal/standin/node"
+	"mulleinpier/internal/standin/list"
+	"mulleinpier/internal/standin/node"
 )
 
 // Options say how to play a scenario.
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -17,7 +17,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"wrenroute/internal/standin/node"
+	"mulleinpier/internal/standin/node"
 )
 
 // span is a duration as a scenario writes it.
--- a/internal/rehearse/times.go
+++ b/internal/rehearse/times.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/standin/node"
-	"wrenroute/internal/standin/origin"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/standin/origin"
 )
 
 // TimesReport tells how long a daemon takes to come and to go, in ms, a figure
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,8 +15,8 @@
 	"strings"
 	"time"
 
-	"wrenroute/internal/request"
-	"wrenroute/internal/ticket"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/ticket"
 )
 
 // Verb is what a rule fits.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 var (
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -13,11 +13,11 @@
 	"sync/atomic"
 	"time"
 
-	codec "wrenroute/internal/binary"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/script"
-	"wrenroute/internal/ticket"
+	codec "mulleinpier/internal/binary"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/script"
+	"mulleinpier/internal/ticket"
 )
 
 // ErrAnswer is the error of what is no answer.
--- a/internal/standin/consul/agent_test.go
+++ b/internal/standin/consul/agent_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/testwait"
 )
 
 // TestPublishedClientAgrees has the published Go client go through what proxies and
--- a/internal/standin/double/double.go
+++ b/internal/standin/double/double.go
@@ -18,8 +18,8 @@
 	"sync/atomic"
 	"time"
 
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
 )
 
 // The faults that can be put in. None is a proxy that does no wrong.
--- a/internal/standin/list/list_test.go
+++ b/internal/standin/list/list_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/discovery"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/testwait"
 )
 
 // watch follows a service as a proxy does.
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -18,10 +18,10 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/binary"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
-	"wrenroute/internal/standin/origin"
+	"mulleinpier/internal/binary"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/standin/origin"
 )
 
 // Config says what a node is and can do. Zero stands for the usual.
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/binary"
-	"wrenroute/internal/standin/caller"
-	"wrenroute/internal/standin/origin"
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/binary"
+	"mulleinpier/internal/standin/caller"
+	"mulleinpier/internal/standin/origin"
+	"mulleinpier/internal/testwait"
 )
 
 type peer struct {
--- a/internal/standin/origin/origin_test.go
+++ b/internal/standin/origin/origin_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/testwait"
+	"mulleinpier/internal/testwait"
 )
 
 // TestLedgerCountsEveryEffect guards what all doubles are seen by.
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/binary"
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
+	"mulleinpier/internal/binary"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
 )
 
 // Dialect is what nodes speak.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 const (
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"wrenroute/internal/request"
+	"mulleinpier/internal/request"
 )
 
 // Result is how an attempt ended without a served answer.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"wrenroute/internal/meta"
-	"wrenroute/internal/request"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
 )
 
 // patience bounds each wait of these tests; none of them depends on its length.
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 // Reply gathers the text of one reply.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 // setup holds the settings that are used; unknown keys are passed over.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 // Item is one line of a batch for one instance: a start, a stop or an event.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 const sample = "batch\t8412.25\t12\nabout\tproxy/3\ncensus\t0\t1\n" +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 // One proxy routes one request to the only server of its list.
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wrenroute/policy"
+	"mulleinpier/policy"
 )
 
 const ms = time.Millisecond
