Client library: retries and balance as modules, pipelined connections, typed errors

Change: package client with Get, Set, Do, GetMulti, Resolve; retry and balance decide without I/O or clock; who is alone on a connection writes and reads itself, two goroutines do the rest. Scripted nodes learn a few reactions and tell more of what they were asked.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,842 @@
+package client
+
+import (
+	"container/list"
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinpier/client/internal/balance"
+	"mulleinpier/client/internal/retry"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+)
+
+// names are the outcomes' in traces.
+var names = [...]string{retry.Served: "served", retry.Missing: "missing", retry.Refused: "refused", retry.Unsent: "unsent",
+	retry.Invalid: "invalid", retry.Failed: "failed", retry.Silent: "silent", retry.Broken: "broken", retry.Spoilt: "spoilt",
+	retry.Canceled: "canceled"}
+
+// Client is a client of a fleet of proxies. Make one with [New]; it is safe for concurrent use.
+type Client struct {
+	options Options
+	rules   *retry.Rules
+	base    string // of all ids
+	serial  atomic.Uint64
+	ctx     context.Context
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup // no Add once closed
+
+	// mu is never held over I/O or a hook, and never taken while a connection's is held.
+	mu       sync.Mutex
+	rng      *rand.Rand
+	balancer *balance.Balancer
+	budget   *retry.Budget
+	pace     retry.Pace
+	conns    map[*balance.Proxy][]*conn
+	waiters  list.List // of chan struct{}, the longest wait first
+	open     int
+	closed   bool
+	draining chan struct{} // closed once nothing is open, if not nil
+	stats    Stats
+}
+
+// New returns a client. It does not wait for a proxy: calls do.
+func New(o Options) (*Client, error) {
+	if err := o.fill(); err != nil {
+		return nil, err
+	}
+	var seed [24]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, err
+	}
+	if o.seed != 0 {
+		binary.LittleEndian.PutUint64(seed[8:], o.seed)
+		binary.LittleEndian.PutUint64(seed[16:], o.seed)
+	}
+	rng := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[8:]), binary.LittleEndian.Uint64(seed[16:])))
+	c := &Client{options: o, rules: o.retryRules(), base: fmt.Sprintf("%x-", seed[:8]), rng: rng,
+		balancer: balance.New(o.balanceRules(), rng), budget: retry.NewBudget(o.RetryRatio, o.RetryBurst),
+		conns: make(map[*balance.Proxy][]*conn)}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.tasks.Go(c.follow)
+	c.tasks.Go(c.tidy)
+	return c, nil
+}
+
+// Request is one call in full.
+type Request struct {
+	Key   string
+	Value []byte
+	Set   bool // it writes Value, else it reads
+	// Class; [Options.Read] or [Options.Write] where left out.
+	Class Class
+	// Tenant; [Options.Tenant] where left out.
+	Tenant string
+	// Idempotency is the key under which a keyed write's repeats are dropped; one of its own where left out.
+	// The caller's own serves where the same write may come from two places within the window.
+	Idempotency string
+}
+
+// Answer is what a call brought.
+type Answer struct {
+	Value   []byte // of a read; the caller's
+	Receipt string // of a write
+	Tries   int
+}
+
+// Get reads a key. The value is the caller's.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
+	a, err := c.Do(ctx, Request{Key: key})
+	return a.Value, err
+}
+
+// Set writes a key, and returns the receipt. The value may be changed once Set has returned.
+func (c *Client) Set(ctx context.Context, key string, value []byte) (receipt string, err error) {
+	a, err := c.Do(ctx, Request{Key: key, Value: value, Set: true})
+	return a.Receipt, err
+}
+
+// multiple is how many keys of one GetMulti are asked for at a time.
+const multiple = 32
+
+// GetMulti reads several keys together. Those that do not exist are left out; of the other errors the first is
+// returned, with what came all the same.
+func (c *Client) GetMulti(ctx context.Context, keys []string) (map[string][]byte, error) {
+	var mu sync.Mutex
+	var first error
+	values := make(map[string][]byte, len(keys))
+	next := make(chan string)
+	var tasks sync.WaitGroup
+	for range min(multiple, len(keys)) {
+		tasks.Go(func() {
+			for key := range next {
+				value, err := c.Get(ctx, key)
+				mu.Lock()
+				if err == nil {
+					values[key] = value
+				} else if first == nil && !errors.Is(err, ErrMiss) {
+					first = err
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, key := range keys {
+		next <- key
+	}
+	close(next)
+	tasks.Wait()
+	return values, first
+}
+
+// Resolve finds out what became of a write that ended with [ErrUnknown]: it waits until nothing of
+// it can begin any more, reads the key, and asks done of the value (nil if there is no such key). If that
+// tells false, the write was not carried out and can be set anew.
+func (c *Client) Resolve(ctx context.Context, unknown error, done func(value []byte) bool) (bool, error) {
+	var e *Error
+	if !errors.As(unknown, &e) || e.Kind != ErrUnknown {
+		return false, fmt.Errorf("%w: the error to resolve is no ErrUnknown: %v", ErrInvalid, unknown)
+	}
+	timer := time.NewTimer(time.Until(e.Settled))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-c.ctx.Done():
+		return false, ErrClosed
+	}
+	value, err := c.Get(ctx, e.Key)
+	if err != nil && !errors.Is(err, ErrMiss) {
+		return false, err
+	}
+	return done(value), nil
+}
+
+// Stats returns the counts so far.
+func (c *Client) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stats
+	s.Open, s.Waiting = c.open, c.waiters.Len()
+	for _, list := range c.conns {
+		s.Conns += len(list)
+	}
+	return s
+}
+
+// Shutdown takes no more calls, waits until those under way are over or ctx ends, and closes the client.
+func (c *Client) Shutdown(ctx context.Context) error {
+	c.mu.Lock()
+	if c.draining == nil {
+		c.draining = make(chan struct{})
+		c.drained()
+	}
+	drained := c.draining
+	c.mu.Unlock()
+	var err error
+	select {
+	case <-drained:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	c.Close()
+	return err
+}
+
+// drained closes the channel that Shutdown waits for, if all is over. c.mu is held.
+func (c *Client) drained() {
+	if c.draining != nil && c.stats.Calls == c.stats.over() {
+		select {
+		case <-c.draining:
+		default:
+			close(c.draining)
+		}
+	}
+}
+
+// Close ends all calls with [ErrClosed], closes all connections, and returns once nothing of the client runs.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	var all []*conn
+	for _, list := range c.conns {
+		all = append(all, list...)
+	}
+	c.rouse(c.waiters.Len())
+	c.mu.Unlock()
+	c.stop()
+	for _, k := range all {
+		k.fail(ErrClosed)
+	}
+	c.tasks.Wait()
+	return nil
+}
+
+// follow puts the lists of the source into force.
+func (c *Client) follow() {
+	for c.ctx.Err() == nil {
+		err := c.options.Proxies.Follow(c.ctx, c.update)
+		if c.ctx.Err() != nil {
+			return
+		}
+		if list := c.options.Trace.List; list != nil {
+			list(nil, err)
+		}
+		c.mu.Lock()
+		pause := sourcePause + time.Duration(c.rng.Int64N(int64(sourcePause)))
+		c.mu.Unlock()
+		select {
+		case <-time.After(pause):
+		case <-c.ctx.Done():
+		}
+	}
+}
+
+// sourcePause is the least time before a source that failed is followed again.
+const sourcePause = 500 * time.Millisecond
+
+func (c *Client) update(addresses []string) {
+	if len(addresses) == 0 {
+		if list := c.options.Trace.List; list != nil {
+			list(nil, ErrUnavailable)
+		}
+		return
+	}
+	c.mu.Lock()
+	changed := c.balancer.Update(c.options.clock().Mono, addresses)
+	c.rouse(c.waiters.Len())
+	c.mu.Unlock()
+	if changed {
+		c.sweep()
+		if list := c.options.Trace.List; list != nil {
+			list(addresses, nil)
+		}
+	}
+}
+
+// tidy closes connections that are of no more use, until the client is closed.
+func (c *Client) tidy() {
+	ticker := time.NewTicker(max(min(c.options.Idle, lingerTime)/4, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.sweep()
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) sweep() {
+	type end struct {
+		k   *conn
+		err error
+	}
+	var ends []end
+	var idle []*conn
+	c.mu.Lock()
+	now := c.options.clock().Mono
+	for p, list := range c.conns {
+		for _, k := range list {
+			if p.Gone() {
+				c.endLocked(k)
+			}
+			switch {
+			case k.ending && k.open == 0:
+				ends = append(ends, end{k, errDropped})
+			case k.ending && k.live == 0 && now-k.idle >= lingerTime:
+				ends = append(ends, end{k, errLinger})
+			case k.open == 0 && now-k.idle >= c.options.Idle:
+				c.endLocked(k)
+				ends = append(ends, end{k, errIdle})
+			case k.open == 0:
+				idle = append(idle, k)
+			}
+		}
+	}
+	c.mu.Unlock()
+	for _, e := range ends {
+		e.k.fail(e.err)
+	}
+	for _, k := range idle {
+		k.look()
+	}
+}
+
+// endLocked has a connection take no more requests. c.mu is held.
+func (c *Client) endLocked(k *conn) {
+	if !k.ending {
+		k.ending = true
+		c.balancer.Ending(k.proxy)
+	}
+}
+
+// rouse lets so many waiting calls look again. c.mu is held.
+func (c *Client) rouse(n int) {
+	for ; n > 0 && c.waiters.Len() > 0; n-- {
+		c.waiters.Remove(c.waiters.Front()).(chan struct{}) <- struct{}{} // holds one, and is sent to once
+	}
+}
+
+// dial opens a connection to a proxy. c.mu is held.
+func (c *Client) dial(p *balance.Proxy) {
+	c.balancer.Dialing(p)
+	c.stats.Dials++
+	c.tasks.Go(func() {
+		trace := &c.options.Trace
+		if trace.DialStart != nil {
+			trace.DialStart(p.Address)
+		}
+		begun := time.Now()
+		socket, err := c.options.Dial(c.ctx, "tcp", p.Address)
+		if trace.DialDone != nil {
+			trace.DialDone(p.Address, time.Since(begun), err)
+		}
+		c.mu.Lock()
+		if err == nil && c.closed {
+			err = ErrClosed
+			defer socket.Close()
+		}
+		now := c.options.clock().Mono
+		c.balancer.Dialed(p, now, err == nil)
+		if err != nil {
+			c.stats.DialFails++
+			c.rouse(c.waiters.Len()) // they choose anew
+			c.mu.Unlock()
+			return
+		}
+		k := newConn(c, p, socket, now)
+		c.conns[p] = append(c.conns[p], k)
+		c.tasks.Go(k.write)
+		c.tasks.Go(k.readAll)
+		c.rouse(c.options.Depth)
+		c.mu.Unlock()
+	})
+}
+
+// ended takes a connection off the client's books, once.
+func (c *Client) ended(k *conn, err error) {
+	own := errors.Is(err, errIdle) || errors.Is(err, errDropped) || errors.Is(err, errLinger) || errors.Is(err, ErrClosed)
+	c.mu.Lock()
+	now := c.options.clock().Mono
+	c.endLocked(k)
+	// What ends after it has idled for long is no sign of a proxy that has gone.
+	c.balancer.Ended(k.proxy, now, !own && (k.open > 0 || now-k.idle < min(time.Second, c.options.Idle)))
+	list := c.conns[k.proxy]
+	for i := range list {
+		if list[i] == k {
+			list[i] = list[len(list)-1]
+			list[len(list)-1] = nil
+			list = list[:len(list)-1]
+			break
+		}
+	}
+	if c.conns[k.proxy] = list; len(list) == 0 {
+		delete(c.conns, k.proxy)
+	}
+	c.rouse(c.waiters.Len())
+	c.mu.Unlock()
+	if own {
+		err = nil
+	}
+	if done := c.options.Trace.Disconnected; done != nil {
+		done(k.proxy.Address, err)
+	}
+}
+
+// forget is told that a request that had been given up is over.
+func (c *Client) forget(k *conn) {
+	c.mu.Lock()
+	k.open--
+	over := k.ending && k.open == 0
+	c.rouse(1)
+	c.mu.Unlock()
+	if over {
+		k.fail(errDropped)
+	}
+}
+
+// acquired is what a call waits for before each try: a place on a connection, or an end.
+type acquired struct {
+	conn   *conn
+	wait   time.Duration
+	repeat bool
+	end    retry.End
+	after  time.Duration
+	cause  error
+}
+
+// acquire waits for a place for the next try of a call, and begins the try.
+func (c *Client) acquire(ctx context.Context, r *retry.Request, deadline time.Duration, avoid *balance.Proxy) (a acquired) {
+	finish := func(o retry.Outcome, after time.Duration, cause error) acquired {
+		v := r.Hopeless(c.options.clock(), o, after)
+		return acquired{end: v.End, after: v.After, cause: cause}
+	}
+	paced := false
+	for {
+		c.mu.Lock()
+		now := c.options.clock()
+		switch {
+		case c.closed:
+			c.mu.Unlock()
+			return finish(retry.Unsent, 0, ErrClosed)
+		case ctx.Err() != nil:
+			c.mu.Unlock()
+			return finish(retry.Unsent, 0, ctx.Err())
+		case !r.CanSend(now):
+			c.mu.Unlock()
+			return finish(retry.Unsent, 0, context.DeadlineExceeded)
+		}
+		if !paced && !c.pace.Allow(now.Mono, c.rng) {
+			c.stats.Withheld++
+			after := time.Duration(c.rng.Int64N(int64(withheldTime))) + withheldTime/2
+			c.mu.Unlock()
+			return finish(retry.Refused, after, nil)
+		}
+		paced = true
+		choice := c.balancer.Choose(now.Mono, avoid)
+		switch choice.Kind {
+		case balance.Send:
+			if k := c.place(choice.Proxy, now.Mono); k != nil {
+				wait, _ := r.Send(now, c.budget.CanPay())
+				k.open++
+				k.live++
+				c.open++
+				c.balancer.Sent(choice.Proxy)
+				c.stats.Tries++
+				if r.Tries() > 1 {
+					c.stats.Retries++
+				}
+				c.mu.Unlock()
+				return acquired{conn: k, wait: wait, repeat: r.Tries() > 1}
+			}
+		case balance.Dial:
+			c.dial(choice.Proxy)
+		case balance.Hold:
+			c.stats.Withheld++
+			c.mu.Unlock()
+			return finish(retry.Refused, max(choice.At-now.Mono, time.Millisecond), nil)
+		}
+		until := deadline
+		if choice.Kind == balance.Wait {
+			// Where nothing is there or on its way, what comes too late is known now.
+			if choice.At >= deadline && len(c.conns) == 0 && !c.balancer.Expects() {
+				c.mu.Unlock()
+				return finish(retry.Unsent, 0, nil)
+			}
+			until = min(until, choice.At)
+		}
+		if c.waiters.Len() >= c.options.Waiting {
+			c.mu.Unlock()
+			return finish(retry.Refused, 0, errors.New("too many calls wait"))
+		}
+		changed := make(chan struct{}, 1)
+		place := c.waiters.PushBack(changed)
+		c.mu.Unlock()
+		timer := time.NewTimer(max(until-now.Mono, 0))
+		roused := false
+		select {
+		case <-changed:
+			roused = true
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if !roused {
+			c.mu.Lock()
+			select {
+			case <-changed: // roused after all: not this call's to keep if it ends now
+				if ctx.Err() != nil {
+					c.rouse(1)
+				}
+			default:
+				c.waiters.Remove(place)
+			}
+			c.mu.Unlock()
+		}
+	}
+}
+
+// withheldTime is about when to come again for a call that is refused as the proxies refuse.
+const withheldTime = 500 * time.Millisecond
+
+// place returns the connection to a proxy with the fewest requests, and opens one more where all have some. It
+// returns nil if there is none with room. c.mu is held.
+func (c *Client) place(p *balance.Proxy, now time.Duration) (best *conn) {
+	for _, k := range c.conns[p] {
+		if !k.ending && k.open < 2*c.options.Depth && (best == nil || k.open < best.open) {
+			best = k
+		}
+	}
+	if (best == nil || best.open >= growAt) && c.balancer.More(p, now) {
+		c.dial(p)
+	}
+	return best
+}
+
+// growAt is how many requests there are on each connection before one more is opened: answers
+// come in the order of the requests, so a slow one holds up those behind it.
+const growAt = 2
+
+// release is told how a try ended, and tells what follows.
+func (c *Client) release(k *conn, r *retry.Request, a *reply, now retry.Stamp) (v retry.Verdict, closed bool) {
+	c.mu.Lock()
+	c.open--
+	if k.live--; k.live == 0 {
+		k.idle = now.Mono
+	}
+	if !a.away {
+		k.open--
+	}
+	failed := a.outcome == retry.Silent || a.outcome == retry.Broken || a.outcome == retry.Spoilt
+	c.balancer.Done(k.proxy, now.Mono, failed, a.outcome == retry.Refused, a.advice)
+	c.pace.Ended(now.Mono, a.outcome == retry.Refused)
+	if a.outcome == retry.Silent {
+		c.endLocked(k)
+	}
+	over := k.ending && k.open == 0
+	c.rouse(1)
+	repeat := r.Tries() > 1
+	v = r.Ended(now, a.outcome, a.advice, c.budget, c.rng)
+	if a.outcome == retry.Unsent {
+		c.stats.Tries--
+		if repeat {
+			c.stats.Retries--
+		}
+	}
+	closed = c.closed
+	c.mu.Unlock()
+	if over {
+		k.fail(errDropped)
+	}
+	return v, closed
+}
+
+var timers = sync.Pool{New: func() any {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}}
+
+// try makes one try on a connection, and returns how it ended.
+func (c *Client) try(ctx context.Context, k *conn, wire *request.Request, wait time.Duration, info *TryInfo) (a reply) {
+	t := tries.Get().(*try)
+	t.state.Store(tryOut)
+	t.read, t.wait, t.info = wire.Verb == request.Get, wait, info
+	t.value, t.receipt, t.cause, t.advice = nil, "", nil, 0
+	t.serial = c.serial.Add(1)
+	t.sent = c.options.clock().Mono
+	if info != nil {
+		info.ID = string(appendID(nil, c.base, t.serial))
+		info.Kept = k.answers.Load() > 0
+		if start := c.options.Trace.TryStart; start != nil {
+			start(*info)
+		}
+	}
+	lead, ok := k.send(t, wire)
+	switch {
+	case !ok:
+		a.outcome = retry.Unsent
+	case lead:
+		a = k.lead(ctx, t)
+	default:
+		a = c.await(ctx, t)
+	}
+	if a.away {
+		return a
+	}
+	t.value, t.cause, t.info = nil, nil, nil
+	tries.Put(t)
+	return a
+}
+
+// await waits for the outcome of a try whose answer another reads.
+func (c *Client) await(ctx context.Context, t *try) (a reply) {
+	timer := timers.Get().(*time.Timer)
+	timer.Reset(t.wait)
+	defer func() {
+		timer.Stop()
+		timers.Put(timer)
+	}()
+	select {
+	case <-t.done:
+		return t.reply()
+	case <-timer.C:
+		a = reply{outcome: retry.Silent, cause: context.DeadlineExceeded}
+	case <-ctx.Done():
+		a = gone(ctx)
+	}
+	if a.away = t.state.CompareAndSwap(tryOut, tryAbandoned); !a.away {
+		<-t.done // the outcome came at the same moment
+		return t.reply()
+	}
+	return a
+}
+
+// Do carries out a call.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	op := "get"
+	if r.Set {
+		op = "set"
+	}
+	begun := c.options.clock()
+	wire, class, err := c.wire(&r)
+	c.mu.Lock()
+	if c.draining != nil || c.closed {
+		c.mu.Unlock()
+		return Answer{}, &Error{Kind: ErrClosed, Op: op, Key: r.Key}
+	}
+	c.stats.Calls++
+	c.mu.Unlock()
+	if err != nil {
+		return Answer{}, c.over(&Error{Kind: ErrInvalid, Op: op, Key: r.Key, Cause: err}, begun, 0, retry.EndInvalid)
+	}
+	deadline := begun.Mono + class.Wait
+	if d, ok := ctx.Deadline(); ok {
+		deadline = min(deadline, begun.Mono+time.Until(d))
+	}
+	course := retry.Begin(c.rules, class.Effect, deadline)
+	var avoid *balance.Proxy
+	for {
+		got := c.acquire(ctx, &course, deadline, avoid)
+		if got.conn == nil {
+			return Answer{Tries: course.Tries()}, c.over(c.error(op, &r, &wire, &course, got.end, got.after, got.cause), begun, course.Tries(), got.end)
+		}
+		wire.Retry = got.repeat
+		var info *TryInfo
+		if trace := &c.options.Trace; trace.TryStart != nil || trace.TryDone != nil || trace.Late != nil {
+			info = &TryInfo{Op: op, Key: r.Key, Proxy: got.conn.proxy.Address, Repeat: got.repeat, Wait: told(got.wait)}
+		}
+		sent := c.options.clock().Mono
+		a := c.try(ctx, got.conn, &wire, got.wait, info)
+		now := c.options.clock()
+		if done := c.options.Trace.TryDone; done != nil {
+			told := *info
+			told.Took, told.Outcome, told.Advice = now.Mono-sent, names[a.outcome], a.advice
+			done(told)
+		}
+		verdict, closed := c.release(got.conn, &course, &a, now)
+		if verdict.End == retry.EndServed {
+			err := error(nil)
+			if a.outcome == retry.Missing {
+				err = &Error{Kind: ErrMiss, Op: op, Key: r.Key, Tries: course.Tries()}
+			}
+			return Answer{Value: a.value, Receipt: a.receipt, Tries: course.Tries()}, c.over(err, begun, course.Tries(), verdict.End)
+		}
+		if closed {
+			a.cause = ErrClosed
+			if verdict.End = retry.EndUnsent; course.MayHaveRun() && class.Effect != Safe {
+				verdict.End = retry.EndUnknown
+			}
+		}
+		if verdict.End != retry.Open {
+			return Answer{Tries: course.Tries()}, c.over(c.error(op, &r, &wire, &course, verdict.End, verdict.After, a.cause), begun, course.Tries(), verdict.End)
+		}
+		avoid = got.conn.proxy
+		if verdict.Pause > 0 {
+			timer := time.NewTimer(verdict.Pause)
+			select {
+			case <-timer.C:
+			case <-ctx.Done(): // seen by acquire
+			case <-c.ctx.Done():
+			}
+			timer.Stop()
+		}
+	}
+}
+
+// wire checks a request, and returns it as it goes out.
+func (c *Client) wire(r *Request) (w request.Request, class Class, err error) {
+	class = r.Class
+	if class == (Class{}) {
+		if class = c.options.Read; r.Set {
+			class = c.options.Write
+		}
+	} else if err := class.check(); err != nil {
+		return w, class, err
+	}
+	w = request.Request{Key: r.Key, Class: class.Name, Tenant: r.Tenant}
+	if w.Tenant == "" {
+		w.Tenant = c.options.Tenant
+	} else if !validName(w.Tenant) {
+		return w, class, fmt.Errorf("tenant cannot be %q", w.Tenant)
+	}
+	if !validKey(r.Key) {
+		return w, class, fmt.Errorf("key cannot be %q: want 1 to %d bytes without spaces and control characters", r.Key, meta.MaxKey)
+	}
+	if !r.Set {
+		if r.Value != nil || r.Idempotency != "" {
+			return w, class, errors.New("a read has no value and no idempotency key")
+		}
+		return w, class, nil
+	}
+	w.Verb, w.Value = request.Set, r.Value
+	if len(r.Value) > meta.MaxValue {
+		return w, class, fmt.Errorf("value of %d bytes: want at most %d", len(r.Value), meta.MaxValue)
+	}
+	switch {
+	case class.Effect != Keyed && r.Idempotency != "":
+		return w, class, fmt.Errorf("class %s is not keyed", class.Name)
+	case class.Effect == Keyed && r.Idempotency == "":
+		var key [16]byte
+		if _, err := crand.Read(key[:]); err != nil {
+			return w, class, err
+		}
+		r.Idempotency = fmt.Sprintf("%x", key)
+	case class.Effect == Keyed && !validName(r.Idempotency):
+		return w, class, fmt.Errorf("idempotency key cannot be %q", r.Idempotency)
+	}
+	w.Idempotency = r.Idempotency
+	return w, class, nil
+}
+
+// validName tells whether a text can stand in the list of parameters.
+func validName(s string) bool {
+	if s == "" || len(s) > meta.MaxID {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f || s[i] == ',' || s[i] == '=' {
+			return false
+		}
+	}
+	return true
+}
+
+func validKey(s string) bool {
+	if s == "" || len(s) > meta.MaxKey {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// error words the end of a call that was not served.
+func (c *Client) error(op string, r *Request, w *request.Request, course *retry.Request, end retry.End, after time.Duration, cause error) error {
+	e := &Error{Op: op, Key: r.Key, Tries: course.Tries(), After: after, Idempotency: w.Idempotency, Cause: cause}
+	var timeout net.Error
+	switch end {
+	case retry.EndRefused:
+		e.Kind = ErrRefused
+	case retry.EndFailed:
+		e.Kind = ErrFailed
+	case retry.EndDeadline:
+		e.Kind, e.Cause = ErrDeadline, context.DeadlineExceeded
+	case retry.EndUnknown:
+		e.Kind = ErrUnknown
+		e.Settled = time.Now().Add(max(course.Settled()-c.options.clock().Mono, 0))
+	case retry.EndInvalid:
+		e.Kind = ErrInvalid
+	case retry.EndCanceled:
+		e.Kind = cause
+	default:
+		switch {
+		case errors.Is(cause, ErrClosed):
+			e.Kind, e.Cause = ErrClosed, nil
+		case errors.Is(cause, context.Canceled):
+			e.Kind, e.Cause = context.Canceled, nil
+		case errors.Is(cause, context.DeadlineExceeded) && (course.Tries() > 0 || !errors.As(cause, &timeout)):
+			e.Kind = ErrDeadline
+		default:
+			e.Kind = ErrUnavailable
+		}
+	}
+	return e
+}
+
+// over counts the end of a call, and tells of it.
+func (c *Client) over(err error, begun retry.Stamp, tries int, end retry.End) error {
+	c.mu.Lock()
+	s := &c.stats
+	var e *Error
+	switch {
+	case err == nil:
+		s.Served++
+	case !errors.As(err, &e):
+	case e.Kind == ErrMiss:
+		s.Missing++
+	case e.Kind == ErrRefused:
+		s.Refused++
+	case e.Kind == ErrDeadline:
+		s.Deadline++
+	case e.Kind == ErrUnknown:
+		s.Unknown++
+	case e.Kind == ErrUnavailable:
+		s.Unavailable++
+	case e.Kind == ErrInvalid:
+		s.Invalid++
+	case e.Kind == ErrClosed:
+		s.Closed++
+	default:
+		s.Failed++
+	}
+	c.drained()
+	c.mu.Unlock()
+	if done := c.options.Trace.CallDone; done != nil {
+		info := CallInfo{Tries: tries, Took: c.options.clock().Mono - begun.Mono, Err: err}
+		if e != nil {
+			info.Op, info.Key = e.Op, e.Key
+		}
+		done(info)
+	}
+	return err
+}
+
+// over counts the calls that have ended.
+func (s *Stats) over() int64 {
+	return s.Served + s.Missing + s.Refused + s.Failed + s.Deadline + s.Unknown + s.Unavailable + s.Invalid + s.Closed
+}
--- /dev/null
+++ b/client/internal/balance/balance.go
@@ -0,0 +1,326 @@
+// Package balance decides to which of several proxies a client sends its next request, and
+// when it opens connections. It does no I/O and has no clock; times are counted from any
+// origin and never step; randomness is seeded.
+//
+// Invariants:
+//
+//  1. A client uses few proxies, those that come first in an order of its own: many clients
+//     together use all alike, and a change of the list moves few of them.
+//  2. Of two of them drawn by chance the one with fewer open requests is taken, each counted
+//     more dearly the more it failed lately.
+//  3. Connections are opened at a time drawn evenly from a span: from the start, from the loss
+//     of a proxy's last connection, or from an attempt in vain, the span doubled by each. So
+//     clients that were cut off together don't come back together.
+//  4. A proxy that refused three requests running is left alone until the time that it
+//     advised, and then asked by one request first.
+package balance
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Rules bound a balancer. All are needed.
+type Rules struct {
+	Subset int           // proxies in use at a time
+	Conns  int           // connections to one, at most
+	Depth  int           // requests on a connection, at most
+	Cold   time.Duration // span for the first connections
+	Spread time.Duration // span after a loss
+	Most   time.Duration // span after attempts in vain, at most
+}
+
+const (
+	failHalf  = time.Second // after so long a failure counts half
+	failPrice = 4.0         // one failure weighs like so many times the open requests
+	holdAfter = 3           // refusals running
+)
+
+// Proxy is one proxy as the balancer knows it.
+type Proxy struct {
+	Address string
+
+	rank    uint64
+	gone    bool // not in the list any more
+	open    int
+	conns   int // that take requests
+	closing int // that don't any more, and still count
+	dialing int
+	dialAt  time.Duration
+	inVain  int
+	fails   float64
+	failAt  time.Duration
+	refused int // running
+	held    time.Duration
+}
+
+// Kind says what to do with a request.
+type Kind uint8
+
+// What to do with a request.
+const (
+	Send Kind = iota // to Proxy, on a connection that is there
+	Dial             // open a connection to Proxy, and ask again
+	Wait             // ask again at At, or when anything changed
+	Hold             // all have refused; they are to be asked again at At
+	None             // there is no proxy
+)
+
+// Choice is what to do with a request.
+type Choice struct {
+	Kind  Kind
+	Proxy *Proxy
+	At    time.Duration
+}
+
+// Balancer decides for one client. It is not safe for concurrent use.
+type Balancer struct {
+	rules   Rules
+	rng     *rand.Rand
+	seed    uint64   // of the client's own order
+	proxies []*Proxy // by rank
+	ready   []*Proxy // scratch
+}
+
+// New returns a balancer without proxies.
+func New(r Rules, rng *rand.Rand) *Balancer {
+	return &Balancer{rules: r, rng: rng, seed: rng.Uint64()}
+}
+
+// rank is a proxy's place in the client's order: rendezvous hashing.
+func (b *Balancer) rank(address string) uint64 {
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(nil, b.seed))
+	h.Write([]byte(address))
+	x := h.Sum64() // FNV leaves the last bytes in the low bits: mixed as by splitmix64
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// within draws a time evenly from a span.
+func (b *Balancer) within(span time.Duration) time.Duration {
+	if span <= 0 {
+		return 0
+	}
+	return time.Duration(b.rng.Int64N(int64(span)))
+}
+
+// Update puts a list into force; an empty one changes nothing, as no client is better served
+// by no proxy at all. It tells whether anything changed. A proxy that has left the list gets nothing new.
+func (b *Balancer) Update(now time.Duration, addresses []string) bool {
+	if len(addresses) == 0 {
+		return false
+	}
+	changed := false
+	first := len(b.proxies) == 0
+	for _, p := range b.proxies {
+		if gone := !slices.Contains(addresses, p.Address); gone != p.gone {
+			p.gone, changed = gone, true
+		}
+	}
+	b.proxies = slices.DeleteFunc(b.proxies, func(p *Proxy) bool { return p.gone && p.conns+p.closing+p.dialing+p.open == 0 })
+	for _, address := range addresses {
+		if slices.ContainsFunc(b.proxies, func(p *Proxy) bool { return p.Address == address }) {
+			continue
+		}
+		span := b.rules.Spread
+		if first {
+			span = b.rules.Cold
+		}
+		b.proxies = append(b.proxies, &Proxy{Address: address, rank: b.rank(address), dialAt: now + b.within(span)})
+		changed = true
+	}
+	slices.SortFunc(b.proxies, func(p, q *Proxy) int {
+		if p.rank < q.rank {
+			return -1
+		}
+		return 1
+	})
+	return changed
+}
+
+// Addresses returns the list in force, in no order of meaning.
+func (b *Balancer) Addresses() (list []string) {
+	for _, p := range b.proxies {
+		if !p.gone {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
+// usable tells whether a proxy can be asked at now, or else from when on; never if it is
+// only a change that can tell.
+func (b *Balancer) usable(p *Proxy, now time.Duration) (ok bool, from time.Duration) {
+	const never = time.Duration(math.MaxInt64)
+	switch {
+	case p.refused >= holdAfter && p.held > now:
+		return false, p.held
+	case p.refused >= holdAfter && p.open > 0:
+		return false, never // one is asking
+	case p.open < p.conns*b.rules.Depth:
+		return true, 0
+	case p.conns+p.closing+p.dialing >= b.rules.Conns || p.dialing > 0:
+		return false, never
+	case p.dialAt > now:
+		return false, p.dialAt
+	}
+	return true, 0
+}
+
+// Choose says where the next request goes. avoid, if not nil, is taken only where there is
+// no other: the last try ended badly there.
+func (b *Balancer) Choose(now time.Duration, avoid *Proxy) Choice {
+	const never = time.Duration(math.MaxInt64)
+	b.ready = b.ready[:0]
+	next, holds, seen := never, 0, 0
+	for _, p := range b.proxies {
+		if p.gone {
+			continue
+		}
+		if seen >= b.rules.Subset {
+			break
+		}
+		// One that can't be reached now gives its place to the next in the order.
+		if p.conns > 0 || p.dialAt <= now || p.dialing > 0 {
+			seen++
+		}
+		ok, from := b.usable(p, now)
+		if ok {
+			b.ready = append(b.ready, p)
+			continue
+		}
+		if p.refused >= holdAfter && p.held > now {
+			holds++
+		}
+		next = min(next, from)
+	}
+	if len(b.ready) > 1 && avoid != nil {
+		b.ready = slices.DeleteFunc(b.ready, func(p *Proxy) bool { return p == avoid })
+	}
+	switch n := len(b.ready); {
+	case n > 0:
+		p := b.ready[b.rng.IntN(n)]
+		if n > 1 {
+			q := b.ready[b.rng.IntN(n)]
+			for q == p {
+				q = b.ready[b.rng.IntN(n)]
+			}
+			if b.price(q, now) < b.price(p, now) {
+				p = q
+			}
+		}
+		if p.open < p.conns*b.rules.Depth {
+			return Choice{Kind: Send, Proxy: p}
+		}
+		return Choice{Kind: Dial, Proxy: p}
+	case len(b.Addresses()) == 0:
+		return Choice{Kind: None}
+	case holds > 0 && holds >= seen:
+		return Choice{Kind: Hold, At: next}
+	}
+	return Choice{Kind: Wait, At: next}
+}
+
+func (b *Balancer) price(p *Proxy, now time.Duration) float64 {
+	return float64(p.open+1) * (1 + failPrice*p.failed(now))
+}
+
+func (p *Proxy) failed(now time.Duration) float64 {
+	if d := now - p.failAt; d > 0 {
+		p.fails, p.failAt = p.fails*math.Exp2(-float64(d)/float64(failHalf)), now
+	}
+	return p.fails
+}
+
+// More tells whether one more connection may be opened to a proxy at now.
+func (b *Balancer) More(p *Proxy, now time.Duration) bool {
+	return !p.gone && p.dialing == 0 && p.dialAt <= now && p.conns+p.closing < b.rules.Conns
+}
+
+// Expects tells whether a connection is being opened.
+func (b *Balancer) Expects() bool {
+	return slices.ContainsFunc(b.proxies, func(p *Proxy) bool { return p.dialing > 0 })
+}
+
+// Open tells how many requests are out at a proxy.
+func (p *Proxy) Open() int { return p.open }
+
+// Gone tells whether a proxy has left the list.
+func (p *Proxy) Gone() bool { return p.gone }
+
+// Dialing is told that a connection is being opened.
+func (b *Balancer) Dialing(p *Proxy) { p.dialing++ }
+
+// Dialed is told how that went.
+func (b *Balancer) Dialed(p *Proxy, now time.Duration, ok bool) {
+	p.dialing--
+	if ok {
+		p.conns++
+		p.inVain = 0
+		return
+	}
+	span := min(b.rules.Spread<<min(p.inVain, 16), b.rules.Most)
+	p.inVain++
+	p.dialAt = now + b.within(span)
+}
+
+// Ending is told that a connection takes no more requests.
+func (b *Balancer) Ending(p *Proxy) {
+	p.conns--
+	p.closing++
+}
+
+// Ended is told that a connection that was [Balancer.Ending] is no more. cut tells that the proxy
+// ended it, not idleness or its client.
+func (b *Balancer) Ended(p *Proxy, now time.Duration, cut bool) {
+	p.closing--
+	if !cut {
+		return
+	}
+	// Also while others are left: they may be about to end for the same reason.
+	// One time is drawn for all of them: the latest of several would not be even.
+	b.postpone(p, now)
+	if p.conns > 0 {
+		return
+	}
+	// Those that step in for it are not all asked at once either.
+	for _, q := range b.proxies {
+		if q != p && q.conns+q.dialing == 0 {
+			b.postpone(q, now)
+		}
+	}
+}
+
+// postpone has no connection be opened to a proxy until a time drawn from the span after a loss.
+func (b *Balancer) postpone(p *Proxy, now time.Duration) {
+	if p.dialAt <= now {
+		p.dialAt = now + b.within(b.rules.Spread)
+	}
+}
+
+// Sent is told that a request goes to a proxy.
+func (b *Balancer) Sent(p *Proxy) { p.open++ }
+
+// Done is told how a request at a proxy ended. advice is a refusal's.
+func (b *Balancer) Done(p *Proxy, now time.Duration, failed, refused bool, advice time.Duration) {
+	p.open--
+	if failed {
+		p.fails = p.failed(now) + 1
+		p.failAt = now
+	}
+	if !refused {
+		if !failed {
+			p.refused = 0
+		}
+		return
+	}
+	if p.refused++; p.refused >= holdAfter && advice > 0 {
+		p.held = max(p.held, now+advice+b.within(advice/4))
+	}
+}
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -1,4 +1,4 @@
-// Package script is a stand-in for cache nodes that do exactly what a test tells them
+// Package script is a stand-in for cache nodes, or for proxies, that do exactly what a test tells them
 // to, in either dialect: the same reactions to the same requests, said as each has it.
 package script
 
@@ -36,6 +36,8 @@
 	Slow    Reaction = "slow"    // the same 150 ms later; what follows on the connection waits
 	Miss    Reaction = "miss"    // there is no such key
 	Busy    Reaction = "busy"    // turned away unseen
+	Advise  Reaction = "advise"  // turned away unseen, to come again in a second; in meta alone
+	Invalid Reaction = "invalid" // it says that the request can't be meant; in meta alone
 	Fail    Reaction = "fail"    // it may have run
 	Reset   Reaction = "reset"   // the connection ends in place of an answer
 	Half    Reaction = "half"    // it ends within the answer
@@ -65,6 +67,12 @@
 	Verb        request.Verb
 	Key, Value  string
 	Idempotency string // "" where the dialect has no room for it
+	// Of meta alone.
+	ID     string
+	Class  string
+	Tenant string
+	Wait   time.Duration
+	Retry  bool // marked as one
 }
 
 // Nodes are scripted nodes. They are safe for concurrent use.
@@ -74,16 +82,17 @@
 	listeners []net.Listener
 	tasks     sync.WaitGroup
 
-	mu    sync.Mutex
-	asked []Asked
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	asked    []Asked
+	accepted int
+	conns    map[net.Conn]int // by node
 	done  chan struct{}
 }
 
 // Start returns so many nodes that listen on loopback. react is asked what to do
 // with each request, by its number over all nodes from 0.
 func Start(dialect Dialect, nodes int, react func(number int, a Asked) Reaction) (*Nodes, error) {
-	ns := &Nodes{dialect: dialect, react: react, conns: make(map[net.Conn]struct{}), done: make(chan struct{})}
+	ns := &Nodes{dialect: dialect, react: react, conns: make(map[net.Conn]int), done: make(chan struct{})}
 	for i := range nodes {
 		l, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
@@ -102,6 +111,46 @@
 // Refuse closes a node's listener for good.
 func (ns *Nodes) Refuse(i int) { ns.listeners[i].Close() }
 
+// Stop ends a node as its process's end would: connections are reset, new ones refused.
+func (ns *Nodes) Stop(i int) {
+	ns.listeners[i].Close()
+	ns.each(i, func(c *net.TCPConn) {
+		c.SetLinger(0)
+		c.Close()
+	})
+}
+
+// HalfClose ends the sending on all connections of a node, as a draining one does with what idles.
+func (ns *Nodes) HalfClose(i int) { ns.each(i, func(c *net.TCPConn) { c.CloseWrite() }) }
+
+func (ns *Nodes) each(i int, do func(*net.TCPConn)) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for c, of := range ns.conns {
+		if of == i {
+			do(c.(*net.TCPConn))
+		}
+	}
+}
+
+// Begin has a node that was stopped listen at its address again.
+func (ns *Nodes) Begin(i int) error {
+	l, err := net.Listen("tcp", ns.listeners[i].Addr().String())
+	if err != nil {
+		return err
+	}
+	ns.listeners[i] = l
+	ns.tasks.Go(func() { ns.accept(i, l) })
+	return nil
+}
+
+// Accepted counts the connections that came up so far, and those that are open.
+func (ns *Nodes) Accepted() (all, open int) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	return ns.accepted, len(ns.conns)
+}
+
 // Asked returns what the nodes were asked so far, in order.
 func (ns *Nodes) Asked() []Asked {
 	ns.mu.Lock()
@@ -130,7 +179,8 @@
 			return
 		}
 		ns.mu.Lock()
-		ns.conns[c] = struct{}{}
+		ns.conns[c] = i
+		ns.accepted++
 		ns.mu.Unlock()
 		ns.tasks.Go(func() {
 			ns.serve(i, c)
@@ -192,7 +242,8 @@
 		}
 	}
 	return asked{verb: c.Verb, key: c.Key, id: c.ID},
-		Asked{Verb: c.Verb, Key: c.Key, Value: string(body[:c.Size]), Idempotency: c.Idempotency}, nil
+		Asked{Verb: c.Verb, Key: c.Key, Value: string(body[:c.Size]), Idempotency: c.Idempotency, ID: c.ID, Class: c.Class, Tenant: c.Tenant,
+			Wait: c.Wait, Retry: c.Retry}, nil
 }
 
 func readBinary(in *bufio.Reader) (r asked, a Asked, err error) {
@@ -258,6 +309,10 @@
 		return []byte("EN\r\n")
 	case Busy:
 		return []byte("SERVER_ERROR busy\r\n")
+	case Advise:
+		return []byte("SERVER_ERROR busy 1000\r\n")
+	case Invalid:
+		return []byte("CLIENT_ERROR bad class\r\n")
 	case Fail:
 		return []byte("SERVER_ERROR failed\r\n")
 	case Noise:
