--- a/client/client.go
+++ b/client/client.go
@@ -71,7 +71,7 @@
 		binary.LittleEndian.PutUint64(seed[16:], o.seed)
 	}
 	rng := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[8:]), binary.LittleEndian.Uint64(seed[16:])))
-	c := &Client{options: o, rules: o.retryRules(), base: fmt.Sprintf("%x-", seed[:8]), rng: rng,
+	c := &Client{options: o, rules: o.retryRules(), base: fmt.Sprintf("c%x-", seed[:8]), rng: rng,
 		balancer: balance.New(o.balanceRules(), rng), budget: retry.NewBudget(o.RetryRatio, o.RetryBurst),
 		conns: make(map[*balance.Proxy][]*conn), drained: make(chan struct{}, 1)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
--- /dev/null
+++ b/client/example_test.go
@@ -0,0 +1,94 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"time"
+
+	"mulleinpier/client"
+	"mulleinpier/internal/standin/script"
+)
+
+// stand starts a stand-in for two proxies, so that examples run.
+func stand(react func(number int, a script.Asked) script.Reaction) (addresses []string, done func()) {
+	ns, err := script.Start(script.Meta, 2, react)
+	if err != nil {
+		log.Fatal(err)
+	}
+	return []string{ns.Address(0), ns.Address(1)}, ns.Close
+}
+
+func Example() {
+	addresses, done := stand(func(int, script.Asked) script.Reaction { return script.Serve })
+	defer done()
+
+	c, err := client.New(client.Options{Proxies: client.Static(addresses...), Tenant: "fovaros"})
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	value, err := c.Get(ctx, "order-17")
+	fmt.Printf("%s %v\n", value, err)
+	receipt, err := c.Set(ctx, "order-17", []byte("signed by Ilona"))
+	fmt.Println(receipt, err)
+	// Output:
+	// v:order-17 <nil>
+	// 7 <nil>
+}
+
+// What each error asks of its caller.
+func ExampleClient_Set() {
+	addresses, done := stand(func(int, script.Asked) script.Reaction { return script.Advise })
+	defer done()
+	c, err := client.New(client.Options{Proxies: client.Static(addresses...)})
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer c.Close()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_, err = c.Set(ctx, "order-17", []byte("signed by Ilona"))
+	var e *client.Error
+	switch {
+	case err == nil:
+		fmt.Println("recorded")
+	case errors.Is(err, client.ErrRefused) && errors.As(err, &e):
+		fmt.Println("not recorded; again in", e.After)
+	case errors.Is(err, client.ErrUnknown):
+		fmt.Println("may be recorded: resolve")
+	default:
+		fmt.Println("not recorded:", err)
+	}
+	// Output:
+	// not recorded; again in 1s
+}
+
+// A handover of which it is not known whether it was recorded is looked for before it is written anew.
+func ExampleClient_Resolve() {
+	addresses, done := stand(func(_ int, a script.Asked) script.Reaction {
+		if a.Value != "" {
+			return script.Fail
+		}
+		return script.Serve
+	})
+	defer done()
+	c, err := client.New(client.Options{Proxies: client.Static(addresses...), Window: 300 * time.Millisecond})
+	if err != nil {
+		log.Fatal(err)
+	}
+	defer c.Close()
+
+	ctx := context.Background()
+	_, err = c.Set(ctx, "order-17", []byte("v:order-17"))
+	if errors.Is(err, client.ErrUnknown) {
+		recorded, err := c.Resolve(ctx, err, func(value []byte) bool { return string(value) == "v:order-17" })
+		fmt.Println(recorded, err)
+	}
+	// Output:
+	// true <nil>
+}
--- /dev/null
+++ b/cmd/mullein/main.go
@@ -0,0 +1,245 @@
+// Command mullein reads and writes order keys through proxies, and puts a load on them, as an operator
+// at a terminal does.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"mulleinpier/client"
+	"mulleinpier/internal/load"
+)
+
+// Exit codes, so that scripts can tell what to do next; docs/operators/client.md lists them.
+const (
+	exitFailed  = 1 // failed, or no proxy could be reached: again is harmless
+	exitUsage   = 2
+	exitMiss    = 3 // there is no such key
+	exitRefused = 4 // again is harmless, later
+	exitUnknown = 5 // the write may have been carried out
+)
+
+// where says whom to ask.
+type where struct {
+	Proxies []string      `short:"p" help:"Proxies, host:port, separated by commas."`
+	File    string        `help:"A file that lists proxies, one a line, in place of --proxies."`
+	Wait    time.Duration `default:"2s" help:"How long to wait at the most."`
+	Tenant  string        `help:"Tenant to ask as."`
+	Trace   bool          `help:"Tell each try on standard error."`
+}
+
+func (w *where) options(log io.Writer) (o client.Options, err error) {
+	switch {
+	case w.File != "" && len(w.Proxies) > 0:
+		return o, fmt.Errorf("%w: --proxies and --file: want one of them", errUsage)
+	case w.File != "":
+		o.Proxies = client.File(w.File)
+	case len(w.Proxies) > 0:
+		o.Proxies = client.Static(w.Proxies...)
+	default:
+		return o, fmt.Errorf("%w: --proxies or --file is needed", errUsage)
+	}
+	o.Tenant = w.Tenant
+	o.Read, o.Write = client.Read, client.Write
+	o.Read.Wait, o.Write.Wait = w.Wait, w.Wait
+	o.Trace.List = func(_ []string, err error) {
+		if err != nil {
+			fmt.Fprintln(log, "mullein: list of proxies:", err)
+		}
+	}
+	if w.Trace {
+		o.Trace.TryDone = func(i client.TryInfo) {
+			fmt.Fprintf(log, "%s %s: try %s at %s, repeat %v: %s after %v of %v\n", i.Op, i.Key, i.ID, i.Proxy, i.Repeat, i.Outcome, i.Took.Round(time.Microsecond), i.Wait)
+		}
+		o.Trace.DialDone = func(proxy string, took time.Duration, err error) {
+			fmt.Fprintf(log, "connect to %s: %v after %v\n", proxy, err, took.Round(time.Microsecond))
+		}
+	}
+	return o, nil
+}
+
+type getCommand struct {
+	where
+	Keys []string `arg:"" help:"Keys to read."`
+}
+
+type setCommand struct {
+	where
+	Key         string `arg:"" help:"Key to write."`
+	Value       string `arg:"" optional:"" help:"Value; standard input if left out."`
+	Class       string `default:"write" help:"Class of the proxies' configuration."`
+	Effect      string `default:"keyed" enum:"keyed,unsafe,safe" help:"What a repeat does: keyed (dropped), unsafe or safe."`
+	Idempotency string `help:"Idempotency key of a keyed write; one is made up if left out."`
+}
+
+type loadCommand struct {
+	Proxies   []string      `short:"p" required:"" help:"Proxies, host:port, separated by commas."`
+	Kind      string        `default:"library" enum:"library,brief" help:"How tills behave: library (this client) or brief (at once or after a short fixed wait, no advice heeded)."`
+	Clients   int           `default:"100" help:"Tills."`
+	Rate      float64       `default:"100" help:"Requests a second over all tills."`
+	For       time.Duration `default:"10s" help:"How long; an hour at most."`
+	Handovers float64       `default:"0.05" help:"Share of writes."`
+	Keys      int           `default:"5000" help:"Keys that reads ask for."`
+	Skew      float64       `default:"1.1" help:"Skew of their popularity, above 1."`
+	Tenant    string        `help:"Tenant to ask as."`
+	Seed      uint64        `default:"1" help:"Seed of keys and times."`
+	JSON      string        `help:"Write the figures there too."`
+}
+
+type commands struct {
+	Get  getCommand  `cmd:"" help:"Read keys."`
+	Set  setCommand  `cmd:"" help:"Write a key."`
+	Load loadCommand `cmd:"" help:"Put a load on proxies, and tell what became of it."`
+}
+
+var errUsage = errors.New("bad usage")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mullein:", err)
+	}
+	stop()
+	os.Exit(code(err))
+}
+
+// code is the exit code for an error.
+func code(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errUsage) || errors.Is(err, client.ErrInvalid):
+		return exitUsage
+	case errors.Is(err, client.ErrMiss):
+		return exitMiss
+	case errors.Is(err, client.ErrUnknown):
+		return exitUnknown
+	case errors.Is(err, client.ErrRefused):
+		return exitRefused
+	}
+	return exitFailed
+}
+
+// ended is what the parser panics with after it has printed help.
+type ended struct{}
+
+func run(ctx context.Context, args []string, in io.Reader, out, log io.Writer) (err error) {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("mullein"), kong.Description("Reads and writes order keys through mulleinpier proxies."),
+		kong.Writers(out, log), kong.Exit(func(int) { panic(ended{}) }))
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if p := recover(); p == (ended{}) {
+			err = nil
+		} else if p != nil {
+			panic(p)
+		}
+	}()
+	chosen, err := parser.Parse(args)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	switch chosen.Command() {
+	case "get <keys>":
+		return c.Get.run(ctx, out, log)
+	case "set <key>", "set <key> <value>":
+		return c.Set.run(ctx, in, out, log)
+	}
+	return c.Load.run(ctx, out)
+}
+
+func (c *getCommand) run(ctx context.Context, out, log io.Writer) error {
+	o, err := c.options(log)
+	if err != nil {
+		return err
+	}
+	l, err := client.New(o)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer l.Close()
+	var worst error
+	for _, key := range c.Keys {
+		value, err := l.Get(ctx, key)
+		if err != nil {
+			fmt.Fprintln(log, err)
+			if worst == nil || code(err) != exitMiss {
+				worst = err
+			}
+			continue
+		}
+		fmt.Fprintf(out, "%s\n", value)
+	}
+	return worst
+}
+
+func (c *setCommand) run(ctx context.Context, in io.Reader, out, log io.Writer) error {
+	o, err := c.options(log)
+	if err != nil {
+		return err
+	}
+	value := []byte(c.Value)
+	if c.Value == "" {
+		if value, err = io.ReadAll(io.LimitReader(in, 1<<20)); err != nil {
+			return err
+		}
+	}
+	l, err := client.New(o)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer l.Close()
+	effect := map[string]client.Effect{"keyed": client.Keyed, "unsafe": client.Unsafe, "safe": client.Safe}[c.Effect]
+	a, err := l.Do(ctx, client.Request{Key: c.Key, Value: value, Set: true, Idempotency: c.Idempotency,
+		Class: client.Class{Name: c.Class, Effect: effect, Wait: c.Wait}})
+	if err != nil {
+		var e *client.Error
+		if errors.As(err, &e) && errors.Is(err, client.ErrUnknown) {
+			fmt.Fprintf(log, "mullein: it may have been carried out, or may be until %s: read %s then, and write again only if it is not there\n", e.Settled.Format(time.TimeOnly), c.Key)
+		}
+		return err
+	}
+	fmt.Fprintln(out, a.Receipt)
+	return nil
+}
+
+func (c *loadCommand) run(ctx context.Context, out io.Writer) error {
+	r, err := load.Run(ctx, load.Config{Kind: load.Kind(c.Kind), Addresses: c.Proxies, Clients: c.Clients, Rate: c.Rate, Handovers: c.Handovers,
+		Phases: []load.Phase{{Name: "all", For: c.For}}, Keys: c.Keys, Skew: c.Skew, Tenant: c.Tenant, Seed: c.Seed})
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	f := r.Phases[0]
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	for _, row := range []struct {
+		name   string
+		figure any
+	}{{"offered", f.Offered}, {"in time", f.InTime}, {"late", f.Late}, {"refused", f.Refused}, {"failed", f.Failed}, {"unknown", f.Unknown},
+		{"tries each", fmt.Sprintf("%.3f", f.TriesPer())}, {"in time a second", fmt.Sprintf("%.1f", f.Goodput())}, {"p50 ms", f.P50}, {"p99 ms", f.P99},
+		{"connections opened", f.Dials}, {"in vain", f.DialFails}, {"in the busiest 50 ms", f.Busiest}} {
+		fmt.Fprintf(w, "%s\t%v\n", row.name, row.figure)
+	}
+	w.Flush()
+	if c.JSON == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.JSON, append(text, '\n'), 0o644)
+}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -35,6 +35,8 @@
   rehearse times [--runs N]     from exec to ready, from SIGTERM to exit
   rehearse consul               a fleet whose list comes from Consul agents, which fail in every way
   rehearse degrade [--short]    overloads without and with levels of reduced service, same seeds (one, 25 s)
+  rehearse clients [--short]    tills that use the client library beside such as the operators describe, in five
+                                troubles (one, 18 s); --tills N of each kind, 1,000 if left out
   rehearse members              what following 2,000 nodes with 50 changes a second costs
   rehearse conform              the conformance suite: both dialects of clients by both of nodes
   rehearse sight --fault none|lose|double|drain [--every N]
@@ -74,7 +76,7 @@
 type settings struct {
 	program, json, keep, scenario, fault string
 	short, quiet, binary, consul         bool
-	runs, requests, every                int
+	runs, requests, every, tills         int
 }
 
 // printer is a report of any command.
@@ -112,6 +114,7 @@
 	flags.IntVar(&s.runs, "runs", 5, "")
 	flags.IntVar(&s.requests, "requests", 20000, "")
 	flags.IntVar(&s.every, "every", 0, "")
+	flags.IntVar(&s.tills, "tills", 1000, "")
 	rest, err := interleaved(flags, args[1:])
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", errUsage, command, err)
@@ -197,6 +200,12 @@
 			return err
 		}
 		return s.judge(report, out)
+	case "clients":
+		report, err := rehearse.Clients(ctx, rehearse.ClientsOptions{Options: o, Clients: s.tills, Short: s.short})
+		if err != nil {
+			return err
+		}
+		return s.judge(report, out)
 	case "conform":
 		report, err := rehearse.Conform(ctx, o)
 		if err != nil {
--- /dev/null
+++ b/internal/rehearse/clients.go
@@ -0,0 +1,306 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"mulleinpier/client"
+	"mulleinpier/internal/load"
+	"mulleinpier/internal/standin/node"
+)
+
+// ClientsReport compares tills that use the client library with such as the operators describe.
+type ClientsReport struct {
+	Plays []ClientsPlay `json:"plays"`
+}
+
+// ClientsPlay is one trouble, met by one kind of tills or by both at once.
+type ClientsPlay struct {
+	Name     string         `json:"name"`
+	About    string         `json:"about"`
+	Results  []*load.Result `json:"results"`
+	Doubled  map[string]int `json:"doubled"` // handovers carried out twice, by kind
+	Crashes  int            `json:"crashes"`
+	Problems []string       `json:"problems"`
+	Fetches  int            `json:"fetches"`
+}
+
+// trouble is what befalls a fleet in the middle of three phases.
+type trouble struct {
+	name, about    string
+	proxies        int
+	calm, bad, end time.Duration
+	together       bool // both kinds at once, on the same fleet
+	rate           float64
+	do             func(ctx context.Context, f *fleet)
+}
+
+// ClientsOptions say what to play.
+type ClientsOptions struct {
+	Options
+	Clients int // tills of each kind
+	Short   bool
+}
+
+// gone is how long all proxies are gone.
+const gone = 5 * time.Second
+
+func troubles(short bool) []trouble {
+	all := []trouble{
+		{name: "restart", about: "one proxy of four is restarted", proxies: 4, calm: 6 * time.Second, bad: 6 * time.Second, end: 4 * time.Second,
+			together: true, rate: 800, do: func(_ context.Context, f *fleet) { f.proxies[1].restart("gap") }},
+		{name: "only", about: "the only proxy is restarted", proxies: 1, calm: 5 * time.Second, bad: 5 * time.Second, end: 4 * time.Second, rate: 500,
+			do: func(_ context.Context, f *fleet) { f.proxies[0].restart("gap") }},
+		{name: "kill", about: "one proxy of four is killed outright and started again", proxies: 4, calm: 5 * time.Second, bad: 5 * time.Second,
+			end: 4 * time.Second, rate: 800, do: func(_ context.Context, f *fleet) { f.proxies[1].kill() }},
+		{name: "gone", about: "all four proxies are gone for 5 s and come back", proxies: 4, calm: 5 * time.Second, bad: 9 * time.Second,
+			end: 5 * time.Second, rate: 800, do: func(ctx context.Context, f *fleet) { f.away(ctx, gone) }},
+		{name: "outage", about: "half of the nodes are gone for 10 s, the others can't carry the load", proxies: 4, calm: 5 * time.Second, bad: 10 * time.Second,
+			end: 8 * time.Second, rate: 900, do: func(ctx context.Context, f *fleet) { f.halve(ctx, 10*time.Second) }},
+	}
+	if short {
+		all = all[:1]
+		all[0].rate = 300
+	}
+	return all
+}
+
+// away ends all proxies' processes outright, and starts them after a while.
+func (f *fleet) away(ctx context.Context, d time.Duration) {
+	var tasks sync.WaitGroup
+	for _, p := range f.proxies {
+		tasks.Go(func() {
+			p.change.Lock()
+			defer p.change.Unlock()
+			p.mu.Lock()
+			p.killed = time.Now()
+			old := p.process
+			p.mu.Unlock()
+			old.end(syscall.SIGKILL)
+			sleep(ctx, d)
+			if err := p.start(); err != nil {
+				f.crash("%v", err)
+			}
+		})
+	}
+	tasks.Wait()
+}
+
+// halve takes every other node away for a while; nobody tells the list.
+func (f *fleet) halve(ctx context.Context, d time.Duration) {
+	each := func(do func(*node.Node) error) {
+		for i, n := range f.nodes {
+			if i%2 == 1 {
+				if err := do(n); err != nil {
+					f.problem("node %d: %v", i, err)
+				}
+			}
+		}
+	}
+	each(func(n *node.Node) error { return n.SetFault(node.Fault{Kind: node.Refuse}) })
+	sleep(ctx, d)
+	each((*node.Node).Restart)
+}
+
+// clientsFleet is the fleet that tills of a load ask.
+func clientsFleet(t *trouble) *Scenario {
+	s, err := Load("up")
+	if err != nil {
+		panic(err) // it is built in, and a test loads it
+	}
+	s.Name, s.About, s.Seed = "clients-"+t.name, t.about, 11
+	s.Fleet.Proxies, s.Fleet.Nodes, s.Fleet.Zones = t.proxies, 8, []string{"a"}
+	s.Fleet.Slots, s.Fleet.Queue, s.Fleet.Work = 4, 32, span(25*time.Millisecond)
+	s.Fleet.OriginSlots, s.Fleet.OriginQueue, s.Fleet.OriginWork = 32, 256, span(40*time.Millisecond)
+	s.Fleet.Sockets, s.Fleet.MemoryMB, s.Fleet.PerNode, s.Fleet.Connections = 8192, 128, 8, 128
+	s.Phases = []Phase{{Name: "calm", For: span(t.calm)}, {Name: "trouble", For: span(t.bad)}, {Name: "after", For: span(t.end)}}
+	return s
+}
+
+// Clients plays all troubles, each by turns with both kinds of tills, or with both at once.
+func Clients(ctx context.Context, o ClientsOptions) (*ClientsReport, error) {
+	report := &ClientsReport{}
+	for _, t := range troubles(o.Short) {
+		if t.together {
+			p, err := o.play(ctx, &t, load.Library, load.Brief)
+			if err != nil {
+				return nil, err
+			}
+			report.Plays = append(report.Plays, *p)
+			continue
+		}
+		for _, kind := range []load.Kind{load.Library, load.Brief} {
+			p, err := o.play(ctx, &t, kind)
+			if err != nil {
+				return nil, err
+			}
+			report.Plays = append(report.Plays, *p)
+		}
+	}
+	return report, nil
+}
+
+func (o *ClientsOptions) play(ctx context.Context, t *trouble, kinds ...load.Kind) (*ClientsPlay, error) {
+	s := clientsFleet(t)
+	folder := filepath.Join(o.Folder, fmt.Sprint(t.name, "-", kinds[0]))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	o.Progress("%s: %s; %d tills each of %v", t.name, t.about, o.Clients, kinds)
+	f, err := startFleet(s, o.Program, folder, o.Progress)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	p := &ClientsPlay{Name: t.name, About: t.about, Results: make([]*load.Result, len(kinds)), Doubled: make(map[string]int)}
+	var addresses []string
+	for _, d := range f.proxies {
+		addresses = append(addresses, d.address)
+	}
+	var tasks sync.WaitGroup
+	errs := make([]error, len(kinds))
+	for i, kind := range kinds {
+		c := load.Config{Kind: kind, Addresses: addresses, Clients: o.Clients, Rate: t.rate, Handovers: 0.06, Keys: 3000, Skew: 1.2, Seed: 3,
+			Seen: f.wasSeen, Excused: f.killedLately,
+			Phases:  []load.Phase{{Name: "calm", For: t.calm}, {Name: "trouble", For: t.bad}, {Name: "after", For: t.end}},
+			Options: client.Options{Window: time.Duration(s.Fleet.Window), Cold: time.Second}}
+		tasks.Go(func() { p.Results[i], errs[i] = load.Run(ctx, c) })
+	}
+	tasks.Go(func() {
+		sleep(ctx, t.calm)
+		t.do(ctx, f)
+	})
+	tasks.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	f.stop()
+	settle(func() int { return f.origin.Stats().Writes })
+	p.Fetches = f.origin.Stats().Fetches
+	for _, e := range f.origin.Doubled() {
+		name := e.Record + " " + e.Key
+		for _, kind := range []load.Kind{load.Library, load.Brief} {
+			if strings.HasPrefix(e.Key, strings.ToUpper(string(kind[:1]))) {
+				name = string(kind)
+			}
+		}
+		p.Doubled[name]++
+		if name == string(load.Library) && len(p.Problems) < 20 {
+			p.Problems = append(p.Problems, fmt.Sprintf("handover %s of %s was carried out again %v after the first time", e.Key, e.Record, e.Last.Sub(e.First).Round(time.Millisecond)))
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.Crashes, p.Problems = f.crashes, append(p.Problems, f.problems...)
+	return p, nil
+}
+
+// killedLately tells whether a proxy was killed outright within the time that a request may be out at it.
+func (f *fleet) killedLately(address string) bool {
+	for _, d := range f.proxies {
+		if d.address == address {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return time.Since(d.killed) < patience
+		}
+	}
+	return false
+}
+
+// Bounds that the library's tills must keep in a rehearsal.
+const (
+	// BusiestTimes bounds the attempts to connect in the busiest 50 ms of a restart, in times of
+	// their mean over the trouble.
+	BusiestTimes = 3
+	mostTriesPer = 1.1
+)
+
+// broken lists what the library's tills did not keep.
+func (p *ClientsPlay) broken() (list []string) {
+	say := func(format string, a ...any) { list = append(list, p.Name+": "+fmt.Sprintf(format, a...)) }
+	if p.Crashes > 0 {
+		say("%d crashes", p.Crashes)
+	}
+	for _, r := range p.Results {
+		if r.Kind != load.Library {
+			continue
+		}
+		if n := p.Doubled[string(load.Library)]; n > 0 {
+			say("%d handovers were carried out twice", n)
+		}
+		for _, f := range r.Phases {
+			if f.Lost > 0 {
+				say("%s: %d requests lost", f.Phase, f.Lost)
+			}
+			if f.Offered > 0 && f.TriesPer() > mostTriesPer {
+				say("%s: %.3f tries for each request", f.Phase, f.TriesPer())
+			}
+		}
+		if bad := r.Phases[1]; p.Name == "restart" && float64(bad.Busiest) > BusiestTimes*bad.Mean {
+			say("%d attempts to connect in the busiest 50 ms, %.1f in the mean", bad.Busiest, bad.Mean)
+		}
+	}
+	return list
+}
+
+// OK tells whether the library's tills kept what they have to.
+func (r *ClientsReport) OK() bool {
+	for i := range r.Plays {
+		if len(r.Plays[i].broken()) > 0 {
+			return false
+		}
+	}
+	return len(r.Plays) > 0
+}
+
+// Print writes the report as tables, its verdict last.
+func (r *ClientsReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "trouble\ttills\tphase\toffered\tin time\tlate\trefused\tfailed\tunknown\ttries each\tgoodput\thandovers\tin time\tp50 ms\tp99 ms\tdials\tin vain\tbusiest 50 ms\tmean\ttimes\tlost\t")
+	for _, p := range r.Plays {
+		for _, x := range p.Results {
+			for _, f := range x.Phases {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.0f\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t\n", p.Name, x.Kind, f.Phase, f.Offered, f.InTime, f.Late,
+					f.Refused, f.Failed, f.Unknown, f.TriesPer(), f.Goodput(), f.Handovers, f.HandedIn, f.P50, f.P99, f.Dials, f.DialFails, f.Busiest, f.Mean,
+					float64(f.Busiest)/max(f.Mean, 1e-9), f.Lost)
+			}
+		}
+	}
+	w.Flush()
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	doubled := make(map[string]int)
+	for _, p := range r.Plays {
+		fmt.Fprintf(out, "%s: %s; doubled %v, %d fetches\n", p.Name, p.About, p.Doubled, p.Fetches)
+		for kind, n := range p.Doubled {
+			doubled[kind] += n
+		}
+		for _, x := range p.Results {
+			crossed, excused, overdue := 0, 0, 0
+			for _, f := range x.Phases {
+				crossed, excused, overdue = crossed+f.Crossed, excused+f.Excused, overdue+f.Overdue
+			}
+			fmt.Fprintf(out, "  %s: no breach: %d crossed a close, %d were out at a killed proxy, %d answered just after they were given up, %d not offered\n", x.Kind, crossed, excused,
+				overdue, x.NotOffered)
+			for _, s := range x.Samples {
+				fmt.Fprintln(out, "  "+s)
+			}
+		}
+		for _, s := range append(p.broken(), p.Problems...) {
+			fmt.Fprintln(out, "  "+strings.ReplaceAll(s, "\n", " | "))
+		}
+	}
+	fmt.Fprintf(out, "verdict: %s plays=%d doubled_library=%d doubled_brief=%d\n", word, len(r.Plays), doubled[string(load.Library)], doubled[string(load.Brief)])
+}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -210,17 +210,16 @@
 // its value then, and a drain counts as told when the last proxy was.
 func (f *fleet) arrived(name, id, value string, at time.Time) {
 	proxy := proxyOf(id)
-	if proxy < 0 {
-		id = value
-	}
 	told, draining := f.drainTold(proxy, name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.Sub(f.turned) > seenTime {
 		f.seen[0], f.seen[1], f.turned = f.seen[1], make(map[string]struct{}), at
 	}
-	if id != "" {
-		f.seen[1][id] = struct{}{}
+	for _, name := range []string{id, value} {
+		if name != "" && (proxy < 0 || name == id) {
+			f.seen[1][name] = struct{}{}
+		}
 	}
 	if draining {
 		f.lastBy = max(f.lastBy, at.Sub(told))
@@ -260,9 +259,10 @@
 
 // proxyOf returns the proxy that a request was sent to, which its id names.
 func proxyOf(id string) int {
-	number, _, _ := strings.Cut(strings.TrimPrefix(id, "p"), "-")
+	rest, ok := strings.CutPrefix(id, "p")
+	number, _, _ := strings.Cut(rest, "-")
 	n, err := strconv.Atoi(number)
-	if err != nil {
+	if !ok || err != nil {
 		return -1
 	}
 	return n
--- a/internal/standin/script/script.go
+++ b/internal/standin/script/script.go
@@ -86,7 +86,7 @@
 	asked    []Asked
 	accepted int
 	conns    map[net.Conn]int // by node
-	done  chan struct{}
+	done     chan struct{}
 }
 
 // Start returns so many nodes that listen on loopback. react is asked what to do
