--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -343,10 +343,12 @@
 			notOffered++
 		} else {
 			under.Add(1)
-			t.add(func(f *Figures) { f.Offered++ })
+			begun := time.Now()
+			t.mu.Lock()
+			t.figures[t.phase(begun)].Offered++
+			t.mu.Unlock()
 			tasks.Go(func() {
 				defer under.Add(-1)
-				begun := time.Now()
 				t.over(begun, o, x.call(o))
 			})
 		}
