Client: keep to idle connections, aim for retries, debt for handovers; rehearse clients

Cause: in the first rehearsals tills opened 1.3 connections for each request, waited a second to reconnect where a proxy had only closed what idled, asked 1.13 times over in an outage and were served late after advice; all proxies gone cost 16 attempts to connect a till. Change: connections that idle are used first; the end of one that idled is no sign of a proxy gone; a refused request is not sent again past its class's aim; keyed ones may take a retry that is yet to be paid for; back-off counts rounds over all proxies. Audit judges library tills in any rehearsal (--library).

--- a/client/catalogue/catalogue_test.go
+++ b/client/catalogue/catalogue_test.go
@@ -15,6 +15,14 @@
 	"mulleinpier/internal/testwait"
 )
 
+// make256 returns many keys, which are asked for together.
+func make256() (keys []string) {
+	for i := range 256 {
+		keys = append(keys, fmt.Sprint("k", i))
+	}
+	return keys
+}
+
 // A client follows the catalogue: a proxy in maintenance gets nothing new, one that joins is
 // asked, an empty list and an agent that goes quiet change nothing.
 func TestClientFollowsTheCatalogue(t *testing.T) {
@@ -67,7 +75,10 @@
 	}
 	c.Set(instance(1))
 	testwait.Until(t, "the second proxy", func() bool { return lists.Load() == 2 })
-	testwait.Until(t, "it is asked", func() bool { get(); return serving[1].Load() > 0 })
+	testwait.Until(t, "it is asked", func() bool { // who asks for one thing at a time keeps to the first
+		l.GetMulti(context.Background(), make256())
+		return serving[1].Load() > 0
+	})
 	drained := instance(0)
 	drained.Checks = []consul.Check{{CheckID: "_service_maintenance:p0", Status: "critical", Notes: "update"}}
 	c.Set(drained)
--- a/client/client.go
+++ b/client/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -362,14 +361,17 @@
 	})
 }
 
-// ended takes a connection off the client's books, once.
-func (c *Client) ended(k *conn, err error) {
+// briefly is how long a connection may have idled whose end tells of a proxy that has gone: after longer it
+// may be one that had too many idle ones.
+const briefly = 100 * time.Millisecond
+
+// ended takes a connection off the client's books, once. With due, answers were due on it.
+func (c *Client) ended(k *conn, due bool, err error) {
 	own := errors.Is(err, errIdle) || errors.Is(err, errDropped) || errors.Is(err, errLinger) || errors.Is(err, ErrClosed)
 	c.mu.Lock()
 	now := c.options.clock().Mono
 	c.endLocked(k)
-	// What ends after it has idled for long is no sign of a proxy that has gone.
-	c.balancer.Ended(k.proxy, now, !own && (k.open > 0 || now-k.idle < min(time.Second, c.options.Idle)))
+	c.balancer.Ended(k.proxy, now, !own && (due || now-k.idle < briefly))
 	list := c.conns[k.proxy]
 	for i := range list {
 		if list[i] == k {
@@ -446,7 +448,7 @@
 		switch choice.Kind {
 		case balance.Send:
 			if k := c.place(choice.Proxy, now.Mono); k != nil {
-				wait, _ := r.Send(now, c.budget.CanPay())
+				wait, _ := r.Send(now, c.budget.CanPay(r.Effect()))
 				k.open++
 				k.live++
 				c.open++
@@ -649,7 +651,11 @@
 	if d, ok := ctx.Deadline(); ok {
 		deadline = min(deadline, begun.Mono+time.Until(d))
 	}
-	course := retry.Begin(c.rules, class.Effect, deadline)
+	aim := time.Duration(0)
+	if class.Aim > 0 {
+		aim = begun.Mono + class.Aim
+	}
+	course := retry.Begin(c.rules, class.Effect, aim, deadline)
 	var avoid *balance.Proxy
 	for {
 		got := c.acquire(ctx, &course, deadline, avoid)
@@ -772,7 +778,6 @@
 // error words the end of a call that was not served.
 func (c *Client) error(op string, r *Request, w *request.Request, course *retry.Request, end retry.End, after time.Duration, cause error) error {
 	e := &Error{Op: op, Key: r.Key, Tries: course.Tries(), After: after, Idempotency: w.Idempotency, Cause: cause}
-	var timeout net.Error
 	switch end {
 	case retry.EndRefused:
 		e.Kind = ErrRefused
@@ -793,7 +798,7 @@
 			e.Kind, e.Cause = ErrClosed, nil
 		case errors.Is(cause, context.Canceled):
 			e.Kind, e.Cause = context.Canceled, nil
-		case errors.Is(cause, context.DeadlineExceeded) && (course.Tries() > 0 || !errors.As(cause, &timeout)):
+		case errors.Is(cause, context.DeadlineExceeded) && course.Tries() > 0:
 			e.Kind = ErrDeadline
 		default:
 			e.Kind = ErrUnavailable
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -147,7 +147,7 @@
 			r    Request
 			want error
 		}{{"read", Request{Key: "k"}, c.read}, {"keyed", Request{Key: "k", Set: true, Value: []byte("v")}, c.keyed},
-			{"unsafe", Request{Key: "k", Set: true, Value: []byte("v"), Class: Class{"plain", Unsafe, 700 * ms}}, c.plain}} {
+			{"unsafe", Request{Key: "k", Set: true, Value: []byte("v"), Class: Class{"plain", Unsafe, 700 * ms, 0}}, c.plain}} {
 			if c.reaction == script.Endless && call.r.Set {
 				continue // a receipt has no length; the stand-in's value to a write is an answer to another command
 			}
@@ -278,11 +278,14 @@
 
 // A call with time enough waits as long as it was advised.
 func TestAdviceIsKeptByTheCall(t *testing.T) {
-	c, ns := proxies(t, 1, Options{}, first(script.Advise))
+	c, ns := proxies(t, 1, Options{Read: Class{"read", Safe, 2 * time.Second, 0}, RetryRatio: 1}, first(script.Serve, script.Advise))
+	if _, err := c.Get(context.Background(), "k"); err != nil { // pays for the retry
+		t.Fatal(err)
+	}
 	if _, err := c.Get(context.Background(), "k"); err != nil {
 		t.Fatal(err)
 	}
-	if asked := ns.Asked(); len(asked) != 2 || asked[1].At.Sub(asked[0].At) < time.Second {
+	if asked := ns.Asked(); len(asked) != 3 || asked[2].At.Sub(asked[1].At) < time.Second {
 		t.Fatalf("%d tries", len(asked))
 	}
 }
@@ -290,7 +293,7 @@
 // A proxy that accepts and says nothing: reads go on at the other, and soon to it alone.
 func TestSilentProxy(t *testing.T) {
 	var c *Client
-	c, ns := proxies(t, 2, Options{Read: Class{"read", Safe, time.Second}, RetryRatio: 1}, func(_ int, a script.Asked) script.Reaction {
+	c, ns := proxies(t, 2, Options{Read: Class{"read", Safe, time.Second, 0}, RetryRatio: 1}, func(_ int, a script.Asked) script.Reaction {
 		if a.Node == 0 {
 			return script.Hang
 		}
@@ -315,7 +318,7 @@
 // All proxies are gone for a while: calls end by their deadline at the latest, and all is well
 // once they are back.
 func TestAllProxiesGoneAndBack(t *testing.T) {
-	c, ns := proxies(t, 2, Options{Read: Class{"read", Safe, 500 * ms}}, serve)
+	c, ns := proxies(t, 2, Options{Read: Class{"read", Safe, 500 * ms, 0}}, serve)
 	if _, err := c.Get(context.Background(), "k"); err != nil {
 		t.Fatal(err)
 	}
@@ -376,8 +379,8 @@
 			t.Fatalf("got %v, want %v", err, want)
 		}
 	}
-	write := Request{Key: "k", Set: true, Value: []byte("v"), Class: Class{"write", Keyed, time.Minute}}
-	patient := Options{Read: Class{"read", Safe, time.Minute}, Window: time.Minute, Tries: 2}
+	write := Request{Key: "k", Set: true, Value: []byte("v"), Class: Class{"write", Keyed, time.Minute, 0}}
+	patient := Options{Read: Class{"read", Safe, time.Minute, 0}, Window: time.Minute, Tries: 2}
 	t.Run("no list", func(t *testing.T) {
 		o := patient
 		o.Proxies = silentSource{}
@@ -518,7 +521,7 @@
 
 // Ten thousand goroutines on one client: bounded connections, each call its own answer.
 func TestTenThousandGoroutines(t *testing.T) {
-	c, ns := proxies(t, 3, Options{Read: Class{"read", Safe, time.Minute}}, serve)
+	c, ns := proxies(t, 3, Options{Read: Class{"read", Safe, time.Minute, 0}}, serve)
 	var tasks sync.WaitGroup
 	var failed atomic.Int64
 	for i := range 10000 {
@@ -539,7 +542,7 @@
 
 // More calls than may wait are refused at once.
 func TestWaitingIsBounded(t *testing.T) {
-	c := open(t, Options{Proxies: silentSource{}, Waiting: 10, Read: Class{"read", Safe, 300 * ms}})
+	c := open(t, Options{Proxies: silentSource{}, Waiting: 10, Read: Class{"read", Safe, 300 * ms, 0}})
 	var tasks sync.WaitGroup
 	var refused, deadline atomic.Int64
 	for range 30 {
@@ -598,8 +601,8 @@
 func TestInvalid(t *testing.T) {
 	c, ns := proxies(t, 1, Options{}, serve)
 	for _, r := range []Request{{}, {Key: "a b"}, {Key: "a\r\nms"}, {Key: strings.Repeat("k", 251)}, {Key: "k", Set: true, Value: make([]byte, meta.MaxValue+1)},
-		{Key: "k", Value: []byte{}}, {Key: "k", Class: Class{"a,b=c", Safe, time.Second}}, {Key: "k", Tenant: "a b"}, {Key: "k", Set: true, Idempotency: "a,b"},
-		{Key: "k", Set: true, Class: Plain, Idempotency: "k"}, {Key: "k", Class: Class{"read", 7, time.Second}}} {
+		{Key: "k", Value: []byte{}}, {Key: "k", Class: Class{"a,b=c", Safe, time.Second, 0}}, {Key: "k", Tenant: "a b"}, {Key: "k", Set: true, Idempotency: "a,b"},
+		{Key: "k", Set: true, Class: Plain, Idempotency: "k"}, {Key: "k", Class: Class{"read", 7, time.Second, 0}}} {
 		if _, err := c.Do(context.Background(), r); !errors.Is(err, ErrInvalid) {
 			t.Fatalf("%.40v: %v", r, err)
 		}
--- a/client/conn.go
+++ b/client/conn.go
@@ -409,7 +409,7 @@
 	rouse(c.toWrite)
 	rouse(c.toRead)
 	now := c.client.options.clock().Mono
-	c.client.ended(c, err)
+	c.client.ended(c, len(due) > 0 && due[0].end <= handed, err)
 	for i, t := range due {
 		a := reply{outcome: retry.Broken, cause: err}
 		switch {
--- a/client/internal/balance/balance.go
+++ b/client/internal/balance/balance.go
@@ -7,7 +7,8 @@
 //  1. A client uses few proxies, those that come first in an order of its own: many clients
 //     together use all alike, and a change of the list moves few of them.
 //  2. Of two of them drawn by chance the one with fewer open requests is taken, each counted
-//     more dearly the more it failed lately.
+//     more dearly the more it failed lately; one without a connection counts one more. Where connections idle
+//     at some that did not fail lately, only these are drawn from.
 //  3. Connections are opened at a time drawn evenly from a span: from the start, from the loss
 //     of a proxy's last connection, or from an attempt in vain, the span doubled by each. So
 //     clients that were cut off together don't come back together.
@@ -51,7 +52,6 @@
 	closing int // that don't any more, and still count
 	dialing int
 	dialAt  time.Duration
-	inVain  int
 	fails   float64
 	failAt  time.Duration
 	refused int // running
@@ -82,6 +82,7 @@
 	rules   Rules
 	rng     *rand.Rand
 	seed    uint64   // of the client's own order
+	inVain  int      // attempts to connect since one came up
 	proxies []*Proxy // by rank
 	ready   []*Proxy // scratch
 }
@@ -203,6 +204,11 @@
 	if len(b.ready) > 1 && avoid != nil {
 		b.ready = slices.DeleteFunc(b.ready, func(p *Proxy) bool { return p == avoid })
 	}
+	// Who has little to ask keeps to the connections that it has.
+	idle := func(p *Proxy) bool { return p.open < p.conns && p.failed(now) < 0.5 }
+	if slices.ContainsFunc(b.ready, idle) {
+		b.ready = slices.DeleteFunc(b.ready, func(p *Proxy) bool { return !idle(p) })
+	}
 	switch n := len(b.ready); {
 	case n > 0:
 		p := b.ready[b.rng.IntN(n)]
@@ -227,8 +233,14 @@
 	return Choice{Kind: Wait, At: next}
 }
 
+// price is what a request costs at a proxy. A connection that has yet to be opened costs both sides
+// about as much as waiting behind one request.
 func (b *Balancer) price(p *Proxy, now time.Duration) float64 {
-	return float64(p.open+1) * (1 + failPrice*p.failed(now))
+	ahead := float64(p.open + 1)
+	if p.conns == 0 {
+		ahead++
+	}
+	return ahead * (1 + failPrice*p.failed(now))
 }
 
 func (p *Proxy) failed(now time.Duration) float64 {
@@ -262,12 +274,24 @@
 	p.dialing--
 	if ok {
 		p.conns++
-		p.inVain = 0
+		b.inVain = 0
 		return
 	}
-	span := min(b.rules.Spread<<min(p.inVain, 16), b.rules.Most)
-	p.inVain++
+	n := 0 // proxies in use; a round is an attempt at each
+	for _, q := range b.proxies {
+		if !q.gone && n < b.rules.Subset {
+			n++
+		}
+	}
+	span := min(b.rules.Spread<<min(b.inVain/max(n, 1), 16), b.rules.Most)
+	b.inVain++
 	p.dialAt = now + b.within(span)
+	// Where a whole round was in vain they are all gone together, as likely as not: the others wait as long.
+	if b.inVain >= n && !slices.ContainsFunc(b.proxies, func(q *Proxy) bool { return q.conns > 0 }) {
+		for _, q := range b.proxies {
+			q.dialAt = max(q.dialAt, p.dialAt)
+		}
+	}
 }
 
 // Ending is told that a connection takes no more requests.
--- a/client/internal/balance/balance_test.go
+++ b/client/internal/balance/balance_test.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// A client with little to ask keeps to the connection that it has.
+func TestOneConnectionServesLittleLoad(t *testing.T) {
+	b := newBalancer(usual, 1, 3)
+	for range 100 {
+		c := b.Choose(0, nil)
+		for c.Kind == Dial {
+			b.Dialing(c.Proxy)
+			b.Dialed(c.Proxy, 0, true)
+			c = b.Choose(0, nil)
+		}
+		b.Sent(c.Proxy)
+		b.Done(c.Proxy, 0, false, false, 0)
+	}
+	conns := 0
+	for _, p := range b.proxies {
+		conns += p.conns
+	}
+	if conns != 1 {
+		t.Fatalf("%d connections", conns)
+	}
+}
+
 // busiest returns the most of some times that lie within a span, and the mean.
 func busiest(times []time.Duration, span, whole time.Duration) (most int, mean float64) {
 	slices.Sort(times)
@@ -184,6 +206,29 @@
 	}
 }
 
+// One proxy that is down at the start holds nobody up: the others are asked at once. Once all were asked
+// in vain, they wait together.
+func TestOneThatIsDownHoldsNobodyUp(t *testing.T) {
+	b := newBalancer(usual, 1, 3)
+	for i := range 3 {
+		c := b.Choose(0, nil)
+		if c.Kind != Dial {
+			t.Fatalf("attempt %d: %+v", i, c)
+		}
+		b.Dialing(c.Proxy)
+		b.Dialed(c.Proxy, 0, false)
+	}
+	c := b.Choose(0, nil)
+	if c.Kind != Wait || c.At <= 0 || c.At > time.Second {
+		t.Fatalf("after a round in vain: %+v", c)
+	}
+	for _, p := range b.proxies {
+		if p.dialAt < c.At {
+			t.Fatalf("%s may be asked at %v, before %v", p.Address, p.dialAt, c.At)
+		}
+	}
+}
+
 // Those that step in for a proxy that went away are not asked at once by all who lost it.
 func TestStandInsAreSpreadToo(t *testing.T) {
 	var times []time.Duration
--- a/client/internal/retry/budget.go
+++ b/client/internal/retry/budget.go
@@ -7,14 +7,16 @@
 )
 
 // Budget bounds the retries of a process by its successes, so that its tries per request stay
-// at most 1+Ratio in the long run, however badly the service does. Not safe for concurrent use.
+// at most 1+Ratio in the long run, however badly the service does. A keyed request may take a retry that is yet to be
+// paid for, up to a whole burst in debt: until that is paid, safe ones have none. Not safe for concurrent use.
 type Budget struct {
 	Ratio float64 // retries that a success pays for
 	Burst float64 // retries saved up at the most
 	saved float64
 }
 
-// NewBudget returns a budget that has one retry saved up, or its burst if that is less.
+// NewBudget returns a budget that has one retry saved up, or its burst if that is less: a program that asks
+// once would else never ask again.
 func NewBudget(ratio, burst float64) *Budget {
 	return &Budget{Ratio: ratio, Burst: burst, saved: min(burst, 1)}
 }
@@ -22,11 +24,16 @@
 // Succeeded is told of a request that was served.
 func (b *Budget) Succeeded() { b.saved = min(b.saved+b.Ratio, b.Burst) }
 
-// CanPay tells whether a retry could be paid for.
-func (b *Budget) CanPay() bool { return b.saved >= 1 }
+// CanPay tells whether a retry of a request of some effect could be had.
+func (b *Budget) CanPay(e Effect) bool {
+	if e == Keyed {
+		return b.saved >= 1-b.Burst
+	}
+	return b.saved >= 1
+}
 
-func (b *Budget) take() bool {
-	if !b.CanPay() {
+func (b *Budget) take(e Effect) bool {
+	if !b.CanPay(e) {
 		return false
 	}
 	b.saved--
--- a/client/internal/retry/model_test.go
+++ b/client/internal/retry/model_test.go
@@ -162,7 +162,7 @@
 			}
 			key++
 			mine := key
-			r := Begin(rules, Keyed, w.now+2500*ms)
+			r := Begin(rules, Keyed, 0, w.now+2500*ms)
 			finish := func(end End) {
 				until := w.now
 				if end == EndUnknown {
@@ -177,7 +177,7 @@
 			}
 			var send func()
 			send = func() {
-				wait, ok := r.Send(at(w.now), budget.CanPay())
+				wait, ok := r.Send(at(w.now), budget.CanPay(Keyed))
 				if !ok {
 					finish(r.Hopeless(at(w.now), Unsent, 0).End)
 					return
--- a/client/internal/retry/retry.go
+++ b/client/internal/retry/retry.go
@@ -103,6 +103,7 @@
 	rules    *Rules
 	effect   Effect
 	deadline time.Duration // on the clock that never steps
+	aim      time.Duration // on it, or 0: later answers are worth little
 
 	tries    int // that were sent
 	repairs  int // that were not, or were free
@@ -117,11 +118,15 @@
 // mostRepairs bounds what is not paid for: connections that did not come up, or ended.
 const mostRepairs = 16
 
-// Begin returns a request that ends by a time on the clock that never steps.
-func Begin(r *Rules, e Effect, deadline time.Duration) Request {
-	return Request{rules: r, effect: e, deadline: deadline}
+// Begin returns a request that ends by a time on the clock that never steps. Once refused it is not sent
+// again after aim, if that is not 0: a service without room would answer it late in place of another in time.
+func Begin(r *Rules, e Effect, aim, deadline time.Duration) Request {
+	return Request{rules: r, effect: e, aim: aim, deadline: deadline}
 }
 
+// Effect is what was given to [Begin].
+func (r *Request) Effect() Effect { return r.effect }
+
 // Tries counts those that were sent.
 func (r *Request) Tries() int { return r.tries }
 
@@ -223,12 +228,12 @@
 	}
 	pause := r.pause(o, advice, rng)
 	at := Stamp{now.Mono + pause, now.Wall + pause}
-	if r.left(at) < r.rules.Least {
+	if r.left(at) < r.rules.Least || o == Refused && r.aim > 0 && at.Mono+r.rules.Least > r.aim {
 		return stop
 	}
 	if free {
 		r.repairs++
-	} else if !b.take() {
+	} else if !b.take(r.effect) {
 		return stop
 	}
 	return Verdict{Pause: pause}
--- a/client/internal/retry/retry_test.go
+++ b/client/internal/retry/retry_test.go
@@ -28,7 +28,7 @@
 						if took > deadline || advice > 0 && o != Refused {
 							continue
 						}
-						r := Begin(&Usual, effect, deadline)
+						r := Begin(&Usual, effect, 0, deadline)
 						if _, ok := r.Send(at(0), true); !ok {
 							t.Fatalf("no first try with %v left", deadline)
 						}
@@ -78,7 +78,7 @@
 
 // Invariant 3, over two tries: a refusal of the second takes nothing back of the first.
 func TestRefusedAfterItMayHaveRunIsUnknown(t *testing.T) {
-	r := Begin(&Usual, Keyed, 2500*ms)
+	r := Begin(&Usual, Keyed, 0, 2500*ms)
 	r.Send(at(0), true)
 	if v := r.Ended(at(10*ms), Broken, 0, rich(), rng()); v.End != Open {
 		t.Fatalf("%+v", v)
@@ -95,12 +95,32 @@
 // The first try of a keyed request ends within the window too: else its own late beginning
 // at a node would be the second effect.
 func TestFirstKeyedTryEndsWithinTheWindow(t *testing.T) {
-	r := Begin(&Usual, Keyed, 10*time.Second)
+	r := Begin(&Usual, Keyed, 0, 10*time.Second)
 	if wait, _ := r.Send(at(0), false); wait != 1400*ms {
 		t.Fatalf("waits %v", wait)
 	}
 }
 
+// A refused request is not sent again where that would be after its aim; a failed one is.
+func TestRefusedIsNotSentAgainAfterItsAim(t *testing.T) {
+	for _, c := range []struct {
+		o      Outcome
+		advice time.Duration
+		end    End
+	}{{Refused, 100 * ms, Open}, {Refused, 400 * ms, EndRefused}, {Failed, 0, Open}} {
+		r := Begin(&Usual, Safe, 500*ms, 2000*ms)
+		r.Send(at(0), true)
+		if v := r.Ended(at(200*ms), c.o, c.advice, rich(), rng()); v.End != c.end {
+			t.Fatalf("%+v: %+v", c, v)
+		}
+	}
+	r := Begin(&Usual, Safe, 500*ms, 2000*ms)
+	r.Send(at(0), true)
+	if v := r.Ended(at(600*ms), Failed, 0, rich(), rng()); v.End != Open {
+		t.Fatalf("failed after its aim: %+v", v)
+	}
+}
+
 // A machine that slept, or a clock that was set forward, ends the window; one that was set
 // back does not lengthen it.
 func TestClockSteps(t *testing.T) {
@@ -109,7 +129,7 @@
 		open bool
 	}{{Stamp{200 * ms, 200 * ms}, true}, {Stamp{200 * ms, time.Hour}, false}, {Stamp{200 * ms, -time.Hour}, true},
 		{Stamp{1390 * ms, -time.Hour}, false}} {
-		r := Begin(&Usual, Keyed, 2500*ms)
+		r := Begin(&Usual, Keyed, 0, 2500*ms)
 		r.Send(at(0), true)
 		v := r.Ended(c.now, Broken, 0, rich(), rng())
 		if (v.End == Open) != c.open || !c.open && v.End != EndUnknown {
@@ -123,10 +143,10 @@
 	b, rng := NewBudget(0.1, 3), rng()
 	requests, tries := 0, 0
 	for range 20000 {
-		r := Begin(&Usual, Safe, 2*time.Second)
+		r := Begin(&Usual, Safe, 0, 2*time.Second)
 		requests++
 		for now := time.Duration(0); ; {
-			if _, ok := r.Send(at(now), b.CanPay()); !ok {
+			if _, ok := r.Send(at(now), b.CanPay(Safe)); !ok {
 				break
 			}
 			tries++
@@ -147,10 +167,30 @@
 	}
 }
 
+// A keyed request may run into debt, which safe ones then wait for, and no further than a burst.
+func TestKeyedMayRunIntoDebt(t *testing.T) {
+	b := NewBudget(0.5, 2)
+	for i := range 4 {
+		if got, want := b.take(Keyed), i < 3; got != want {
+			t.Fatalf("retry %d: %v", i, got)
+		}
+	}
+	for range 5 {
+		b.Succeeded()
+	}
+	if b.CanPay(Safe) || !b.CanPay(Keyed) {
+		t.Fatalf("%+v", b)
+	}
+	b.Succeeded()
+	if !b.take(Safe) {
+		t.Fatalf("%+v", b)
+	}
+}
+
 // One broken connection a request costs no budget, and a second does.
 func TestOneBrokenConnectionIsFree(t *testing.T) {
 	b := &Budget{}
-	r := Begin(&Usual, Safe, 2*time.Second)
+	r := Begin(&Usual, Safe, 0, 2*time.Second)
 	r.Send(at(0), false)
 	if v := r.Ended(at(0), Broken, 0, b, rng()); v.End != Open {
 		t.Fatalf("%+v", v)
@@ -163,7 +203,7 @@
 
 // What never leaves is not tried for ever.
 func TestUnsentEnds(t *testing.T) {
-	r, n := Begin(&Usual, Safe, time.Hour), 0
+	r, n := Begin(&Usual, Safe, 0, time.Hour), 0
 	for ; n < 1000; n++ {
 		r.Send(at(0), true)
 		if r.Ended(at(0), Unsent, 0, rich(), rng()).End != Open {
--- a/client/options.go
+++ b/client/options.go
@@ -26,11 +26,14 @@
 	Name   string
 	Effect Effect
 	Wait   time.Duration // how long a call lasts at the most
+	// Aim, if not 0, is when an answer is worth little: a call that was refused is not sent again after it,
+	// as its answer would take the place of one in time.
+	Aim time.Duration
 }
 
 // The classes of a proxy's configuration that names none.
 var (
-	Read  = Class{Name: "read", Effect: Safe, Wait: 2 * time.Second}
+	Read  = Class{Name: "read", Effect: Safe, Wait: 2 * time.Second, Aim: 500 * time.Millisecond}
 	Write = Class{Name: "write", Effect: Keyed, Wait: 2500 * time.Millisecond}
 	Plain = Class{Name: "plain", Effect: Unsafe, Wait: 2500 * time.Millisecond}
 )
@@ -60,7 +63,7 @@
 	// Waiting is how many calls may wait for a connection, 16384; more are refused.
 	Waiting int
 	// Spread is the span over which clients reconnect that lost a proxy together, 1 s; after attempts
-	// in vain it doubles up to 4 s. Cold is the span of the first connections, 0: for fleets that start together.
+	// in vain twice as long. Cold is the span of the first connections, 0: for fleets that start together.
 	Spread, Cold time.Duration
 	// Idle is after how long a connection without a request is closed, 1.5 s; a proxy closes
 	// its own after 2 s, so a longer time has requests cross the close.
@@ -159,6 +162,8 @@
 		return fmt.Errorf("class name cannot be %q", c.Name)
 	case c.Effect > Unsafe:
 		return fmt.Errorf("class %s: there is no effect %d", c.Name, c.Effect)
+	case c.Aim < 0 || c.Aim > c.Wait:
+		return fmt.Errorf("class %s: aim cannot be %v: want 0 to its wait", c.Name, c.Aim)
 	case c.Wait < retry.Usual.Least || c.Wait > mostWait:
 		return fmt.Errorf("class %s: wait cannot be %v: want %v to %v", c.Name, c.Wait, retry.Usual.Least, mostWait)
 	}
@@ -183,5 +188,5 @@
 }
 
 func (o *Options) balanceRules() balance.Rules {
-	return balance.Rules{Subset: o.Subset, Conns: o.Conns, Depth: o.Depth, Cold: o.Cold, Spread: o.Spread, Most: max(4*time.Second, o.Spread)}
+	return balance.Rules{Subset: o.Subset, Conns: o.Conns, Depth: o.Depth, Cold: o.Cold, Spread: o.Spread, Most: 2 * o.Spread}
 }
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -36,7 +36,8 @@
   rehearse consul               a fleet whose list comes from Consul agents, which fail in every way
   rehearse degrade [--short]    overloads without and with levels of reduced service, same seeds (one, 25 s)
   rehearse clients [--short]    tills that use the client library beside such as the operators describe, in five
-                                troubles (one, 18 s); --tills N of each kind, 1,000 if left out
+                                troubles (two, 30 s); --tills N of each kind, 1,000 if left out;
+                                --trouble restart|only|kill|gone|outage for one
   rehearse members              what following 2,000 nodes with 50 changes a second costs
   rehearse conform              the conformance suite: both dialects of clients by both of nodes
   rehearse sight --fault none|lose|double|drain [--every N]
@@ -48,6 +49,7 @@
   --quiet          tell no progress
   --consul         proxies follow stand-in Consul agents, one a zone
   --binary         one client and one node in four speak the binary protocol
+  --library        one client in four uses the client library
 Exit: 0 the rules held, 1 one broke or the rehearsal failed, 2 bad usage.
 `
 
@@ -74,9 +76,9 @@
 
 // settings are the flags of all commands.
 type settings struct {
-	program, json, keep, scenario, fault string
-	short, quiet, binary, consul         bool
-	runs, requests, every, tills         int
+	program, json, keep, scenario, fault, trouble string
+	short, quiet, binary, consul, library         bool
+	runs, requests, every, tills                  int
 }
 
 // printer is a report of any command.
@@ -107,9 +109,11 @@
 	flags.StringVar(&s.keep, "keep", "", "")
 	flags.StringVar(&s.scenario, "scenario", "up", "")
 	flags.StringVar(&s.fault, "fault", "", "")
+	flags.StringVar(&s.trouble, "trouble", "", "")
 	flags.BoolVar(&s.short, "short", false, "")
 	flags.BoolVar(&s.consul, "consul", false, "")
 	flags.BoolVar(&s.binary, "binary", false, "")
+	flags.BoolVar(&s.library, "library", false, "")
 	flags.BoolVar(&s.quiet, "quiet", false, "")
 	flags.IntVar(&s.runs, "runs", 5, "")
 	flags.IntVar(&s.requests, "requests", 20000, "")
@@ -201,7 +205,7 @@
 		}
 		return s.judge(report, out)
 	case "clients":
-		report, err := rehearse.Clients(ctx, rehearse.ClientsOptions{Options: o, Clients: s.tills, Short: s.short})
+		report, err := rehearse.Clients(ctx, rehearse.ClientsOptions{Options: o, Clients: s.tills, Only: s.trouble, Short: s.short})
 		if err != nil {
 			return err
 		}
@@ -294,6 +298,9 @@
 	if s.consul {
 		scenario.Fleet.Consul = true
 	}
+	if s.library {
+		scenario.WithLibrary()
+	}
 }
 
 func (s *settings) play(ctx context.Context, name string, o rehearse.Options, out io.Writer) error {
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -279,6 +279,39 @@
 	}
 }
 
+// TestTillsOfTheLibrary has a proxy of four restarted, then the only one, under tills of both kinds: those
+// of the library lose nothing, write nothing twice and ask little more often than they have to. How
+// evenly they come back is the balance module's test.
+func TestTillsOfTheLibrary(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "report.json")
+	out, _ := exec.Command(filepath.Join(bin, "rehearse"), "clients", "--short", "--quiet", "--tills", "300", "--json", path).CombinedOutput()
+	var report rehearse.ClientsReport
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(text, &report)
+	}
+	if err != nil || len(report.Plays) != 3 {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, p := range report.Plays {
+		if p.Crashes > 0 || p.Doubled["library"] > 0 {
+			t.Errorf("%s: %d crashes, doubled %v: %q", p.Name, p.Crashes, p.Doubled, p.Problems)
+		}
+		for _, r := range p.Results {
+			served := 0
+			for _, f := range r.Phases {
+				served += f.InTime + f.Late
+				if r.Kind == "library" && (f.Lost > 0 || f.TriesPer() > 1.2) {
+					t.Errorf("%s: %+v: %q", p.Name, f, r.Samples)
+				}
+			}
+			if served == 0 {
+				t.Errorf("%s: nothing was served to %s", p.Name, r.Kind)
+			}
+		}
+	}
+}
+
 // TestMeasurementsMeasure guards cost and times, on runs too short to quote.
 func TestMeasurementsMeasure(t *testing.T) {
 	out, code, _ := rehearsal(t, "cost", "--runs", "1", "--requests", "2000")
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -184,7 +184,7 @@
 	figures []Figures
 	times   []*hdrhistogram.Histogram // by phase, of microseconds
 	dials   []time.Duration           // since began
-	silent  map[string]string         // tries that were given up, by id: their proxy
+	audit   *Audit
 	samples []string
 }
 
@@ -205,6 +205,22 @@
 	change(&t.figures[t.phase(time.Now())])
 }
 
+// audit judges by what the rehearsal knows, if it does.
+func (c *Config) audit(t *tally) *Audit {
+	u := &Audit{Seen: c.Seen, Excused: c.Excused, OnTry: t.tried, OnLost: t.lose,
+		OnCrossed: func() { t.add(func(f *Figures) { f.Crossed++ }) },
+		OnExcused: func() { t.add(func(f *Figures) { f.Excused++ }) },
+		OnOverdue: func(time.Duration) { t.add(func(f *Figures) { f.Overdue++ }) }}
+	if u.Seen == nil {
+		u.OnLost = func(string, ...any) {}
+		u.Seen = func(string) bool { return false }
+	}
+	if u.Excused == nil {
+		u.Excused = func(string) bool { return false }
+	}
+	return u
+}
+
 func (t *tally) tried() { t.add(func(f *Figures) { f.Tries++ }) }
 
 func (t *tally) dialled() {
@@ -301,7 +317,8 @@
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	t := &tally{config: &c, began: time.Now(), figures: make([]Figures, len(c.Phases)), silent: make(map[string]string)}
+	t := &tally{config: &c, began: time.Now(), figures: make([]Figures, len(c.Phases))}
+	t.audit = c.audit(t)
 	total := time.Duration(0)
 	for _, p := range c.Phases {
 		t.times = append(t.times, hdrhistogram.New(1, time.Minute.Microseconds(), 3))
@@ -361,7 +378,9 @@
 		}
 	}
 	tasks.Wait()
-	t.settle()
+	if c.Kind == Library && c.Seen != nil {
+		t.audit.Settle()
+	}
 	for _, x := range tills {
 		x.close()
 	}
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"mulleinpier/client"
+	"mulleinpier/internal/load"
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/standin/caller"
@@ -49,6 +51,10 @@
 	open   atomic.Int64
 	tasks  sync.WaitGroup
 
+	// Of those that use the client library, one for each tenant.
+	library []*client.Client
+	audit   *load.Audit
+
 	mu    sync.Mutex
 	rng   *rand.Rand
 	zipf  *rand.Zipf
@@ -95,6 +101,7 @@
 	value                    string // of a write: no other has it
 	over                     bool   // its tenant's share
 	binary                   bool
+	library                  bool   // it goes through the client library
 	ticket                   uint64 // of a binary write; 0 for none yet
 }
 
@@ -106,6 +113,7 @@
 	e := &errand{plan: plan{kind: c.kinds[0], retries: c.load.Retries, pause: time.Duration(20+r.IntN(140)) * time.Millisecond,
 		honour: r.Float64() < c.load.Honour}, share: 0.3 + r.Float64()*0.25, marked: r.Float64() < c.load.Marked}
 	e.binary = c.load.Binary > 0 && r.Float64() < c.load.Binary
+	e.library = c.load.Library > 0 && !e.binary && r.Float64() < c.load.Library
 	switch {
 	case r.Float64() < c.load.Handovers:
 		e.kind = c.kinds[1]
@@ -142,6 +150,7 @@
 
 // run sends requests until ctx ends, and returns when all of them are over.
 func (c *clients) run(ctx context.Context) {
+	defer c.closeLibrary()
 	for i := range c.load.Pipelines {
 		if c.load.Binary > 0 && i%2 == 1 {
 			c.tasks.Go(func() { c.quietPipeline(ctx, i) })
@@ -186,6 +195,11 @@
 func (c *clients) carry(e *errand) {
 	begun := time.Now()
 	note := c.tally.begin(begun, e.kind.write, e.over)
+	if e.library {
+		as := c.askLibrary(e, note)
+		c.tally.end(note, time.Since(begun), as, e.kind.aim)
+		return
+	}
 	wait := e.kind.deadline
 	for first := true; ; first = false {
 		e.lastOut = time.Since(begun)
--- a/internal/rehearse/clients.go
+++ b/internal/rehearse/clients.go
@@ -40,13 +40,22 @@
 	calm, bad, end time.Duration
 	together       bool // both kinds at once, on the same fleet
 	rate           float64
+	slots          int // of a node; each carries 40 requests a second in one
 	do             func(ctx context.Context, f *fleet)
 }
 
+// startTime is how long all tills have to begin.
+const startTime = 2 * time.Second
+
+func (t *trouble) phases() []load.Phase {
+	return []load.Phase{{Name: "start", For: startTime}, {Name: "calm", For: t.calm}, {Name: "trouble", For: t.bad}, {Name: "after", For: t.end}}
+}
+
 // ClientsOptions say what to play.
 type ClientsOptions struct {
 	Options
-	Clients int // tills of each kind
+	Clients int    // tills of each kind
+	Only    string // one trouble, "" for all
 	Short   bool
 }
 
@@ -55,20 +64,22 @@
 
 func troubles(short bool) []trouble {
 	all := []trouble{
-		{name: "restart", about: "one proxy of four is restarted", proxies: 4, calm: 6 * time.Second, bad: 6 * time.Second, end: 4 * time.Second,
-			together: true, rate: 800, do: func(_ context.Context, f *fleet) { f.proxies[1].restart("gap") }},
-		{name: "only", about: "the only proxy is restarted", proxies: 1, calm: 5 * time.Second, bad: 5 * time.Second, end: 4 * time.Second, rate: 500,
+		{name: "restart", about: "one proxy of four is restarted", proxies: 4, calm: 4 * time.Second, bad: 6 * time.Second, end: 4 * time.Second,
+			together: true, rate: 900, slots: 10, do: func(_ context.Context, f *fleet) { f.proxies[1].restart("gap") }},
+		{name: "only", about: "the only proxy is restarted", proxies: 1, calm: 5 * time.Second, bad: 5 * time.Second, end: 4 * time.Second, rate: 900, slots: 6,
 			do: func(_ context.Context, f *fleet) { f.proxies[0].restart("gap") }},
 		{name: "kill", about: "one proxy of four is killed outright and started again", proxies: 4, calm: 5 * time.Second, bad: 5 * time.Second,
-			end: 4 * time.Second, rate: 800, do: func(_ context.Context, f *fleet) { f.proxies[1].kill() }},
+			end: 4 * time.Second, rate: 900, slots: 6, do: func(_ context.Context, f *fleet) { f.proxies[1].kill() }},
 		{name: "gone", about: "all four proxies are gone for 5 s and come back", proxies: 4, calm: 5 * time.Second, bad: 9 * time.Second,
-			end: 5 * time.Second, rate: 800, do: func(ctx context.Context, f *fleet) { f.away(ctx, gone) }},
+			end: 5 * time.Second, rate: 900, slots: 6, do: func(ctx context.Context, f *fleet) { f.away(ctx, gone) }},
 		{name: "outage", about: "half of the nodes are gone for 10 s, the others can't carry the load", proxies: 4, calm: 5 * time.Second, bad: 10 * time.Second,
-			end: 8 * time.Second, rate: 900, do: func(ctx context.Context, f *fleet) { f.halve(ctx, 10*time.Second) }},
+			end: 8 * time.Second, rate: 900, slots: 4, do: func(ctx context.Context, f *fleet) { f.halve(ctx, 10*time.Second) }},
 	}
 	if short {
-		all = all[:1]
-		all[0].rate = 300
+		all = all[:2]
+		for i := range all {
+			all[i].rate, all[i].calm, all[i].bad, all[i].end = 300, 2*time.Second, 4*time.Second, 2*time.Second
+		}
 	}
 	return all
 }
@@ -118,10 +129,12 @@
 	}
 	s.Name, s.About, s.Seed = "clients-"+t.name, t.about, 11
 	s.Fleet.Proxies, s.Fleet.Nodes, s.Fleet.Zones = t.proxies, 8, []string{"a"}
-	s.Fleet.Slots, s.Fleet.Queue, s.Fleet.Work = 4, 32, span(25*time.Millisecond)
+	s.Fleet.Slots, s.Fleet.Queue, s.Fleet.Work = t.slots, 32, span(25*time.Millisecond)
 	s.Fleet.OriginSlots, s.Fleet.OriginQueue, s.Fleet.OriginWork = 32, 256, span(40*time.Millisecond)
 	s.Fleet.Sockets, s.Fleet.MemoryMB, s.Fleet.PerNode, s.Fleet.Connections = 8192, 128, 8, 128
-	s.Phases = []Phase{{Name: "calm", For: span(t.calm)}, {Name: "trouble", For: span(t.bad)}, {Name: "after", For: span(t.end)}}
+	for _, p := range t.phases() {
+		s.Phases = append(s.Phases, Phase{Name: p.Name, For: span(p.For)})
+	}
 	return s
 }
 
@@ -129,6 +142,9 @@
 func Clients(ctx context.Context, o ClientsOptions) (*ClientsReport, error) {
 	report := &ClientsReport{}
 	for _, t := range troubles(o.Short) {
+		if o.Only != "" && o.Only != t.name {
+			continue
+		}
 		if t.together {
 			p, err := o.play(ctx, &t, load.Library, load.Brief)
 			if err != nil {
@@ -170,12 +186,12 @@
 	for i, kind := range kinds {
 		c := load.Config{Kind: kind, Addresses: addresses, Clients: o.Clients, Rate: t.rate, Handovers: 0.06, Keys: 3000, Skew: 1.2, Seed: 3,
 			Seen: f.wasSeen, Excused: f.killedLately,
-			Phases:  []load.Phase{{Name: "calm", For: t.calm}, {Name: "trouble", For: t.bad}, {Name: "after", For: t.end}},
+			Phases:  t.phases(),
 			Options: client.Options{Window: time.Duration(s.Fleet.Window), Cold: time.Second}}
 		tasks.Go(func() { p.Results[i], errs[i] = load.Run(ctx, c) })
 	}
 	tasks.Go(func() {
-		sleep(ctx, t.calm)
+		sleep(ctx, startTime+t.calm)
 		t.do(ctx, f)
 	})
 	tasks.Wait()
@@ -246,7 +262,7 @@
 				say("%s: %.3f tries for each request", f.Phase, f.TriesPer())
 			}
 		}
-		if bad := r.Phases[1]; p.Name == "restart" && float64(bad.Busiest) > BusiestTimes*bad.Mean {
+		if bad := r.Phases[2]; p.Name == "restart" && float64(bad.Busiest) > BusiestTimes*bad.Mean {
 			say("%d attempts to connect in the busiest 50 ms, %.1f in the mean", bad.Busiest, bad.Mean)
 		}
 	}
--- /dev/null
+++ b/internal/rehearse/library.go
@@ -0,0 +1,77 @@
+package rehearse
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mulleinpier/client"
+	"mulleinpier/internal/load"
+)
+
+// openLibrary makes the library's clients, one for each tenant, if any request goes through them. Their
+// tries are judged by the same tally as those of the rehearsal's own clients.
+func (c *clients) openLibrary() error {
+	if c.load.Library == 0 {
+		return nil
+	}
+	t := c.tally
+	c.audit = &load.Audit{Seen: c.fleet.wasSeen, Excused: c.fleet.killedLately, OnTry: t.sent, OnCrossed: t.crossed, OnExcused: t.excused,
+		OnOverdue: t.overdue, OnLost: t.lose}
+	var addresses []string
+	for _, d := range c.fleet.proxies {
+		addresses = append(addresses, d.address)
+	}
+	tenants := c.load.Tenants
+	if len(tenants) == 0 {
+		tenants = []string{""}
+	}
+	for _, tenant := range tenants {
+		l, err := client.New(client.Options{Proxies: client.Static(addresses...), Tenant: tenant, Window: time.Duration(c.fleet.scenario.Fleet.Window),
+			Subset: 8, Trace: client.Trace{TryDone: c.audit.TryDone, Late: c.audit.Late}})
+		if err != nil {
+			return err
+		}
+		c.library = append(c.library, l)
+	}
+	return nil
+}
+
+// closeLibrary is called once all requests are over.
+func (c *clients) closeLibrary() {
+	if c.audit != nil {
+		c.audit.Settle()
+	}
+	for _, l := range c.library {
+		l.Close()
+	}
+}
+
+// askLibrary has the library carry a request through its tries.
+func (c *clients) askLibrary(e *errand, n note) ending {
+	l := c.library[0]
+	for i, tenant := range c.load.Tenants {
+		if tenant == e.tenant {
+			l = c.library[i]
+		}
+	}
+	r := client.Request{Key: e.key}
+	if e.kind.write {
+		r.Set, r.Value, r.Idempotency = true, []byte(e.value), e.idempotency
+	}
+	a, err := l.Do(context.Background(), r)
+	for range a.Tries - 1 {
+		c.tally.retry(n)
+	}
+	switch {
+	case err == nil, errors.Is(err, client.ErrMiss):
+		return served
+	case errors.Is(err, client.ErrRefused):
+		return refused
+	case errors.Is(err, client.ErrUnavailable):
+		return unopened
+	case errors.Is(err, client.ErrDeadline):
+		return silent
+	}
+	return failed
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -36,6 +36,9 @@
 	began := time.Now()
 	t := newTally(s.Phases, began)
 	c := newClients(f, t)
+	if err := c.openLibrary(); err != nil {
+		return nil, err
+	}
 	ctx, stop := context.WithTimeout(ctx, s.length())
 	defer stop()
 	report := &Report{Scenario: s.Name, About: s.About, Proxies: s.Fleet.Proxies, Nodes: s.Fleet.Nodes}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -83,6 +83,7 @@
 	Tenants   []string
 	Quota     int     // of a tenant, requests a second over all proxies; 1000
 	Binary    float64 // share of requests from binary clients; every other pipeline is theirs too
+	Library   float64 // share of the others that come through the client library
 }
 
 // WithBinary has one client in four speak binary, if there are any, and one node in four.
@@ -90,6 +91,9 @@
 	s.Fleet.Binary, s.Fleet.BinaryNodes, s.Load.Binary = true, 4, 0.25
 }
 
+// WithLibrary has one client in four use the client library.
+func (s *Scenario) WithLibrary() { s.Load.Library = 0.25 }
+
 // Phase is a stretch of time whose figures stand together.
 type Phase struct {
 	Name   string
@@ -212,6 +216,8 @@
 		return fmt.Errorf("load.rate cannot be %v: want 0 to 20000", l.Rate)
 	case l.Binary < 0 || l.Binary > 1 || l.Binary > 0 && !f.Binary || f.BinaryNodes < 0:
 		return errors.New("load.binary wants 0 to 1, and fleet.binary; fleet.binary_nodes no less than 0")
+	case l.Library < 0 || l.Library > 1:
+		return fmt.Errorf("load.library cannot be %v: want 0 to 1", l.Library)
 	case l.Skew <= 1 || l.Keys < 1 || l.Depth < 1 || l.Depth > 100 || l.Pipelines < 0 || l.Pipelines > 100:
 		return errors.New("load: want skew above 1, keys from 1, depth 1 to 100, pipelines 0 to 100")
 	case l.Quota < 0:
