--- a/client/client.go
+++ b/client/client.go
@@ -213,6 +213,7 @@
 	c.stop()
 	for _, k := range all {
 		k.fail(ErrClosed)
+		<-k.over
 	}
 	c.tasks.Wait()
 	return nil
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -665,3 +666,82 @@
 		t.Fatalf("got  %s\nwant %s", got, want)
 	}
 }
+
+// A proxy that has ended an idle connection is noticed before an unsafe write goes out on it, however soon: no
+// sweep comes between.
+func TestEndedConnectionIsNoticedBeforeAWrite(t *testing.T) {
+	for range 20 {
+		c, ns := proxies(t, 1, Options{Write: Plain, Spread: ms, Idle: time.Hour}, serve)
+		if _, err := c.Set(context.Background(), "k", nil); err != nil {
+			t.Fatal(err)
+		}
+		ns.HalfClose(0)
+		time.Sleep(5 * ms) // its end crosses the loopback
+		if _, err := c.Set(context.Background(), "k", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// What was still to be written when its connection ended never ran: an unsafe write of that kind is sent
+// again, one that was written is not.
+func TestUnwrittenIsSentAgain(t *testing.T) {
+	near, far := net.Pipe() // takes nothing that its reader does not ask for
+	var dials atomic.Int64
+	ns, err := script.Start(script.Meta, 1, serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ns.Close()
+	c := open(t, Options{Proxies: Static("a:1"), Conns: 1, Spread: ms, Write: Class{"plain", Unsafe, time.Minute, 0}, Tries: 2,
+		Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			if dials.Add(1) == 1 {
+				return near, nil
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, ns.Address(0))
+		}})
+	ended := make(chan error, 2)
+	set := func(key string) {
+		_, err := c.Set(context.Background(), key, nil)
+		ended <- err
+	}
+	go set("first")
+	testwait.Until(t, "the first is out", func() bool { return c.Stats().Open == 1 })
+	go set("second") // behind the first, which nobody reads
+	testwait.Until(t, "the second is out", func() bool { return c.Stats().Open == 2 })
+	buf := make([]byte, 1024)
+	if n, err := far.Read(buf); err != nil || !bytes.HasPrefix(buf[:n], []byte("ms first ")) || bytes.Contains(buf[:n], []byte("second")) {
+		t.Fatalf("%q, %v", buf[:n], err)
+	}
+	far.Close()
+	var unknown, served int
+	for range 2 {
+		switch err := testwait.Receive(t, "an end", ended); {
+		case err == nil:
+			served++
+		case errors.Is(err, ErrUnknown):
+			unknown++
+		default:
+			t.Fatal(err)
+		}
+	}
+	if asked := ns.Asked(); unknown != 1 || served != 1 || len(asked) != 1 || asked[0].Key != "second" {
+		t.Fatalf("%d unknown, %d served, %+v", unknown, served, asked)
+	}
+}
+
+// A connection on which a try was given up for want of an answer takes no more: what is put behind would wait too.
+func TestSilentConnectionTakesNoMore(t *testing.T) {
+	c, ns := proxies(t, 1, Options{Conns: 2, Read: Class{"read", Safe, 300 * ms, 0}, RetryRatio: -1}, first(script.Hang))
+	if _, err := c.Get(context.Background(), "k"); !errors.Is(err, ErrDeadline) {
+		t.Fatal(err)
+	}
+	for range 5 {
+		if _, err := c.Get(context.Background(), "k"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if all, _ := ns.Accepted(); all != 2 {
+		t.Fatalf("%d connections", all)
+	}
+}
--- a/client/conn.go
+++ b/client/conn.go
@@ -103,6 +103,8 @@
 	reading  bool
 	writing  bool
 	err      error // why it ended; nil while it works
+	settled  bool  // and all whose answers were due have been told
+	over     chan struct{}
 }
 
 // A caller writes itself while so few bytes are unanswered that the kernel has room for them: it could
@@ -114,7 +116,7 @@
 
 func newConn(c *Client, p *balance.Proxy, socket net.Conn, now time.Duration) *conn {
 	return &conn{client: c, proxy: p, socket: socket, alive: liveness(socket), toWrite: make(chan struct{}, 1), toRead: make(chan struct{}, 1),
-		in: bufio.NewReaderSize(socket, readSize), idle: now}
+		over: make(chan struct{}), in: bufio.NewReaderSize(socket, readSize), idle: now}
 }
 
 func rouse(ch chan struct{}) {
@@ -159,13 +161,11 @@
 		c.socket.SetReadDeadline(time.Now().Add(t.wait))
 	}
 	if look {
-		if err := c.alive(); err != nil {
+		err := c.alive()
+		if c.looked(); err != nil {
 			c.fail(err)
 			return true, true
 		}
-		c.mu.Lock()
-		c.writing = false
-		c.mu.Unlock()
 	}
 	c.flush()
 	return lead, true
@@ -195,8 +195,12 @@
 	if len(c.out) > 0 {
 		rouse(c.toWrite)
 	}
+	ended := c.err != nil
 	c.mu.Unlock()
-	if err != nil {
+	switch {
+	case ended:
+		c.settle()
+	case err != nil:
 		c.fail(err)
 	}
 }
@@ -365,15 +369,24 @@
 	c.reading, c.writing = true, true
 	c.mu.Unlock()
 	c.socket.SetReadDeadline(time.Time{})
-	if err := c.alive(); err != nil {
+	err := c.alive()
+	if c.looked(); err != nil {
 		c.fail(err)
 		return
 	}
+	c.flush()
+	c.yield()
+}
+
+// looked is called by who kept others from writing for a look.
+func (c *conn) looked() {
 	c.mu.Lock()
 	c.writing = false
+	ended := c.err != nil
 	c.mu.Unlock()
-	c.flush()
-	c.yield()
+	if ended {
+		c.settle()
+	}
 }
 
 // finish gives an outcome to a try's caller, if that still waits; its caller accounts for it then.
@@ -393,7 +406,8 @@
 	c.client.forget(c)
 }
 
-// fail ends the connection, once, and tells all whose answers are due.
+// fail ends the connection. Who is in a write when it ends settles what is left, as only then
+// is it known what was written.
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	if c.err != nil {
@@ -401,13 +415,29 @@
 		return
 	}
 	c.err = err
-	due := c.pending[c.head:]
-	c.pending, c.out = nil, nil
-	handed := c.handed
+	writing := c.writing
 	c.mu.Unlock()
 	c.socket.Close()
 	rouse(c.toWrite)
 	rouse(c.toRead)
+	if !writing {
+		c.settle()
+	}
+}
+
+// settle tells, once, all whose answers were due on a connection that has ended.
+func (c *conn) settle() {
+	c.mu.Lock()
+	if c.settled {
+		c.mu.Unlock()
+		return
+	}
+	c.settled = true
+	due, err := c.pending[c.head:], c.err
+	c.pending, c.out = nil, nil
+	handed := c.handed
+	c.mu.Unlock()
+	defer close(c.over)
 	now := c.client.options.clock().Mono
 	c.client.ended(c, len(due) > 0 && due[0].end <= handed, err)
 	for i, t := range due {
