--- a/client/client_test.go
+++ b/client/client_test.go
@@ -745,3 +745,36 @@
 		t.Fatalf("%d connections", all)
 	}
 }
+
+// Proxies that refuse nine in ten, and give no advice, are spared most of what would be refused again; once
+// they take all, all goes out.
+func TestPaceSparesAServiceWithoutRoom(t *testing.T) {
+	var calm atomic.Bool
+	c, ns := proxies(t, 1, Options{Tries: 1, Conns: 1}, func(number int, _ script.Asked) script.Reaction {
+		if number%10 == 0 || calm.Load() {
+			return script.Serve
+		}
+		return script.Busy
+	})
+	calls := 1500
+	for range calls {
+		var e *Error
+		if _, err := c.Get(context.Background(), "k"); err != nil && (!errors.Is(err, ErrRefused) || !errors.As(err, &e)) {
+			t.Fatal(err)
+		}
+		time.Sleep(ms)
+	}
+	withheld := int(c.Stats().Withheld)
+	if n := len(ns.Asked()); n+withheld != calls || withheld < calls/3 || n < calls/20 {
+		t.Fatalf("%d asked and %d withheld of %d", n, withheld, calls)
+	}
+	calm.Store(true)
+	testwait.Until(t, "a hundred served in a row", func() bool {
+		for range 100 {
+			if _, err := c.Get(context.Background(), "k"); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
