Fuzzing binary answers: count what is left over in the text, not in the reader's buffer

Cause: five minutes of fuzzing found an input of 4,192 bytes at which the check failed, as its reader holds 4,096 at a time; the codec had read it right. Change: all that is left is read.

--- a/internal/binary/binary_test.go
+++ b/internal/binary/binary_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"strings"
 	"testing"
 
@@ -161,8 +162,8 @@
 		case (a.Kind == request.Value || a.Kind == request.Stored) != (h.Status == OK), a.Kind == request.Busy && h.Status != Busy:
 			t.Fatalf("status %#x read as kind %d", h.Status, a.Kind)
 		}
-		if rest := len(text) - HeaderLen - h.Body; in.Buffered() != rest && rest < 4096 {
-			t.Fatalf("%d bytes left of %d", in.Buffered(), rest)
+		if left, _ := io.Copy(io.Discard, in); int(left) != len(text)-HeaderLen-h.Body {
+			t.Fatalf("%d bytes left of %d", left, len(text)-HeaderLen-h.Body)
 		}
 	})
 }
