Client: set the read deadline only when it has to move, read the clock less

Change: a deadline that is sooner than the try's end stays, as who reads looks at the time; a try takes the time of its place.

--- a/client/client.go
+++ b/client/client.go
@@ -410,6 +410,7 @@
 // acquired is what a call waits for before each try: a place on a connection, or an end.
 type acquired struct {
 	conn   *conn
+	at     time.Duration
 	wait   time.Duration
 	repeat bool
 	end    retry.End
@@ -459,7 +460,7 @@
 					c.counts.retries.Add(1)
 				}
 				c.mu.Unlock()
-				return acquired{conn: k, wait: wait, repeat: r.Tries() > 1}
+				return acquired{conn: k, at: now.Mono, wait: wait, repeat: r.Tries() > 1}
 			}
 		case balance.Dial:
 			c.dial(choice.Proxy)
@@ -577,13 +578,13 @@
 }
 
 // try makes one try on a connection, and returns how it ended.
-func (c *Client) try(ctx context.Context, k *conn, wire *request.Request, wait time.Duration, info *TryInfo) (a reply) {
+func (c *Client) try(ctx context.Context, k *conn, wire *request.Request, sent, wait time.Duration, info *TryInfo) (a reply) {
 	t := tries.Get().(*try)
 	t.state.Store(tryOut)
 	t.read, t.wait, t.info = wire.Verb == request.Get, wait, info
 	t.value, t.receipt, t.cause, t.advice = nil, "", nil, 0
 	t.serial = c.serial.Add(1)
-	t.sent = c.options.clock().Mono
+	t.sent = sent
 	if info != nil {
 		info.ID = string(appendID(nil, c.base, t.serial))
 		info.Kept = k.answers.Load() > 0
@@ -668,12 +669,11 @@
 		if trace := &c.options.Trace; trace.TryStart != nil || trace.TryDone != nil || trace.Late != nil {
 			info = &TryInfo{Op: op, Key: r.Key, Proxy: got.conn.proxy.Address, Repeat: got.repeat, Wait: told(got.wait)}
 		}
-		sent := c.options.clock().Mono
-		a := c.try(ctx, got.conn, &wire, got.wait, info)
+		a := c.try(ctx, got.conn, &wire, got.at, got.wait, info)
 		now := c.options.clock()
 		if done := c.options.Trace.TryDone; done != nil {
 			told := *info
-			told.Took, told.Outcome, told.Advice = now.Mono-sent, names[a.outcome], a.advice
+			told.Took, told.Outcome, told.Advice = now.Mono-got.at, names[a.outcome], a.advice
 			done(told)
 		}
 		verdict, closed := c.release(got.conn, &course, &a, now)
--- a/client/conn.go
+++ b/client/conn.go
@@ -81,9 +81,10 @@
 
 	// Of whoever reads.
 	in   *bufio.Reader
-	part reply // what is there of an answer whose reader gave up
-	body bool  // its first line is
-	got  int   // bytes of its value
+	by   time.Duration // the socket's read deadline, as far as it is known; 0 for none
+	part reply         // what is there of an answer whose reader gave up
+	body bool          // its first line is
+	got  int           // bytes of its value
 
 	// Of the client's lock.
 	open   int // requests on it, with those given up
@@ -157,11 +158,16 @@
 	c.last = t.sent
 	c.writing = c.writing || look
 	c.mu.Unlock()
-	if lead {
-		c.socket.SetReadDeadline(time.Now().Add(t.wait))
+	if lead && !(c.by > t.sent+t.wait/4 && c.by <= t.sent+t.wait) {
+		// One that is sooner than the try's end will do: who reads looks at the time, and goes on.
+		c.readBy(t.sent + t.wait)
 	}
 	if look {
 		err := c.alive()
+		if isTimeout(err) { // of one whose caller went away at that moment
+			c.readBy(t.sent + t.wait)
+			err = c.alive()
+		}
 		if c.looked(); err != nil {
 			c.fail(err)
 			return true, true
@@ -266,6 +272,16 @@
 	}
 }
 
+// readBy sets the read deadline on the client's clock, 0 for none. Only who reads calls it.
+func (c *conn) readBy(at time.Duration) {
+	c.by = at
+	if at == 0 {
+		c.socket.SetReadDeadline(time.Time{})
+		return
+	}
+	c.socket.SetReadDeadline(time.Now().Add(at - c.client.options.clock().Mono))
+}
+
 // lead reads the answer to the only request for its caller, until it gives up.
 func (c *conn) lead(ctx context.Context, t *try) (a reply) {
 	if ctx.Done() != nil {
@@ -296,7 +312,7 @@
 		case left <= 0:
 			a = reply{outcome: retry.Silent, cause: context.DeadlineExceeded}
 		default: // the deadline of one who read before
-			c.socket.SetReadDeadline(time.Now().Add(left))
+			c.readBy(deadline)
 			continue
 		}
 		// First the state: who reads on may find the answer at once.
@@ -327,7 +343,7 @@
 // readAll reads for those who don't read themselves, until the connection ends.
 func (c *conn) readAll() {
 	for range c.toRead {
-		c.socket.SetReadDeadline(time.Time{})
+		c.readBy(0)
 		for {
 			c.mu.Lock()
 			if c.err != nil {
@@ -343,7 +359,7 @@
 			c.mu.Unlock()
 			if err := c.read(t); err != nil {
 				if isTimeout(err) { // of one who read before
-					c.socket.SetReadDeadline(time.Time{})
+					c.readBy(0)
 					continue
 				}
 				c.fail(err)
@@ -368,9 +384,9 @@
 	}
 	c.reading, c.writing = true, true
 	c.mu.Unlock()
-	c.socket.SetReadDeadline(time.Time{})
+	c.readBy(0)
 	err := c.alive()
-	if c.looked(); err != nil {
+	if c.looked(); err != nil && !isTimeout(err) {
 		c.fail(err)
 		return
 	}
