Write requests by the grammar alone; name served calls in traces; take out what is dead

Change: meta.AppendRequest takes an id from a buffer and marks repeats, ValidKey and ValidName are the grammar's; the rest mended or taken out.

--- a/client/client.go
+++ b/client/client.go
@@ -65,10 +65,6 @@
 	if _, err := crand.Read(seed[:]); err != nil {
 		return nil, err
 	}
-	if o.seed != 0 {
-		binary.LittleEndian.PutUint64(seed[8:], o.seed)
-		binary.LittleEndian.PutUint64(seed[16:], o.seed)
-	}
 	rng := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[8:]), binary.LittleEndian.Uint64(seed[16:])))
 	c := &Client{options: o, rules: o.retryRules(), base: fmt.Sprintf("c%x-", seed[:8]), rng: rng,
 		balancer: balance.New(o.balanceRules(), rng), budget: retry.NewBudget(o.RetryRatio, o.RetryBurst),
@@ -421,7 +417,7 @@
 // acquire waits for a place for the next try of a call, and begins the try.
 func (c *Client) acquire(ctx context.Context, r *retry.Request, deadline time.Duration, avoid *balance.Proxy) (a acquired) {
 	finish := func(o retry.Outcome, after time.Duration, cause error) acquired {
-		v := r.Hopeless(c.options.clock(), o, after)
+		v := r.Hopeless(o, after)
 		return acquired{end: v.End, after: v.After, cause: cause}
 	}
 	paced := false
@@ -647,7 +643,7 @@
 	}
 	c.counts.calls.Add(1)
 	if err != nil {
-		return Answer{}, c.over(&Error{Kind: ErrInvalid, Op: op, Key: r.Key, Cause: err}, begun, 0, retry.EndInvalid)
+		return Answer{}, c.over(op, r.Key, &Error{Kind: ErrInvalid, Op: op, Key: r.Key, Cause: err}, begun, 0)
 	}
 	deadline := begun.Mono + class.Wait
 	if d, ok := ctx.Deadline(); ok {
@@ -662,7 +658,7 @@
 	for {
 		got := c.acquire(ctx, &course, deadline, avoid)
 		if got.conn == nil {
-			return Answer{Tries: course.Tries()}, c.over(c.error(op, &r, &wire, &course, got.end, got.after, got.cause), begun, course.Tries(), got.end)
+			return Answer{Tries: course.Tries()}, c.over(op, r.Key, c.error(op, &r, &wire, &course, got.end, got.after, got.cause), begun, course.Tries())
 		}
 		wire.Retry = got.repeat
 		var info *TryInfo
@@ -682,7 +678,7 @@
 			if a.outcome == retry.Missing {
 				err = &Error{Kind: ErrMiss, Op: op, Key: r.Key, Tries: course.Tries()}
 			}
-			return Answer{Value: a.value, Receipt: a.receipt, Tries: course.Tries()}, c.over(err, begun, course.Tries(), verdict.End)
+			return Answer{Value: a.value, Receipt: a.receipt, Tries: course.Tries()}, c.over(op, r.Key, err, begun, course.Tries())
 		}
 		if closed {
 			a.cause = ErrClosed
@@ -691,7 +687,7 @@
 			}
 		}
 		if verdict.End != retry.Open {
-			return Answer{Tries: course.Tries()}, c.over(c.error(op, &r, &wire, &course, verdict.End, verdict.After, a.cause), begun, course.Tries(), verdict.End)
+			return Answer{Tries: course.Tries()}, c.over(op, r.Key, c.error(op, &r, &wire, &course, verdict.End, verdict.After, a.cause), begun, course.Tries())
 		}
 		avoid = got.conn.proxy
 		if verdict.Pause > 0 {
@@ -719,10 +715,10 @@
 	w = request.Request{Key: r.Key, Class: class.Name, Tenant: r.Tenant}
 	if w.Tenant == "" {
 		w.Tenant = c.options.Tenant
-	} else if !validName(w.Tenant) {
+	} else if !meta.ValidName(w.Tenant) {
 		return w, class, fmt.Errorf("tenant cannot be %q", w.Tenant)
 	}
-	if !validKey(r.Key) {
+	if !meta.ValidKey(r.Key) {
 		return w, class, fmt.Errorf("key cannot be %q: want 1 to %d bytes without spaces and control characters", r.Key, meta.MaxKey)
 	}
 	if !r.Set {
@@ -744,38 +740,13 @@
 			return w, class, err
 		}
 		r.Idempotency = fmt.Sprintf("%x", key)
-	case class.Effect == Keyed && !validName(r.Idempotency):
+	case class.Effect == Keyed && !meta.ValidName(r.Idempotency):
 		return w, class, fmt.Errorf("idempotency key cannot be %q", r.Idempotency)
 	}
 	w.Idempotency = r.Idempotency
 	return w, class, nil
 }
 
-// validName tells whether a text can stand in the list of parameters.
-func validName(s string) bool {
-	if s == "" || len(s) > meta.MaxID {
-		return false
-	}
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] >= 0x7f || s[i] == ',' || s[i] == '=' {
-			return false
-		}
-	}
-	return true
-}
-
-func validKey(s string) bool {
-	if s == "" || len(s) > meta.MaxKey {
-		return false
-	}
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // error words the end of a call that was not served.
 func (c *Client) error(op string, r *Request, w *request.Request, course *retry.Request, end retry.End, after time.Duration, cause error) error {
 	e := &Error{Op: op, Key: r.Key, Tries: course.Tries(), After: after, Idempotency: w.Idempotency, Cause: cause}
@@ -809,18 +780,14 @@
 }
 
 // over counts the end of a call, and tells of it.
-func (c *Client) over(err error, begun retry.Stamp, tries int, end retry.End) error {
+func (c *Client) over(op, key string, err error, begun retry.Stamp, tries int) error {
 	var e *Error
 	if err != nil {
 		errors.As(err, &e)
 	}
 	c.counts.of(e).Add(1)
 	if done := c.options.Trace.CallDone; done != nil {
-		info := CallInfo{Tries: tries, Took: c.options.clock().Mono - begun.Mono, Err: err}
-		if e != nil {
-			info.Op, info.Key = e.Op, e.Key
-		}
-		done(info)
+		done(CallInfo{Op: op, Key: key, Tries: tries, Took: c.options.clock().Mono - begun.Mono, Err: err})
 	}
 	c.leave()
 	return err
--- a/client/conn.go
+++ b/client/conn.go
@@ -343,10 +343,9 @@
 // readAll reads for those who don't read themselves, until the connection ends.
 func (c *conn) readAll() {
 	for range c.toRead {
-		c.readBy(0)
-		for {
+		for first := true; ; first = false {
 			c.mu.Lock()
-			if c.err != nil {
+			if c.err != nil { // another may be reading still
 				c.mu.Unlock()
 				return
 			}
@@ -357,6 +356,9 @@
 			}
 			t := c.pending[c.head]
 			c.mu.Unlock()
+			if first {
+				c.readBy(0)
+			}
 			if err := c.read(t); err != nil {
 				if isTimeout(err) { // of one who read before
 					c.readBy(0)
@@ -604,6 +606,9 @@
 	return n == serial
 }
 
+// maxID bounds an id's length in bytes: a base of 18 and the digits.
+const maxID = 32
+
 // idDigits are those of a serial in an id: no two tries have the same within 2^40.
 const idDigits = 10
 
@@ -620,25 +625,8 @@
 
 // appendCommand appends a request as proxies take it.
 func appendCommand(dst []byte, base string, t *try, r *request.Request) []byte {
-	if r.Verb == request.Set {
-		dst = append(append(append(dst, "ms "...), r.Key...), ' ')
-		dst = append(strconv.AppendInt(dst, int64(len(r.Value)), 10), " O"...)
-	} else {
-		dst = append(append(append(dst, "mg "...), r.Key...), " v O"...)
-	}
-	dst = appendID(dst, base, t.serial)
-	dst = append(append(dst, " Pc="...), r.Class...)
-	if r.Tenant != "" {
-		dst = append(append(dst, ",t="...), r.Tenant...)
-	}
-	dst = strconv.AppendInt(append(dst, ",d="...), max(int64(told(t.wait)/time.Millisecond), 1), 10)
-	if r.Idempotency != "" {
-		dst = append(append(dst, ",k="...), r.Idempotency...)
-	}
-	if r.Retry {
-		dst = append(dst, ",r=1"...)
-	}
-	dst = append(dst, '\r', '\n')
+	var id [maxID]byte
+	dst = meta.AppendRequest(dst, r, appendID(id[:0], base, t.serial), max(int64(told(t.wait)/time.Millisecond), 1))
 	if r.Verb == request.Set {
 		dst = append(append(dst, r.Value...), '\r', '\n')
 	}
--- a/client/doc.go
+++ b/client/doc.go
@@ -17,7 +17,8 @@
 //     are sent only while every node still drops them; if it can't be told in time whether
 //     it was carried out, the call ends with [ErrUnknown], and [Client.Resolve] finds out.
 //  3. A refusal's advice is kept, by the call and, where a proxy refuses all, by the process.
-//  4. Tries per call stay below 1 plus [Options.RetryRatio] in the long run.
+//  4. Tries per call stay below 1 plus [Options.RetryRatio] in the long run, but for one more where a
+//     connection ended.
 //  5. Connections, requests on them and calls that wait are bounded; nothing is left
 //     running after [Client.Close].
 //  6. Clients that lose a proxy together reconnect spread evenly over [Options.Spread].
--- a/client/internal/balance/balance.go
+++ b/client/internal/balance/balance.go
@@ -145,20 +145,12 @@
 	return changed
 }
 
-// Addresses returns the list in force, in no order of meaning.
-func (b *Balancer) Addresses() (list []string) {
-	for _, p := range b.proxies {
-		if !p.gone {
-			list = append(list, p.Address)
-		}
-	}
-	return list
-}
+// never is when only a change can tell.
+const never = time.Duration(math.MaxInt64)
 
 // usable tells whether a proxy can be asked at now, or else from when on; never if it is
 // only a change that can tell.
 func (b *Balancer) usable(p *Proxy, now time.Duration) (ok bool, from time.Duration) {
-	const never = time.Duration(math.MaxInt64)
 	switch {
 	case p.refused >= holdAfter && p.held > now:
 		return false, p.held
@@ -177,13 +169,13 @@
 // Choose says where the next request goes. avoid, if not nil, is taken only where there is
 // no other: the last try ended badly there.
 func (b *Balancer) Choose(now time.Duration, avoid *Proxy) Choice {
-	const never = time.Duration(math.MaxInt64)
 	b.ready = b.ready[:0]
-	next, holds, seen := never, 0, 0
+	next, holds, seen, listed := never, 0, 0, false
 	for _, p := range b.proxies {
 		if p.gone {
 			continue
 		}
+		listed = true
 		if seen >= b.rules.Subset {
 			break
 		}
@@ -225,7 +217,7 @@
 			return Choice{Kind: Send, Proxy: p}
 		}
 		return Choice{Kind: Dial, Proxy: p}
-	case len(b.Addresses()) == 0:
+	case !listed:
 		return Choice{Kind: None}
 	case holds > 0 && holds >= seen:
 		return Choice{Kind: Hold, At: next}
@@ -260,9 +252,6 @@
 	return slices.ContainsFunc(b.proxies, func(p *Proxy) bool { return p.dialing > 0 })
 }
 
-// Open tells how many requests are out at a proxy.
-func (p *Proxy) Open() int { return p.open }
-
 // Gone tells whether a proxy has left the list.
 func (p *Proxy) Gone() bool { return p.gone }
 
--- a/client/internal/retry/retry.go
+++ b/client/internal/retry/retry.go
@@ -174,7 +174,7 @@
 }
 
 // Hopeless is the end of a request for which no try can be sent: no connection, no time.
-func (r *Request) Hopeless(now Stamp, o Outcome, after time.Duration) Verdict {
+func (r *Request) Hopeless(o Outcome, after time.Duration) Verdict {
 	return Verdict{End: r.end(o), After: after}
 }
 
--- a/client/options.go
+++ b/client/options.go
@@ -9,6 +9,7 @@
 
 	"mulleinpier/client/internal/balance"
 	"mulleinpier/client/internal/retry"
+	"mulleinpier/internal/meta"
 )
 
 // Effect says what a request does if it is carried out more than once.
@@ -52,7 +53,8 @@
 	// Tries of one call at the most, 4.
 	Tries int
 	// RetryRatio is how many retries each success pays for, 0.1; RetryBurst how many are
-	// saved up at the most, 3. A negative ratio: no retries.
+	// saved up at the most, 3; a keyed write may take as many that are yet to be paid for. A negative ratio: no
+	// retries but for a connection that ended.
 	RetryRatio, RetryBurst float64
 
 	// Subset is how many proxies are in use at a time, 3.
@@ -73,7 +75,6 @@
 
 	Trace Trace
 
-	seed  uint64
 	clock func() retry.Stamp
 }
 
@@ -121,7 +122,7 @@
 	}
 	class("Read", &o.Read, Read)
 	class("Write", &o.Write, Write)
-	if o.Tenant != "" && !validName(o.Tenant) {
+	if o.Tenant != "" && !meta.ValidName(o.Tenant) {
 		bad("Tenant cannot be %q", o.Tenant)
 	}
 	span("Window", &o.Window, retry.Usual.Window, 2*retry.Usual.Least, mostWait)
@@ -158,7 +159,7 @@
 
 func (c *Class) check() error {
 	switch {
-	case !validName(c.Name):
+	case !meta.ValidName(c.Name):
 		return fmt.Errorf("class name cannot be %q", c.Name)
 	case c.Effect > Unsafe:
 		return fmt.Errorf("class %s: there is no effect %d", c.Name, c.Effect)
--- a/client/source.go
+++ b/client/source.go
@@ -91,15 +91,15 @@
 	}
 	tell(list)
 	told, before := list, list
-	for ticker := time.NewTicker(f.every); ; {
+	ticker := time.NewTicker(f.every)
+	defer ticker.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			ticker.Stop()
 			return ctx.Err()
 		case <-ticker.C:
 		}
 		if list, err = f.read(); err != nil {
-			ticker.Stop()
 			return err
 		}
 		if slices.Equal(list, before) && !slices.Equal(list, told) {
--- a/client/trace.go
+++ b/client/trace.go
@@ -45,7 +45,8 @@
 	Advice  time.Duration // of a refusal
 }
 
-// Stats are counts since the client was made, and what is there now.
+// Stats are counts since the client was made, and what is there now. Failed has those whose context was
+// cancelled too.
 type Stats struct {
 	Calls, Served, Missing, Refused, Failed, Deadline, Unknown, Unavailable, Invalid, Closed int64
 
--- a/internal/load/brief.go
+++ b/internal/load/brief.go
@@ -120,30 +120,18 @@
 	b.serial++
 	id := fmt.Sprintf("b%x-%x", b.base, b.serial)
 	b.mu.Unlock()
-	var text bytes.Buffer
+	r := request.Request{Key: o.key, Class: class, Tenant: b.tally.config.Tenant, Retry: repeat && o.marked}
 	if o.value != "" {
-		fmt.Fprintf(&text, "ms %s %d O%s Pc=%s", o.key, len(o.value), id, class)
-	} else {
-		fmt.Fprintf(&text, "mg %s v O%s Pc=%s", o.key, id, class)
-	}
-	if t := b.tally.config.Tenant; t != "" {
-		fmt.Fprintf(&text, ",t=%s", t)
-	}
-	fmt.Fprintf(&text, ",d=%d", max(wait.Milliseconds(), 1))
-	if o.value != "" {
-		fmt.Fprintf(&text, ",k=%s", o.value)
-	}
-	if repeat && o.marked {
-		text.WriteString(",r=1")
+		r.Verb, r.Value, r.Idempotency = request.Set, []byte(o.value), o.value
 	}
-	text.WriteString("\r\n")
+	text := meta.AppendRequest(nil, &r, id, max(wait.Milliseconds(), 1))
 	if o.value != "" {
-		text.WriteString(o.value + "\r\n")
+		text = append(text, o.value+"\r\n"...)
 	}
 	l.socket.SetDeadline(time.Now().Add(wait))
 	b.tally.tried()
 	as, whole := failed, false
-	if _, err := l.socket.Write(text.Bytes()); err == nil {
+	if _, err := l.socket.Write(text); err == nil {
 		as, whole = l.answer(id, o.value != "")
 	}
 	if whole {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -275,8 +275,8 @@
 	}
 }
 
-// Busiest returns how many of some times lie in the busiest span of a length.
-func Busiest(times []time.Duration, span time.Duration) (most int) {
+// busiest returns how many of some times lie in the busiest span of a length.
+func busiest(times []time.Duration, span time.Duration) (most int) {
 	slices.Sort(times)
 	for i, j := 0, 0; j < len(times); j++ {
 		for times[j]-times[i] >= span {
@@ -306,7 +306,7 @@
 			}
 		}
 		from += p.For
-		f.Busiest, f.Mean = Busiest(within, dialSpan), float64(len(within))*dialSpan.Seconds()/p.For.Seconds()
+		f.Busiest, f.Mean = busiest(within, dialSpan), float64(len(within))*dialSpan.Seconds()/p.For.Seconds()
 		r.Phases = append(r.Phases, f)
 	}
 	return r
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -65,7 +65,7 @@
 		return c, nil
 	case "stats":
 		c.Stats = true
-		if c.Key, rest = word(rest); rest != "" || c.Key != "" && !validKey(c.Key) {
+		if c.Key, rest = word(rest); rest != "" || c.Key != "" && !ValidKey(c.Key) {
 			return c, ErrUnknown
 		}
 		return c, nil
@@ -89,7 +89,7 @@
 		}
 		c.Size, skip = n, n+2
 	}
-	if !validKey(c.Key) {
+	if !ValidKey(c.Key) {
 		return bad("bad key")
 	}
 	value, params := false, false
@@ -177,7 +177,7 @@
 	ms := max(int64(wait/time.Millisecond), 1)
 	raw := &r.Raw
 	if raw.Line == "" {
-		return appendRequest(dst, r, ms)
+		return AppendRequest(dst, r, r.ID, ms)
 	}
 	dst = append(dst, raw.Line[:raw.From]...)
 	if raw.InsertWait {
@@ -187,15 +187,16 @@
 	return append(append(dst, raw.Line[raw.To:]...), '\r', '\n')
 }
 
-// appendRequest appends the line of a request whose client wrote none.
-func appendRequest(dst []byte, r *request.Request, ms int64) []byte {
+// AppendRequest appends the line of a request under an id, which may be in a buffer of its
+// caller's, with a wait in milliseconds. Its value is for the caller to append.
+func AppendRequest[ID string | []byte](dst []byte, r *request.Request, id ID, ms int64) []byte {
 	if r.Verb == request.Set {
 		dst = append(append(append(dst, "ms "...), r.Key...), ' ')
 		dst = append(strconv.AppendInt(dst, int64(len(r.Value)), 10), " O"...)
 	} else {
 		dst = append(append(append(dst, "mg "...), r.Key...), " v O"...)
 	}
-	dst = append(append(append(dst, r.ID...), " Pc="...), r.Class...)
+	dst = append(append(append(dst, id...), " Pc="...), r.Class...)
 	if r.Tenant != "" {
 		dst = append(append(dst, ",t="...), r.Tenant...)
 	}
@@ -203,6 +204,9 @@
 	if r.Idempotency != "" {
 		dst = append(append(dst, ",k="...), r.Idempotency...)
 	}
+	if r.Retry {
+		dst = append(dst, ",r=1"...)
+	}
 	if r.Flags != 0 { // nodes that keep them say so (memcached's meta commands); others turn it away
 		dst = strconv.AppendUint(append(dst, " F"...), uint64(r.Flags), 10)
 	}
@@ -400,7 +404,13 @@
 	return n, n <= MaxValue
 }
 
-func validKey(key string) bool { return key != "" && len(key) <= MaxKey && printable(key) }
+// ValidKey tells whether a text can be a key.
+func ValidKey(key string) bool { return key != "" && len(key) <= MaxKey && printable(key) }
+
+// ValidName tells whether a text can stand for a value in the list of flag P.
+func ValidName(name string) bool {
+	return name != "" && len(name) <= MaxID && printable(name) && !strings.ContainsAny(name, ",=")
+}
 
 // printable keeps out control characters: a lone CR in a forwarded line
 // would end it early for a lax peer.
