--- /dev/null
+++ b/cmd/yarrowspan/deploy_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+)
+
+// The platform loads a library of its own into the program, which only the C library's
+// loader does: the program needs an interpreter entry, and `run` ends in it by exec.
+func TestDeployBuildsForTheLoader(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("the platform is Linux")
+	}
+	var deploy struct{ Build, Run string }
+	if _, err := toml.DecodeFile("../../deploy/balancer.toml", &deploy); err != nil {
+		t.Fatal(err)
+	}
+	program, isExec := strings.CutPrefix(deploy.Run, "exec ")
+	if program = strings.Fields(program)[0]; !isExec {
+		t.Fatalf("run does not begin with exec: %q", deploy.Run)
+	}
+	// The very line, in a tree of its own: links lead to all it reads, so that bin/ is new.
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries, err := os.ReadDir(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	work := t.TempDir()
+	for _, e := range entries {
+		if e.Name() == "bin" || strings.HasPrefix(e.Name(), ".") {
+			continue
+		}
+		if err := os.Symlink(filepath.Join(root, e.Name()), filepath.Join(work, e.Name())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The tool chain does not follow links to folders in patterns, so cmd and what it
+	// imports are copied.
+	for _, folder := range []string{"client", "cmd", "internal", "policy"} {
+		if err := os.Remove(filepath.Join(work, folder)); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.CopyFS(filepath.Join(work, folder), os.DirFS(filepath.Join(root, folder))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	build := exec.Command("/bin/sh", "-c", deploy.Build)
+	build.Dir = work
+	if text, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, text)
+	}
+	file, err := elf.Open(filepath.Join(work, program))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	for _, p := range file.Progs {
+		if p.Type == elf.PT_INTERP {
+			return
+		}
+	}
+	t.Fatalf("%s has no interpreter entry: it is linked statically", program)
+}
