Tell a node without room from a full queue, and keep a share of all connection tables

A probe of what follows such a busy: it is the first answer on its connection, and the connection ends within 0.2 ms (some 3,000 of 3,000; 34 of them a little later).

Change: a busy that is a connection's first answer and is followed by its end is NoRoom: it never ran, tells nothing of load or health, sets the node aside for a quarter second and is tried elsewhere. Package room (no clock, no I/O) decides how many connections a proxy keeps: its share of 30 a node, filled to 0.6; refusals lower it by 0.85 each, and it is regained within 30 s. Upstream closes what idled longest.

Each new test was seen to fail without its code. TestReaderThatStopsIsLetGo failed once beside all other packages (a first answer 'busy' on a crowded machine) and passed alone six times; not looked into yet.

--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -28,7 +28,8 @@
   yarrowspan check --config FILE   tell all that is wrong with a configuration
   yarrowspan secret --user NAME    read a secret and print its line for a file of users
   yarrowspan version               tell the version
-  yarrowspan platform --reduce     as without a command, with levels of reduced service
+  yarrowspan platform              as without a command; --reduce with levels of reduced service,
+                                   --counts with a line a second of what went through
 With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
 `
 
@@ -94,6 +95,7 @@
 	user := flags.String("user", "", "")
 	profile := flags.String("cpuprofile", "", "") // for measurements
 	reduce := flags.Bool("reduce", false, "")
+	counts := flags.Bool("counts", false, "")
 	if err := flags.Parse(args[1:]); err != nil {
 		return fmt.Errorf("%w: %s: %w", errUsage, args[0], err)
 	}
@@ -110,6 +112,7 @@
 			c, err := load()
 			if err == nil {
 				c.Proxy.Service.On = *reduce
+				c.Proxy.Counts = *counts
 			}
 			return c, err
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	Membership  membership.Limits
 	BinaryNodes Speakers
 	Service     ServiceConfig
+	Counts      bool // log a line of counts a second; not with levels of service
 }
 
 // Speakers names the nodes that speak the binary protocol: by their own names, and by
@@ -110,6 +111,8 @@
 	levels    levels
 	look      chan string     // names of sources
 	failed    map[string]bool // nodes whose connections failed last
+	counting  bool
+	counts    counts
 }
 
 // rules are what a request is checked against as it comes. They are replaced
@@ -142,7 +145,7 @@
 		rules: newRules(config), log: log, registry: config.Places[0].Open(), places: config.Places, start: time.Now(), known: make(chan struct{}),
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
-		look: make(chan string, 8), failed: make(map[string]bool)}
+		look: make(chan string, 8), failed: make(map[string]bool), counting: config.Counts}
 	c.levels = newLevels(&config.Service)
 	c.levels.asks = asks(config)
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
@@ -182,6 +185,9 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.nodes.Run(ctx) })
 	tasks.Go(func() { c.keepTime(ctx) })
+	if c.counting {
+		tasks.Go(func() { c.logCounts(ctx) })
+	}
 	if c.infer {
 		tasks.Go(func() { c.follow(ctx) })
 	} else {
@@ -220,10 +226,12 @@
 		}
 	case policy.Refuse:
 		if r := c.requests[a.ID]; r != nil {
+			c.counts.refused++
 			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After})
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
+			c.counts.failed++
 			c.answer(r, &request.Answer{Kind: request.Failed})
 		}
 	case policy.SetTimer:
@@ -282,6 +290,7 @@
 		return nil
 	}
 	c.last++
+	c.counts.arrived++
 	in.Serial = uint32(c.last)
 	now := c.now()
 	r := &Held{id: c.last, request: in, reply: reply, deadline: now + wait,
@@ -330,6 +339,7 @@
 	for _, r := range unanswered {
 		if !r.over {
 			r.over = true
+			c.counts.left++
 			c.handle(policy.Departure{ID: r.id})
 			c.drop(r)
 		}
@@ -366,6 +376,7 @@
 		Number: len(r.attempts), Request: r.request, Deadline: r.expires}}
 	r.attempts = append(r.attempts, a)
 	r.open++
+	c.counts.sent++
 	switch {
 	case r.over || now >= r.deadline || action.After < 0:
 		c.end(r, a, policy.NotSent, nil)
@@ -397,16 +408,20 @@
 	}
 	a.ended = true
 	r.open--
+	c.counts.ends[result]++
 	o := policy.Outcome{ID: r.id, Attempt: a.Number, Server: a.server, Result: result, Took: c.now() - a.sent,
 		Final: r.over}
 	if answer != nil {
 		switch {
 		case answer.Hit:
 			o.Note = policy.NoteHit
+			c.counts.hits++
 		case answer.Miss && answer.Shared:
 			o.Note = policy.NoteMissShared
+			c.counts.misses++
 		case answer.Miss:
 			o.Note = policy.NoteMiss
+			c.counts.misses++
 		}
 		o.Report = c.parseReport(answer.Load)
 	}
@@ -480,6 +495,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, a := c.find(u); r != nil {
+		c.counts.served++
 		c.answer(r, answer)
 		c.end(r, a, policy.Served, answer)
 		c.sight(a.server, membership.Answered)
@@ -498,13 +514,14 @@
 	switch result {
 	case upstream.NoConnect, upstream.Broken:
 		c.sight(a.server, membership.Failed)
-	case upstream.Busy, upstream.Failed:
+	case upstream.Busy, upstream.Failed, upstream.NoRoom:
 		c.sight(a.server, membership.Answered)
 	}
 }
 
 var results = [...]policy.Result{upstream.Busy: policy.Full, upstream.Failed: policy.Errored,
-	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset, upstream.Spoilt: policy.Spoilt}
+	upstream.NoConnect: policy.ConnectFailed, upstream.Broken: policy.Reset, upstream.Spoilt: policy.Spoilt,
+	upstream.NoRoom: policy.NoRoom}
 
 // timer is due at a time: one of the module's, with its token as id, or the
 // end of the wait for attempts of a request.
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -99,6 +99,7 @@
 				continue
 			}
 			c.mu.Lock()
+			c.counts.lost++
 			c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
 			c.mu.Unlock()
 		}
@@ -164,6 +165,7 @@
 		c.version = l.Index
 	}
 	if kind != policy.ListStored {
+		c.counts.told++
 		c.hear()
 	}
 	c.member(membership.Told{Source: name, Whole: l.Snapshot || kind != policy.ListChanges, Nodes: l.Nodes()})
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -18,6 +18,7 @@
 	"mulleinpier/internal/core"
 	"mulleinpier/internal/discovery"
 	"mulleinpier/internal/front/binary"
+	"mulleinpier/internal/room"
 	"mulleinpier/internal/service"
 	"mulleinpier/internal/upstream"
 	"mulleinpier/internal/wire"
@@ -175,6 +176,7 @@
 	Streams  int           // requests on one connection to a node
 	PerNode  int           // connections to one node
 	MostHeld int           // requests
+	Share    room.Share    // of the connections that nodes take
 }
 
 func platformBounds(settings json.RawMessage, proxies int) (Bounds, error) {
@@ -193,7 +195,8 @@
 	}
 	millis := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 	return Bounds{Connect: millis(l.ConnectTimeout), ConnIdle: millis(l.ConnIdle), Streams: l.StreamsPerConn,
-		PerNode: max(nodeTable/max(proxies, 1), 1), MostHeld: l.MostHeld}, nil
+		PerNode: max(nodeTable/max(proxies, 1), 1), MostHeld: l.MostHeld,
+		Share: room.Share{Table: nodeTable, Proxies: proxies}}, nil
 }
 
 // Least figures of the limits.
@@ -219,7 +222,7 @@
 	c.BodyBytes, c.AnswerBytes = c.Memory/8, c.Memory/8
 	longest := max(time.Second, longestDeadline(&c.Policy))
 	c.Upstream = upstream.Limits{PerNode: b.PerNode, All: toNodes, Streams: b.Streams, Connect: b.Connect,
-		Idle: b.ConnIdle / 2, Silent: longest + longest/2}
+		Idle: b.ConnIdle / 2, Silent: longest + longest/2, Share: b.Share}
 	return nil
 }
 
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,81 @@
+// Package room decides how many connections a proxy keeps to all cache nodes together,
+// where each node takes but few and many proxies share them. It does no I/O and reads
+// no clock.
+//
+// What it guarantees:
+//  1. The budget is at least Least and never above what one node's table gives at all nodes.
+//  2. Proxies that follow it, and are as many as they were told, fill Fill of each table.
+//  3. Where more proxies or smaller tables than told make nodes refuse, the budget falls
+//     by half within some refusals, and rises again by as much within RiseTime without one.
+//
+// It does not say which connections are kept: those used last are, see package upstream.
+package room
+
+import "time"
+
+const (
+	// Fill is the part of a table that proxies together aim to take. Which proxies hold
+	// a connection to a node is chance: at eighty proxies it scatters by about a seventh,
+	// and some room must be left for those that need one now. A full table also slows a node.
+	Fill = 0.6
+	// Least is kept by any proxy: fewer would make each request wait for a handshake.
+	Least = 4
+	// fall is what remains of the budget after a refusal, and quiet the time after one in
+	// which others don't count: they are of the same moment.
+	fall  = 0.85
+	quiet = 250 * time.Millisecond
+	// RiseTime is how long it takes to regain the whole share.
+	RiseTime = 30 * time.Second
+	// lowest is the part of the share that any number of refusals leaves: a node whose
+	// table is full for another reason must not take the others' connections as well.
+	lowest = 0.25
+)
+
+// Share is what is known of the tables.
+type Share struct {
+	Table   int // connections that a node takes from all, 0 for unknown or no bound
+	Proxies int // that share them, 0 for unknown: one
+}
+
+// Budget is how many connections to keep. The zero Budget has no bound.
+type Budget struct {
+	share Share
+	part  float64 // of the share, 1 at first
+	at    time.Duration
+	fell  time.Duration
+	set   bool
+}
+
+// Set puts what is known into force. What refusals have taught stays.
+func (b *Budget) Set(s Share) { b.share = s }
+
+// Refused tells that a node had no room for a connection.
+func (b *Budget) Refused(now time.Duration) {
+	b.rise(now)
+	if b.fell != 0 && now-b.fell < quiet {
+		return
+	}
+	b.fell = now
+	b.part = max(b.part*fall, lowest)
+}
+
+// rise regains what refusals took, evenly.
+func (b *Budget) rise(now time.Duration) {
+	if !b.set {
+		b.set, b.part = true, 1
+	} else if now > b.at {
+		b.part = min(b.part+float64(now-b.at)/float64(RiseTime), 1)
+	}
+	b.at = max(b.at, now)
+}
+
+// Most returns how many connections may stay open to so many nodes. Idle ones beyond
+// it are to be closed; those at work never count against a request.
+func (b *Budget) Most(now time.Duration, nodes int) int {
+	if b.share.Table <= 0 {
+		return max(nodes, 1) << 10
+	}
+	b.rise(now)
+	whole := float64(b.share.Table*nodes) * Fill / float64(max(b.share.Proxies, 1))
+	return max(int(whole*b.part), Least)
+}
--- /dev/null
+++ b/internal/room/room_test.go
@@ -0,0 +1,110 @@
+package room
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestProxiesFillOnlyTheirPartOfATable guards invariant 2: what eighty proxies keep to
+// sixty nodes, wherever each keeps it, leaves room in each node's table.
+func TestProxiesFillOnlyTheirPartOfATable(t *testing.T) {
+	const proxies, nodes, table = 80, 60, 30
+	rng := rand.New(rand.NewPCG(1, 1))
+	var held [nodes]int
+	for range proxies {
+		var b Budget
+		b.Set(Share{Table: table, Proxies: proxies})
+		most := b.Most(time.Second, nodes)
+		for _, n := range rng.Perm(nodes)[:most] {
+			held[n]++
+		}
+	}
+	for n, h := range held {
+		if h > table {
+			t.Errorf("node %d would hold %d connections of %d", n, h, table)
+		}
+	}
+}
+
+// TestRefusalsSettleWhereTablesHaveRoom guards invariant 3: proxies that were told a wrong
+// number of themselves, or meet smaller tables, come down to what there is.
+func TestRefusalsSettleWhereTablesHaveRoom(t *testing.T) {
+	for name, c := range map[string]struct{ told, proxies, table int }{
+		"as told":          {80, 80, 30},
+		"half of them":     {40, 80, 30},
+		"twice as many":    {160, 80, 30},
+		"smaller tables":   {80, 80, 18},
+		"half and smaller": {40, 80, 18},
+	} {
+		const nodes = 60
+		rng := rand.New(rand.NewPCG(1, 2))
+		fleet := make([]Budget, c.proxies)
+		for i := range fleet {
+			fleet[i].Set(Share{Table: 30, Proxies: c.told})
+		}
+		late, asked := 0, 0
+		for now := time.Duration(0); now < 20*time.Second; now += 250 * time.Millisecond {
+			var held [nodes]int
+			for i := range fleet {
+				for _, n := range rng.Perm(nodes)[:min(fleet[i].Most(now, nodes), nodes)] {
+					if held[n]++; held[n] > c.table {
+						fleet[i].Refused(now)
+						if now > 5*time.Second {
+							late++
+						}
+					}
+					asked++
+				}
+			}
+		}
+		if share := float64(late) / float64(asked); share > 0.05 {
+			t.Errorf("%s: %.3f of connections refused after five seconds, want under 0.05", name, share)
+		}
+	}
+}
+
+func TestBudgetComesBackAfterRefusals(t *testing.T) {
+	var b Budget
+	b.Set(Share{Table: 30, Proxies: 10})
+	whole := b.Most(0, 60)
+	now := time.Second
+	for range 100 {
+		b.Refused(now)
+		now += time.Second / 2
+	}
+	if low := b.Most(now, 60); low < int(float64(whole)*lowest) || low > whole/2 {
+		t.Errorf("after a hundred refusals %d of %d are kept", low, whole)
+	}
+	if got := b.Most(now+RiseTime, 60); got != whole {
+		t.Errorf("%v after the last refusal %d of %d are kept", RiseTime, got, whole)
+	}
+}
+
+// TestRefusalsOfOneMomentCountOnce guards against a burst that empties a proxy of its connections.
+func TestRefusalsOfOneMomentCountOnce(t *testing.T) {
+	var b Budget
+	b.Set(Share{Table: 30, Proxies: 10})
+	whole := b.Most(time.Second, 60)
+	for i := range 50 {
+		b.Refused(time.Second + time.Duration(i)*time.Millisecond)
+	}
+	if got := b.Most(time.Second, 60); got < int(float64(whole)*fall) {
+		t.Errorf("one burst of refusals left %d of %d", got, whole)
+	}
+}
+
+// TestAbsurdShares guards invariant 1.
+func TestAbsurdShares(t *testing.T) {
+	for _, s := range []Share{{}, {Table: -1}, {Table: 30}, {Table: 30, Proxies: -5}, {Table: 1, Proxies: math.MaxInt32}, {Table: 1 << 20, Proxies: 1}} {
+		var b Budget
+		b.Set(s)
+		for _, nodes := range []int{0, 1, 60, 2000} {
+			got := b.Most(time.Hour, nodes)
+			if got < Least || s.Table > 0 && got > max(s.Table*nodes, Least) {
+				t.Errorf("%+v at %d nodes: %d", s, nodes, got)
+			}
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,6 +21,9 @@
 	answerTime = 500 * time.Millisecond
 	// Bodies up to this size are copied behind their line: one write less.
 	copiedBody = 8 << 10
+	// A node without room for one connection more answers busy and ends it, which
+	// come together but not always in one piece.
+	endTime = 2 * time.Millisecond
 )
 
 // conn is one connection to a node. Its fields are guarded by Nodes.mu.
@@ -37,6 +40,7 @@
 	writing bool       // the writer holds a batch
 	partly  int        // attempts at the end of sent that its write has not passed yet
 	retired bool
+	used    bool // an answer but busy has come; the reader's own
 	spoilt  bool // what came for the first of sent can't be read
 	closed  bool
 }
@@ -242,6 +246,7 @@
 	case !c.retired && c.outstanding() == 0 && !c.writing:
 		c.node.take()
 	}
+	c.ns.spare()
 }
 
 // Pending tells whether unread bytes, or a connection's end, wait in the kernel.
@@ -259,6 +264,14 @@
 	return waiting
 }
 
+// ending tells whether the connection has ended behind what was read of it.
+func (c *conn) ending(in *bufio.Reader) bool {
+	c.socket.SetReadDeadline(time.Now().Add(c.ns.end))
+	_, err := in.Peek(1)
+	var broken *net.OpError
+	return err != nil && !(errors.As(err, &broken) && broken.Timeout())
+}
+
 func (c *conn) answers(in *bufio.Reader) error {
 	for {
 		if _, err := in.Peek(1); err != nil {
@@ -273,12 +286,26 @@
 		if err != nil {
 			return err
 		}
+		noRoom := false
+		switch {
+		case answer.Kind != request.Busy:
+			c.used = true
+		case !c.used:
+			noRoom = c.ending(in)
+		}
+		if noRoom {
+			c.ns.full(c)
+		}
 		c.next(in)
 		switch answer.Kind {
 		case request.Value, request.Stored, request.Missing:
 			c.ns.handler.Answered(a, &answer)
 		case request.Busy:
-			c.ns.handler.Ended(a, &answer, Busy)
+			if noRoom {
+				c.ns.handler.Ended(a, &answer, NoRoom)
+			} else {
+				c.ns.handler.Ended(a, &answer, Busy)
+			}
 		default:
 			c.ns.handler.Ended(a, &answer, Failed)
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mulleinpier/internal/request"
+	"mulleinpier/internal/room"
 )
 
 // Result is how an attempt ended without a served answer.
@@ -25,6 +26,7 @@
 	NoConnect               // its last byte was never written
 	Broken                  // the connection ended after that
 	Spoilt                  // what came instead of its answer can't be read
+	NoRoom                  // the node took no further connection, and has not run it
 )
 
 // Attempt is one sending of a request. Each is written at most once and has
@@ -73,6 +75,7 @@
 	Connect time.Duration // how long one may take to come up
 	Idle    time.Duration // how long one may stand idle
 	Silent  time.Duration // how long one with attempts out may say nothing
+	Share   room.Share    // what all proxies together may keep; zero for no bound
 }
 
 // SetLimits puts other limits into force. Connections over them are not closed
@@ -81,6 +84,7 @@
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
 	ns.limits = limits
+	ns.budget.Set(limits.Share)
 }
 
 // Node is a cache node's place.
@@ -105,6 +109,29 @@
 	closed bool // Run has ended
 	warned time.Time
 	hushed int // warnings left out since
+	counts Counts
+	budget room.Budget
+	start  time.Time
+	end    time.Duration // endTime, but in tests
+}
+
+// Counts are what became of connections since they were last taken.
+type Counts struct {
+	Dials    int
+	Refusals int // of them, connections that never came up
+	NoRoom   int // of them, connections that the node had no room for
+	Closed   int // idle connections closed to leave their place to other proxies
+	Conns    int // open or coming up now
+}
+
+// TakeCounts returns what was counted since it was last called.
+func (ns *Nodes) TakeCounts() Counts {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	counts := ns.counts
+	counts.Conns = ns.conns
+	ns.counts = Counts{}
+	return counts
 }
 
 // The waits before a node that refused connections is asked for a further one.
@@ -129,7 +156,10 @@
 
 // New returns an empty Nodes. Run must be called too.
 func New(limits Limits, dialect Dialect, handler Handler, log *slog.Logger) *Nodes {
-	return &Nodes{limits: limits, dialect: dialect, handler: handler, log: log, nodes: make(map[string]*node)}
+	ns := &Nodes{limits: limits, dialect: dialect, handler: handler, log: log, nodes: make(map[string]*node), start: time.Now(),
+		end: endTime}
+	ns.budget.Set(limits.Share)
+	return ns
 }
 
 // Set adds nodes or changes what is known of them. Connections to an old
@@ -225,6 +255,31 @@
 	return true
 }
 
+// full notes that a node has no room for a connection more. The node is well and
+// its connections to others are at work: it is left alone for a moment, and this proxy
+// keeps fewer connections itself, as do all that meet such nodes.
+func (ns *Nodes) full(c *conn) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	ns.counts.NoRoom++
+	ns.budget.Refused(time.Since(ns.start))
+	c.retired = true
+}
+
+// spare closes the connections that have idled longest while there are more than
+// the budget keeps. ns.mu is held.
+func (ns *Nodes) spare() {
+	if ns.conns <= room.Least {
+		return
+	}
+	for most := ns.budget.Most(time.Since(ns.start), len(ns.nodes)); ns.conns > most; {
+		if !ns.closeOldest() {
+			return
+		}
+		ns.counts.Closed++
+	}
+}
+
 // open counts the connections that take attempts.
 func (n *node) open() int {
 	open := 0
@@ -239,9 +294,11 @@
 // room makes sure that a further connection is within the limit, if need be by
 // closing an idle one of another node.
 func (ns *Nodes) room() bool {
-	if ns.conns < ns.limits.All {
-		return true
-	}
+	return ns.conns < ns.limits.All || ns.closeOldest()
+}
+
+// closeOldest closes the connection that has idled longest, if any idles.
+func (ns *Nodes) closeOldest() bool {
 	var oldest *conn
 	for _, n := range ns.nodes {
 		for _, c := range n.conns {
@@ -276,6 +333,7 @@
 func (ns *Nodes) dial(n *node) {
 	n.dialing++
 	ns.conns++
+	ns.counts.Dials++
 	address := n.Address
 	dialer := net.Dialer{Timeout: ns.limits.Connect, KeepAlive: -1}
 	ns.tasks.Go(func() {
@@ -290,6 +348,7 @@
 	switch {
 	case err != nil:
 		ns.conns--
+		ns.counts.Refusals++
 		n.dialAt = time.Now().Add(n.pause)
 		n.pause = min(max(2*n.pause, dialPauseFirst), dialPauseMost)
 	case address != n.Address || !n.listed || ns.closed: // the node has moved or is gone
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
+	"mulleinpier/internal/room"
 )
 
 // patience bounds each wait of these tests; none of them depends on its length.
@@ -229,3 +230,70 @@
 		})
 	}
 }
+
+// TestNodeWithoutRoomIsNoFullQueue guards against eighty proxies that take full tables
+// of connections for overload, and shut their gates for it.
+func TestNodeWithoutRoomIsNoFullQueue(t *testing.T) {
+	nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+		switch id {
+		case "noroom":
+			fmt.Fprint(socket, "SERVER_ERROR busy\r\n")
+			socket.Close()
+		case "queue":
+			fmt.Fprint(socket, "SERVER_ERROR busy\r\n")
+		default:
+			serve(id, socket)
+		}
+	})
+	nodes.mu.Lock()
+	nodes.end = patience // a test waits for the connection's end as long as it takes
+	nodes.mu.Unlock()
+	get(t, nodes, "noroom")
+	if got := handler.next(t); got.result != NoRoom {
+		t.Errorf("a connection that was turned away ended with %d, want %d", got.result, NoRoom)
+	}
+	// A busy on a connection that has served, or that stays open, is the queue's.
+	handler.expectServed(t, get(t, nodes, "first"))
+	get(t, nodes, "queue")
+	if got := handler.next(t); got.result != Busy {
+		t.Errorf("a full queue ended with %d, want %d", got.result, Busy)
+	}
+	if n := nodes.TakeCounts(); n.NoRoom != 1 || n.Dials != 2 {
+		t.Errorf("counted %+v, want one connection of two without room", n)
+	}
+}
+
+// TestIdleConnectionsBeyondTheShareAreClosed guards against a fleet that fills the tables
+// of all nodes with connections that idle.
+func TestIdleConnectionsBeyondTheShareAreClosed(t *testing.T) {
+	nodes, handler := startNodes(t, serve)
+	nodes.mu.Lock()
+	address := nodes.nodes["n"].Address
+	nodes.mu.Unlock()
+	limits := nodes.limits
+	limits.Share = room.Share{Table: 1, Proxies: 1000} // room.Least, then
+	limits.All = 100
+	nodes.SetLimits(limits)
+	var list []Node
+	for i := range 3 * room.Least {
+		list = append(list, Node{Name: fmt.Sprint("m", i), Address: address})
+	}
+	nodes.Set(list)
+	for _, n := range list {
+		a := get(t, nodes, "x")
+		handler.expectServed(t, a)
+		b := &Attempt{Request: a.Request, Deadline: time.Now().Add(patience)}
+		if !nodes.Send(n.Name, b) {
+			t.Fatalf("no connection to %s", n.Name)
+		}
+		handler.expectServed(t, b)
+	}
+	nodes.mu.Lock()
+	defer nodes.mu.Unlock()
+	if nodes.conns > room.Least {
+		t.Errorf("%d connections are kept, want %d", nodes.conns, room.Least)
+	}
+	if len(nodes.nodes["n"].conns) != 1 {
+		t.Error("the connection used all along was closed")
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,6 +166,7 @@
 	Timed                  int     // fetches and writes that were served and measured
 	FetchTime              float64 // what the origin added to them, in aims of their classes
 	Servers, Out           int     // listed now, of them set aside
+	Hopeless, Held         int     // turned away as hopeless; waits for a server
 }
 
 // ListUpdate brings news of the server list.
@@ -209,6 +210,7 @@
 	NotSent
 	Missed // no value is stored there
 	Spoilt // what came can't be read; it may have run
+	NoRoom // no further connection was taken; never run
 )
 
 // Note is what a server told of an answer.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -277,6 +277,11 @@
 	return seen
 }
 
+// Gates returns the share of requests that pass now: of those that a record names, and of others.
+func (b *Balancer) Gates() (known, other float64) {
+	return b.gates[true].open(gatePrior), b.gates[false].open(gatePrior)
+}
+
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
 
 func (b *Balancer) wake(kind int, id uint64, after time.Duration) {
@@ -461,8 +466,12 @@
 		b.giveUp(r)
 		return
 	}
-	if b.may(r, nil) && (b.hopeless(r, s) || !b.admit(r, promise, open)) {
+	hopeless := b.hopeless(r, s)
+	if b.may(r, nil) && (hopeless || !b.admit(r, promise, open)) {
 		b.seen.Turned++
+		if hopeless {
+			b.seen.Hopeless++
+		}
 		// What is shed counts as asked: sends then settle at gateSlack times the good.
 		s.gate.count(b.now, 1, 0, 0)
 		b.gates[promise].count(b.now, 1, 0, 0)
@@ -606,6 +615,7 @@
 		b.giveUp(r)
 		return
 	}
+	b.seen.Held++
 	b.wake(timerWait, r.ID, holdPause)
 }
 
@@ -766,7 +776,7 @@
 // MayHaveRun tells whether an attempt that ended so can have had an effect. A
 // result not known here may have had one.
 func MayHaveRun(r Result) bool {
-	return r != Full && r != ConnectFailed && r != NotSent && r != Missed
+	return r != Full && r != ConnectFailed && r != NotSent && r != Missed && r != NoRoom
 }
 
 // again decides what follows an attempt that served nothing.
@@ -793,7 +803,7 @@
 // only what tells nothing of load is tried again so freely. It might hurt where
 // failing takes a server more work than answering.
 func (b *Balancer) pay(r *request, result Result) bool {
-	network := result == Reset || result == ConnectFailed || result == Spoilt
+	network := result == Reset || result == ConnectFailed || result == Spoilt || result == NoRoom
 	if (b.level < ServiceEconomy || network) && b.gates[true].open(gatePrior) == 1 && b.gates[false].open(gatePrior) == 1 {
 		return true
 	}
@@ -903,11 +913,13 @@
 			}
 		}
 		failed = 1
+	case NoRoom: // a well server that other proxies keep connections to
+		s.until = b.now + b.jitter(backoffFirst)
 	}
-	if e.Result != Cancelled {
+	if e.Result != Cancelled && e.Result != NoRoom {
 		b.ends.count(b.now, 1, broken)
 	}
-	if e.Result != ConnectFailed {
+	if e.Result != ConnectFailed && e.Result != NoRoom {
 		s.health[r.Class].count(b.now, 1, failed)
 		b.health[r.Class].count(b.now, 1, failed)
 	}
@@ -915,7 +927,7 @@
 	// Gates that shut for it would turn away all that idle servers could answer.
 	early := b.now-r.arrived < r.class.Aim
 	asked, ended := 0.0, 1.0
-	if e.Result == ConnectFailed || e.Result == Reset || e.Result == Spoilt || // tell nothing of load
+	if e.Result == ConnectFailed || e.Result == NoRoom || e.Result == Reset || e.Result == Spoilt || // tell nothing of load
 		e.Result == Cancelled && (r.served || early) || // the other copy counts, or none
 		sick && b.excess(s, r.Class) >= sickExcess { // tells of the server alone
 		asked, ended = -1, 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -500,3 +500,31 @@
 		t.Error("its first byte may still be written")
 	}
 }
+
+// TestNoRoomTellsNothingOfLoad guards against gates that shut, and keys that fail, because
+// other proxies hold all connections of some nodes.
+func TestNoRoomTellsNothingOfLoad(t *testing.T) {
+	b, now := harness(t)
+	for id := uint64(1); id <= 200; id++ {
+		now += 2 * backoffFirst // so that it is no longer set aside
+		out := b.Handle(now, Arrival{ID: id, Key: fmt.Sprint("k", id), Deadline: now + time.Second}, nil)
+		to := sent(out)
+		if len(to) != 1 {
+			t.Fatalf("request %d went to %q", id, to)
+		}
+		out = b.Handle(now, Outcome{ID: id, Server: to[0], Result: NoRoom}, nil)
+		if next := sent(out); len(next) != 1 || next[0] == to[0] {
+			t.Fatalf("request %d went to %q after %s had no room", id, next, to[0])
+		} else {
+			b.Handle(now+time.Millisecond, Outcome{ID: id, Attempt: 1, Server: next[0], Result: Served, Took: time.Millisecond}, nil)
+		}
+	}
+	for name, g := range b.gates {
+		if g.open(gatePrior) < 1 {
+			t.Errorf("the gate of promised=%v is open to %.2f", name, g.open(gatePrior))
+		}
+	}
+	if b.health[0].failed > 0 {
+		t.Errorf("%.1f attempts count as failed", b.health[0].failed)
+	}
+}
