Tell sick servers and lost zones by odds that begin at their first failure

Cause: policy.excess weighed a node with twelve assumed attempts and forgot within 3 s; a proxy meets a node once in 3 s. rare() asks for three to four failures in a row at each node. A give-up counted when the client left, half a second after the attempt was overdue.

Ruled out: the list (told at once to all), the nodes' kinds (slow nodes answer as before), the hot keys (the node with most requests, 59 a second, answers in 73 ms).

Each server and class, and each zone for what could not be reached, has the log odds of being sick, never under the prior (CUSUM); what the well fail at is learnt from all, weighed by how well each is. An overdue attempt counts when it is overdue. What was out together fails once; cold servers are left out.

Tests: seen to fail without the code each: sick servers from few requests, lost zone as one (10 of 100 against 0), a bad hour of all, what was out together, cold servers, the formula. The weight for a fifth of all sick has no test that fails without it.

--- /dev/null
+++ b/policy/health_test.go
@@ -0,0 +1,196 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// fleet is a balancer as one of many proxies over sixty servers in four zones.
+func fleet(t *testing.T, seed uint64) *Balancer {
+	t.Helper()
+	b, err := New(Settings{Classes: []Class{{Aim: time.Second / 2, Deadline: 2 * time.Second}}, Proxies: 80,
+		Zones: []string{"a", "b", "c", "d"}, Limits: Limits{MaxAttempts: 4, Cancel: true}}, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Member
+	for i := range 60 {
+		list = append(list, Member{Server: fmt.Sprintf("s%02d", i), Zone: i % 4})
+	}
+	b.Handle(time.Hour, ListUpdate{Kind: ListStored, Members: list}, nil)
+	return b
+}
+
+// drive gives a balancer so many requests, 50 ms apart, and ends each attempt as told; it
+// returns the first sends by server.
+func drive(b *Balancer, from time.Duration, id uint64, n int, ends func(server string) Result) (map[string]int, time.Duration) {
+	firsts, now := make(map[string]int), from
+	for range n {
+		id, now = id+1, now+50*time.Millisecond
+		out := b.Handle(now, Arrival{ID: id, Key: fmt.Sprint("k", id), Deadline: now + 2*time.Second}, nil)
+		for number := 0; len(sent(out)) > 0; number++ {
+			s := sent(out)[0]
+			if number == 0 {
+				firsts[s]++
+			}
+			out = b.Handle(now+time.Millisecond, Outcome{ID: id, Attempt: number, Server: s, Result: ends(s), Took: time.Millisecond}, nil)
+		}
+	}
+	return firsts, now
+}
+
+// TestSickServersAreLearntFromFewRequests guards a proxy that meets a server once in three
+// seconds: what errs time and again gets little within half a minute, however well it was before.
+func TestSickServersAreLearntFromFewRequests(t *testing.T) {
+	b := fleet(t, 1)
+	bad := func(s string) bool { return s == "s03" || s == "s17" || s == "s31" || s == "s44" }
+	_, now := drive(b, time.Hour, 0, 600, func(string) Result { return Served })
+	_, now = drive(b, now, 1000, 600, func(s string) Result {
+		if bad(s) {
+			return Errored
+		}
+		return Served
+	})
+	before, _ := drive(b, now, 2000, 600, func(s string) Result {
+		if bad(s) {
+			return Errored
+		}
+		return Served
+	})
+	got := before["s03"] + before["s17"] + before["s31"] + before["s44"]
+	if got > 20 { // 40 are their part
+		t.Errorf("%d of 600 requests still go to four sick servers of sixty", got)
+	}
+	if got == 0 {
+		t.Error("nothing goes to them any more: nobody would see them well again")
+	}
+}
+
+// TestLostZoneIsLearntAsOne guards against a proxy that has to find out of each server of a
+// lost zone by itself.
+func TestLostZoneIsLearntAsOne(t *testing.T) {
+	b := fleet(t, 2)
+	lost := func(s string) bool { return b.servers[s].Zone == 2 }
+	_, now := drive(b, time.Hour, 0, 200, func(string) Result { return Served })
+	_, now = drive(b, now, 1000, 20, func(s string) Result {
+		if lost(s) {
+			return ConnectFailed
+		}
+		return Served
+	})
+	firsts, _ := drive(b, now, 2000, 100, func(s string) Result {
+		if lost(s) {
+			return ConnectFailed
+		}
+		return Served
+	})
+	to := 0
+	for s, n := range firsts {
+		if lost(s) {
+			to += n
+		}
+	}
+	if to > 2 { // 25 are its part
+		t.Errorf("a second after a zone was lost %d of 100 requests still go there", to)
+	}
+}
+
+// TestBadHourOfAllMakesNoneSick guards the gates: failures everywhere are load, and must count.
+func TestBadHourOfAllMakesNoneSick(t *testing.T) {
+	b := fleet(t, 3)
+	now, n := time.Hour, 0
+	for range 20 {
+		for _, s := range b.list {
+			now += 20 * time.Millisecond
+			b.now = now
+			n++
+			failed := 0.0
+			if n%7 < 4 {
+				failed = 1
+			}
+			b.judge(s, &attempt{server: s, sent: now}, 0, failed, failed)
+		}
+	}
+	sick := 0
+	for _, s := range b.list {
+		if b.sick(s, 0) >= sickOdds {
+			sick++
+		}
+	}
+	if sick > len(b.list)/10 {
+		t.Errorf("%d of %d servers pass for sick while four in seven requests fail everywhere", sick, len(b.list))
+	}
+}
+
+// TestSuspicion is the formula: never under what is assumed, bounded, fading, and one failure
+// is not enough to move a key.
+func TestSuspicion(t *testing.T) {
+	var s suspicion
+	for range 100 {
+		s.add(0, time.Second, 0, 0.1)
+	}
+	if s.above != 0 || math.Abs(s.chance()-sickPrior) > 1e-9 {
+		t.Errorf("after a hundred good ends %+v, chance %v", s, s.chance())
+	}
+	s.add(0, time.Second, 1, 0)
+	if p := s.chance(); p > oneFailure+sickPrior || p < 0.1 {
+		t.Errorf("one failure gives a chance of %.2f", p)
+	}
+	s.add(0, time.Second, 1, 0)
+	if p := s.chance(); p < 0.8 {
+		t.Errorf("two failures give a chance of %.2f", p)
+	}
+	for range 100 {
+		s.add(0, time.Second, 1, 0)
+	}
+	if s.above > mostAbove {
+		t.Errorf("a hundred failures weigh %v", s.above)
+	}
+	if s.fade(10*time.Second, time.Second); s.chance() > 2*sickPrior {
+		t.Errorf("ten memories later the chance is %.2f", s.chance())
+	}
+	s = suspicion{}
+	for range 3 {
+		s.add(0, time.Second, 1, 0.8)
+	}
+	if p := s.chance(); p > 0.2 {
+		t.Errorf("three failures where four in five fail give a chance of %.2f", p)
+	}
+}
+
+// TestWhatWasOutTogetherFailsOnce guards well servers that pause, or lose a connection, under many
+// requests: on dense days each such moment moved all keys of a server for seconds.
+func TestWhatWasOutTogetherFailsOnce(t *testing.T) {
+	b := fleet(t, 4)
+	now := time.Hour + time.Second
+	var ids []uint64
+	for id := uint64(1); id <= 20; id++ { // all to one server: the others are set aside
+		for _, s := range b.list[1:] {
+			s.until = now + time.Minute
+		}
+		b.Handle(now, Arrival{ID: id, Key: fmt.Sprint("k", id), Deadline: now + 2*time.Second}, nil)
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		b.Handle(now+100*time.Millisecond, Outcome{ID: id, Server: b.list[0].Server, Result: Reset, Took: 100 * time.Millisecond}, nil)
+	}
+	b.now = now + 100*time.Millisecond
+	if p := b.sick(b.list[0], 0); p >= sickOdds || p == 0 {
+		t.Errorf("one connection's end under twenty requests gives a chance of %.2f", p)
+	}
+}
+
+// TestColdServerIsNotSick guards new servers: they are slow and ask the origin, for want of warmth.
+func TestColdServerIsNotSick(t *testing.T) {
+	b, now := harness(t, "d")
+	s := b.servers["d"]
+	for i := range 10 {
+		b.now = now + time.Duration(i)*time.Second
+		b.judge(s, &attempt{server: s, sent: b.now}, 0, 1, 1)
+	}
+	if p := b.sick(s, 0); p > 0 {
+		t.Errorf("ten late answers of a cold server give a chance of %.2f", p)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,18 +32,15 @@
 	gatePrior    = 1.25 // good ends assumed besides what was seen: few, or a proxy of few requests never shuts
 	serverPrior  = 5    // one server's counts are small, and chance must not shut it
 	gateSlack    = 1.1
-	gateHaste    = 6.0             // more of it when all comes in time: open again within seconds
-	gateLeast    = 0.03            // always passes, to see a recovery
-	hopeShare    = 0.8             // of a client's wait that its answer may be expected to take
-	aimShare     = 0.5             // and of its aim: times scatter round what is expected
-	settled      = 5               // answers after which what is expected of a server counts against a request
-	healthMemory = 3 * time.Second // of failures: a server that is well again gets its part back within some
-	healthPrior  = 12.0            // attempts assumed to fail as often as elsewhere: a few seen at a small proxy must move no keys
-	sickExcess   = 0.25            // failures beyond the others' share that tell of the server, not of load
-	overdueTimes = 5.0             // the expected time without an answer: it is lost rather than late
-	overdueLeast = 0.2             // of the aim: anything sooner may be a short pause
-	overdueMost  = 0.6             // of the aim: anything later is too late for a second copy
-	shelterShare = 0.25            // of fetches at the most, where only what is known is served
+	gateHaste    = 6.0  // more of it when all comes in time: open again within seconds
+	gateLeast    = 0.03 // always passes, to see a recovery
+	hopeShare    = 0.8  // of a client's wait that its answer may be expected to take
+	aimShare     = 0.5  // and of its aim: times scatter round what is expected
+	settled      = 5    // answers after which what is expected of a server counts against a request
+	overdueTimes = 5.0  // the expected time without an answer: it is lost rather than late
+	overdueLeast = 0.2  // of the aim: anything sooner may be a short pause
+	overdueMost  = 0.6  // of the aim: anything later is too late for a second copy
+	shelterShare = 0.25 // of fetches at the most, where only what is known is served
 	rankSteps    = 16
 	rankKeep     = 0.995 // of the values seen, at each: some two hundred
 	shareBurst   = 1.0   // seconds of a quota that may come at once
@@ -69,8 +66,9 @@
 	answers  int           // that were measured since its start
 	fails    int           // in a row
 	failed   time.Duration // time of the last of them
+	blamed   time.Duration // time of the last failure that counted for its health
 	until    time.Duration // not to be chosen before, if others are left
-	health   []health      // by class
+	health   []suspicion   // by class
 	heard    time.Duration // time of the last answer of any kind
 	unlisted time.Duration // time at which the list dropped it
 	credit   float64       // sends a cold server may get
@@ -100,33 +98,6 @@
 // clear is 1 when all that ended came in time, and 0 when less than four in five did.
 func (g *gate) clear(prior float64) float64 { return max(0, 5*(g.good+prior)/(g.ended+prior)-4) }
 
-// health counts attempts that ended and those of them that failed, both fading.
-type health struct {
-	ended, failed float64
-	at            time.Duration
-}
-
-func (h *health) count(now time.Duration, ended, failed float64) {
-	fade := math.Exp(-float64(now-h.at) / float64(healthMemory))
-	h.ended, h.failed, h.at = h.ended*fade+ended, h.failed*fade+failed, now
-}
-
-// excess is how much larger a share of a class fails at a server than at the
-// others. What an overload or a fallen origin makes fail, fails everywhere and
-// is no excess. It should cover any server that answers, but not with what it
-// is asked for: errors, silence, noise, for all or for one class. It might hurt
-// where the misses of a cold server fail before those of others do.
-func (b *Balancer) excess(s *server, class int) float64 {
-	own, all := &s.health[class], &b.health[class]
-	if own.failed == 0 {
-		return 0
-	}
-	own.count(b.now, 0, 0)
-	all.count(b.now, 0, 0)
-	rest := max(all.failed-own.failed, 0) / (max(all.ended-own.ended, 0) + 1)
-	return max((own.failed+healthPrior*rest)/(own.ended+healthPrior)-rest, 0)
-}
-
 // rare tells whether so many connections in a row would seldom end by chance,
 // as often as they end at all servers together. A server must not be set aside,
 // and its keys with it, for what befalls all: networks that reset, or drop what
@@ -145,6 +116,7 @@
 	mayRun  bool
 	promise bool          // the server's record named the key
 	overdue time.Duration // without an answer until then, it is lost rather than late
+	judged  bool          // counted for its server's health
 }
 
 type request struct {
@@ -189,6 +161,9 @@
 	keyed  gate            // of keyed requests, at all servers
 	shares []share         // by tenant
 	health []health        // of all servers, by class
+	well   []health        // of them, each by the chance that it is well
+	zones  []suspicion     // of not being reached
+	ill    float64         // mean chance of being sick
 	level  Service
 	seen   Condition // since it was last asked for
 	ends   health    // of attempts at all servers, failed where their connection ended
@@ -212,6 +187,7 @@
 		weights: slices.Repeat([]float64{1}, len(set.Kinds)), rng: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*server), requests: make(map[uint64]*request), retries: retryCap,
 		origin: 0.1, work: 0.05, fastest: 0.001, health: make([]health, len(set.Classes)),
+		well: make([]health, len(set.Classes)), zones: make([]suspicion, len(set.Zones)),
 		ranks: map[bool]*ranks{true: {}, false: {}},
 		keyed: gate{keep: gateKeep},
 		gates: map[bool]*gate{true: {keep: gateKeep}, false: {keep: gateKeep}}}, nil
@@ -346,8 +322,9 @@
 func (b *Balancer) forget(s *server) {
 	s.record = record{}
 	s.fastest, s.work, s.load, s.worth, s.fails, s.until, s.sampled, s.answers = 0, 0, s.inFlight, 1, 0, 0, 0, 0
+	s.blamed = 0
 	s.credit, s.gate = -b.rng.Float64(), gate{}
-	s.health = make([]health, len(b.health))
+	s.health = make([]suspicion, len(b.health))
 }
 
 func (b *Balancer) jitter(d time.Duration) time.Duration {
@@ -597,7 +574,10 @@
 // is paid for like a retry and left where the gates shed.
 func (b *Balancer) hedge(r *request) {
 	a := &r.attempts[len(r.attempts)-1]
-	if a.server.heard > a.sent && b.excess(a.server, r.Class) < sickExcess {
+	if r.open == 1 && !a.done { // what is seen of a server counts now, not when its client has left
+		b.judge(a.server, a, r.Class, 1, 1)
+	}
+	if a.server.heard > a.sent && b.sick(a.server, r.Class) < sickOdds {
 		return
 	}
 	if b.level >= ServiceEconomy || r.open != 1 || b.retries < 1 || b.gates[true].open(gatePrior) < 1 || b.gates[false].open(gatePrior) < 1 {
@@ -675,7 +655,7 @@
 		score := func(s *server, miss float64) {
 			// A price is a share of the worth, which is lost with the aim's time.
 			t := b.hitTime(s) + miss*(b.origin+b.set.Prices.Origin*r.class.Aim.Seconds()) +
-				max(b.excess(s, r.Class)-sickExcess, 0)*r.class.Aim.Seconds()
+				b.detour(s, r.Class)*r.class.Aim.Seconds()
 			if s.Zone != b.set.Zone {
 				t += b.set.Prices.CrossZone * r.class.Aim.Seconds()
 			}
@@ -785,7 +765,7 @@
 	// would ask the same origin, and keep it from getting well.
 	a := &r.attempts[e.Attempt]
 	origin := r.Key != "" && (e.Result == Full || e.Result == Errored) &&
-		b.excess(a.server, r.Class) < sickExcess
+		b.sick(a.server, r.Class) < sickOdds
 	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay(r, e.Result) {
 		if s, promise := b.choose(r); s != nil {
 			b.send(r, s, promise)
@@ -919,9 +899,12 @@
 	if e.Result != Cancelled && e.Result != NoRoom {
 		b.ends.count(b.now, 1, broken)
 	}
-	if e.Result != ConnectFailed && e.Result != NoRoom {
-		s.health[r.Class].count(b.now, 1, failed)
-		b.health[r.Class].count(b.now, 1, failed)
+	if e.Result != NoRoom && (e.Result != Cancelled || failed > 0) {
+		unreached := 0.0
+		if e.Result == ConnectFailed || e.Result == TimedOut || e.Result == Cancelled {
+			unreached = failed
+		}
+		b.judge(s, a, r.Class, failed, unreached)
 	}
 	// A client that gives up before the aim tells of its patience, not of load.
 	// Gates that shut for it would turn away all that idle servers could answer.
@@ -929,7 +912,7 @@
 	asked, ended := 0.0, 1.0
 	if e.Result == ConnectFailed || e.Result == NoRoom || e.Result == Reset || e.Result == Spoilt || // tell nothing of load
 		e.Result == Cancelled && (r.served || early) || // the other copy counts, or none
-		sick && b.excess(s, r.Class) >= sickExcess { // tells of the server alone
+		sick && b.sick(s, r.Class) >= sickOdds { // tells of the server alone
 		asked, ended = -1, 0
 	}
 	s.gate.count(b.now, asked, ended, good)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -60,13 +60,13 @@
 	b, now := harness(t)
 	b.set.Classes[0].Name = "x"
 	b.Handle(now, Arrival{ID: 1, Deadline: now + time.Second}, nil)
-	b.health[0].failed, b.servers["a"].health[0].failed = 7, 5
+	b.health[0].failed, b.servers["a"].health[0].above = 7, 5
 	set := *b.set
 	set.Classes = []Class{{Name: "new", Aim: 1, Deadline: 1}, {Name: "x", Aim: 2, Deadline: 3}}
 	if err := b.Reconfigure(set); err != nil {
 		t.Fatal(err)
 	}
-	if b.health[0].failed != 0 || b.health[1].failed != 7 || b.servers["a"].health[1].failed != 5 {
+	if b.health[0].failed != 0 || b.health[1].failed != 7 || b.servers["a"].health[1].above != 5 {
 		t.Errorf("after the move: %v, %v", b.health, b.servers["a"].health)
 	}
 	if r := b.requests[1]; r.Class != 1 || r.class.Aim != time.Second {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -55,18 +55,9 @@
 			to[from[i]] = i
 		}
 	}
-	moved := func(in []health) []health {
-		out := make([]health, last+1)
-		for i, f := range from {
-			if f >= 0 {
-				out[i] = in[f]
-			}
-		}
-		return out
-	}
-	b.health = moved(b.health)
+	b.health, b.well = moved(b.health, from), moved(b.well, from)
 	for _, s := range b.servers {
-		s.health = moved(s.health)
+		s.health = moved(s.health, from)
 	}
 	for _, r := range b.requests {
 		r.Class = to[r.Class]
@@ -74,3 +65,15 @@
 	b.set = &set
 	return nil
 }
+
+// moved returns what is known by class in the order of other classes: from has the old
+// place of each, -1 for a new one.
+func moved[T any](in []T, from []int) []T {
+	out := make([]T, len(from))
+	for i, f := range from {
+		if f >= 0 {
+			out[i] = in[f]
+		}
+	}
+	return out
+}
