--- a/cmd/yarrowspan/deploy_test.go
+++ b/cmd/yarrowspan/deploy_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"debug/elf"
+	"errors"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +12,8 @@
 	"testing"
 
 	"github.com/BurntSushi/toml"
+
+	"mulleinpier/internal/daemon"
 )
 
 // The platform loads a library of its own into the program, which only the C library's
@@ -71,3 +75,11 @@
 	}
 	t.Fatalf("%s has no interpreter entry: it is linked statically", program)
 }
+
+// Counting and levels of service would each take the other's samples.
+func TestCountsAndReduceExcludeEachOther(t *testing.T) {
+	err := run([]string{"platform", "--reduce", "--counts"}, io.Discard, daemon.Options{Getenv: func(string) string { return "" }})
+	if !errors.Is(err, errUsage) {
+		t.Errorf("error %v, want one of usage", err)
+	}
+}
--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -106,6 +106,8 @@
 	case args[0] == "version":
 		fmt.Fprintln(out, "yarrowspan", version())
 		return nil
+	case *reduce && *counts: // both take what the decision module has counted
+		return fmt.Errorf("%w: --reduce and --counts exclude each other", errUsage)
 	case args[0] == "platform":
 		load := platform(o.Getenv)
 		o.Platform, o.Load = true, func() (*config.Config, error) {
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -15,7 +15,7 @@
 
 const (
 	// Fill is the part of a table that proxies together aim to take. Which proxies hold
-	// a connection to a node is chance: at eighty proxies it scatters by about a seventh,
+	// a connection to a node is chance: at eighty proxies of which 18 do, it scatters by about a fifth,
 	// and some room must be left for those that need one now. A full table also slows a node.
 	Fill = 0.6
 	// Least is kept by any proxy: fewer would make each request wait for a handshake.
