--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,7 +43,10 @@
 	Membership  membership.Limits
 	BinaryNodes Speakers
 	Service     ServiceConfig
-	Counts      bool // log a line of counts a second; not with levels of service
+	// Ahead is how far the clock that counts the machine's sleep is ahead of the monotonic one;
+	// nil where it is not to be asked.
+	Ahead  func() time.Duration
+	Counts bool // log a line of counts a second; not with levels of service
 }
 
 // Speakers names the nodes that speak the binary protocol: by their own names, and by
@@ -72,6 +75,7 @@
 	server string
 	sent   time.Duration
 	ended  bool
+	parked bool // held until the proxy is awake
 }
 
 // Core holds the decision module and carries out what it decides. All events
@@ -113,6 +117,7 @@
 	failed    map[string]bool // nodes whose connections failed last
 	counting  bool
 	counts    counts
+	still     stillness
 }
 
 // rules are what a request is checked against as it comes. They are replaced
@@ -146,6 +151,7 @@
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
 		look: make(chan string, 8), failed: make(map[string]bool), counting: config.Counts}
+	c.still.init(config.Ahead)
 	c.levels = newLevels(&config.Service)
 	c.levels.asks = asks(config)
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
@@ -175,9 +181,9 @@
 }
 
 // now is the module's clock: Unix time, so that the list's start times need no
-// mapping, advanced by the monotonic clock.
+// mapping, advanced by the monotonic clock and by the machine's sleep.
 func (c *Core) now() time.Duration {
-	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start) + time.Duration(c.still.asleep.Load())
 }
 
 // Run keeps the timers and the watch until ctx ends.
@@ -185,6 +191,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.nodes.Run(ctx) })
 	tasks.Go(func() { c.keepTime(ctx) })
+	tasks.Go(func() { c.reask(ctx) })
 	if c.counting {
 		tasks.Go(func() { c.logCounts(ctx) })
 	}
@@ -261,6 +268,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seeClocks()
 	rules := c.rules
 	class, known := rules.classes[in.Class]
 	if !known {
@@ -289,12 +297,17 @@
 		reply.Finish(&request.Answer{Kind: request.Busy, After: c.balancer.Advice(class)})
 		return nil
 	}
+	deadline, aged := c.judge(in, &rules.set.Classes[class], wait)
+	if aged {
+		c.still.aged++
+		reply.Finish(&request.Answer{Kind: request.Busy, After: c.balancer.Advice(class)})
+		return nil
+	}
 	c.last++
 	c.counts.arrived++
 	in.Serial = uint32(c.last)
-	now := c.now()
-	r := &Held{id: c.last, request: in, reply: reply, deadline: now + wait,
-		expires: time.Now().Add(wait)}
+	r := &Held{id: c.last, request: in, reply: reply, deadline: deadline,
+		expires: time.Now().Add(deadline - c.now())}
 	c.requests[r.id] = r
 	c.open[in.ID] = struct{}{}
 	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
@@ -385,7 +398,7 @@
 		a.Deadline = a.Deadline.Add(now + action.After - r.deadline)
 		c.setTimer(timer{at: now + action.After, id: r.id, attempt: a.Number})
 	}
-	if !c.nodes.Send(a.server, &a.Attempt) {
+	if !c.park(r, a) && !c.nodes.Send(a.server, &a.Attempt) {
 		c.end(r, a, policy.ConnectFailed, nil)
 	}
 }
@@ -395,7 +408,7 @@
 	if a.ended {
 		return
 	}
-	if c.nodes.Abandon(&a.Attempt) {
+	if a.parked || c.nodes.Abandon(&a.Attempt) {
 		as = policy.NotSent
 	}
 	c.end(r, a, as, nil)
@@ -475,6 +488,7 @@
 func (c *Core) Begin(batch []*upstream.Attempt) []*upstream.Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seeClocks()
 	kept := batch[:0]
 	for _, u := range batch {
 		r, a := c.find(u)
@@ -485,6 +499,12 @@
 			c.end(r, a, policy.NotSent, nil)
 			continue
 		}
+		if c.park(r, a) {
+			continue
+		}
+		if r.expires.Before(u.Deadline) { // the machine slept
+			u.Deadline = r.expires
+		}
 		kept = append(kept, u)
 	}
 	return kept
@@ -494,6 +514,7 @@
 func (c *Core) Answered(u *upstream.Attempt, answer *request.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seeClocks()
 	if r, a := c.find(u); r != nil {
 		c.counts.served++
 		c.answer(r, answer)
@@ -506,6 +527,7 @@
 func (c *Core) Ended(u *upstream.Attempt, answer *request.Answer, result upstream.Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seeClocks()
 	r, a := c.find(u)
 	if r == nil {
 		return
@@ -535,6 +557,7 @@
 	moduleTimer = -1
 	allAttempts = -2
 	memberTimer = -3 // membership's
+	stillTimer  = -4 // a look at the clocks
 	// Timers due within a few milliseconds are handled together: a wake-up each
 	// would cost more than they do.
 	timerGrain = 2 * time.Millisecond
@@ -564,16 +587,21 @@
 func (c *Core) fire() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.seeClocks()
 	for now := c.now(); len(c.timers) > 0; {
 		if wait := c.timers[0].at - now; wait > 0 {
 			return wait
 		}
 		t := c.timers.pop()
-		c.levels.lag = max(c.levels.lag, now-t.at)
+		if t.at > c.wokenAt() { // else it is late for a stop
+			c.levels.lag = max(c.levels.lag, now-t.at)
+		}
 		switch t.attempt {
 		case moduleTimer:
 			c.handle(policy.Timer{Token: t.id})
 			continue
+		case stillTimer: // it was looked at
+			continue
 		case memberTimer:
 			c.member(membership.Tick{})
 			continue
--- a/internal/core/counts.go
+++ b/internal/core/counts.go
@@ -33,6 +33,7 @@
 		c.mu.Lock()
 		n, open, cond := c.counts, len(c.requests), c.balancer.Condition()
 		c.counts = counts{}
+		stops := c.still.attrs()
 		known, other := c.balancer.Gates()
 		c.mu.Unlock()
 		u := c.nodes.TakeCounts()
@@ -46,6 +47,6 @@
 			slog.Int("asked", cond.Asked), slog.Int("turned", cond.Turned), slog.Int("hopeless", cond.Hopeless), slog.Int("pending", cond.Held),
 			slog.Float64("gate_known", known), slog.Float64("gate_other", other),
 			slog.Int("dials", u.Dials), slog.Int("refusals", u.Refusals), slog.Int("conns", u.Conns),
-			slog.Int("no_room", u.NoRoom), slog.Int("closed", u.Closed))
+			slog.Int("no_room", u.NoRoom), slog.Int("closed", u.Closed), slog.Any("still", slog.GroupValue(stops...)))
 	}
 }
--- /dev/null
+++ b/internal/core/still.go
@@ -0,0 +1,277 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinpier/internal/membership"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/still"
+	"mulleinpier/internal/upstream"
+	"mulleinpier/policy"
+)
+
+// This file has package still look at the clocks wherever something is decided, and does what
+// follows from a stop of the process.
+
+// stillness is what the core knows of stops. It is guarded by Core.mu, but for the atomics.
+type stillness struct {
+	module  *still.Module
+	actions []still.Action
+	ahead   func() time.Duration      // how far the clock that counts sleep is ahead; nil where it is not asked
+	asleep  atomic.Int64              // of the machine so far: time that the monotonic clock has not counted
+	looked  atomic.Int64              // when somebody looked last, by the monotonic clock
+	gap     atomic.Pointer[still.Gap] // the latest, nil for none
+	parked  []*attempt                // sends that are held
+	owners  []*Held                   // of each
+	awake   chan struct{}
+	ask     chan struct{} // the lists are to be asked for
+	stops   int
+	stood   time.Duration // in all
+	aged    int           // requests refused for their age
+	late    int           // writes that a stop fell into
+}
+
+func (s *stillness) init(ahead func() time.Duration) {
+	s.ahead, s.ask = ahead, make(chan struct{}, 1)
+	s.awake = make(chan struct{})
+	close(s.awake)
+	reading := still.Reading{}
+	if ahead != nil {
+		reading.Ahead = ahead()
+	}
+	s.module = still.New(still.Usual, reading)
+}
+
+// mono is the clock of stops: the time since the core's start, by the monotonic clock.
+func (c *Core) mono() time.Duration { return time.Since(c.start) }
+
+// Now returns the time by the core's clock, as [Core.Age] takes it, and looks whether the process
+// stood still. It costs a look at the clock; only who finds a stop takes the lock.
+func (c *Core) Now() time.Duration {
+	now := c.mono()
+	if last := c.still.looked.Load(); c.still.module != nil && now-time.Duration(last) >= still.Usual.Least {
+		c.mu.Lock()
+		c.seeClocks()
+		c.mu.Unlock()
+	}
+	return now
+}
+
+// At says a time by the core's clock as others have it.
+func (c *Core) At(t time.Duration) time.Time { return c.start.Add(t) }
+
+// Tick is to be called every still.Usual.Tick.
+func (c *Core) Tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeClocks()
+}
+
+// seeClocks tells the module what the clocks say. c.mu is held. It may end attempts, so it comes
+// before its caller looks at any.
+func (c *Core) seeClocks() {
+	reading := still.Look{}
+	if c.still.ahead != nil {
+		reading.Ahead = c.still.ahead()
+	}
+	now := c.mono()
+	c.still.looked.Store(int64(now))
+	c.stands(now, reading)
+}
+
+// stands gives the module an event, and does what it asks. c.mu is held.
+func (c *Core) stands(now time.Duration, event still.Event) {
+	s := &c.still
+	s.module.Held(len(s.parked))
+	s.actions = s.module.Handle(now, event, s.actions[:0])
+	for _, action := range s.actions {
+		switch a := action.(type) {
+		case still.Stood:
+			c.wakeUp(a.Gap)
+		case still.Release:
+			c.release(a.Most)
+		case still.Again:
+			c.setTimer(timer{at: c.now() + a.After, attempt: stillTimer})
+		case still.Awake:
+			close(s.awake)
+			c.log.Info("at work again", "after", a.After)
+		}
+	}
+}
+
+// wakeUp keeps a stop out of all that is learnt, and has the lists asked for. c.mu is held.
+func (c *Core) wakeUp(gap still.Gap) {
+	s := &c.still
+	s.gap.Store(&gap)
+	s.stops++
+	s.stood += gap.Long()
+	if gap.Asleep > 0 { // of clients' time as well
+		s.asleep.Add(int64(gap.Asleep))
+		for _, r := range c.requests {
+			r.expires = r.expires.Add(-gap.Asleep)
+		}
+	}
+	if isClosed(s.awake) {
+		s.awake = make(chan struct{})
+	}
+	c.levels.told += gap.Long() // it was not the sources that were silent
+	c.handle(policy.Stood{For: gap.Long()})
+	c.log.Warn("stood still", "for", gap.Long(), "asleep", gap.Asleep, "open", len(c.requests))
+	post(s.ask)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Awake is closed while no stop holds what is sent.
+func (c *Core) Awake() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeClocks()
+	return c.still.awake
+}
+
+// Age is when what was read may have come. Kernel is asked only where a stop makes a difference.
+func (c *Core) Age(r still.Read, kernel func() still.Kernel) still.Age {
+	gap := c.Gap()
+	k := still.Kernel{}
+	if gap.To > 0 && r.Clean < gap.To {
+		k = kernel()
+	}
+	return still.AgeOf(r, gap, k)
+}
+
+// Gap returns the latest stop, by the core's clock.
+func (c *Core) Gap() (gap still.Gap) {
+	if known := c.still.gap.Load(); known != nil {
+		gap = *known
+	}
+	return gap
+}
+
+// wokenAt is when the latest stop ended, by the module's clock.
+func (c *Core) wokenAt() time.Duration { return c.Gap().To + c.now() - c.mono() }
+
+// judge decides on a request by its age. c.mu is held.
+func (c *Core) judge(in *request.Request, class *policy.Class, wait time.Duration) (deadline time.Duration, refuse bool) {
+	now, effect := c.mono(), still.Safe
+	switch class.Effect {
+	case policy.Keyed:
+		effect = still.Keyed
+	case policy.Unsafe:
+		effect = still.Unsafe
+	}
+	age := in.Age
+	if age == (still.Age{}) {
+		age = still.Age{Oldest: now, Latest: now}
+	}
+	v := still.Judge(now, effect, wait, class.Window, age)
+	return v.Until + c.now() - now, v.Refuse
+}
+
+// park holds an attempt back, and tells whether it does. c.mu is held.
+func (c *Core) park(r *Held, a *attempt) bool {
+	if !c.still.module.Holds() {
+		return false
+	}
+	c.still.parked, c.still.owners = append(c.still.parked, a), append(c.still.owners, r)
+	a.parked = true
+	return true
+}
+
+// release sends the oldest of what is held. What was given up meanwhile has ended. c.mu is held.
+func (c *Core) release(most int) {
+	s := &c.still
+	for ; most > 0 && len(s.parked) > 0; most-- {
+		a, r := s.parked[0], s.owners[0]
+		s.parked, s.owners = s.parked[1:], s.owners[1:]
+		if a.parked = false; a.ended {
+			most++
+			continue
+		}
+		if !c.nodes.Send(a.server, &a.Attempt) {
+			c.end(r, a, policy.ConnectFailed, nil)
+		}
+	}
+	if len(s.parked) == 0 {
+		s.parked, s.owners = nil, nil
+	}
+}
+
+// Late implements upstream.Handler: what allowed these writes may not have held any more.
+func (c *Core) Late(batch []*upstream.Attempt, by time.Duration) {
+	c.mu.Lock()
+	keyed := 0
+	for _, u := range batch {
+		if u.Request.Idempotency != "" {
+			keyed++
+		}
+	}
+	c.still.late += len(batch)
+	c.mu.Unlock()
+	c.log.Warn("written late", "requests", len(batch), "keyed", keyed, "by", by)
+}
+
+// reask has the lists told anew after each stop, until ctx ends: what was told meanwhile counts as
+// known to this proxy, and may wait unread.
+func (c *Core) reask(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.still.ask:
+		}
+		c.nodes.Refresh()
+		c.askAll(ctx)
+		c.mu.Lock()
+		c.stands(c.mono(), still.Heard{})
+		c.mu.Unlock()
+	}
+}
+
+// askAll asks all sources of the list at once, and waits no longer than sends are held.
+func (c *Core) askAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, still.Usual.Wake)
+	defer cancel()
+	c.mu.Lock()
+	places, registry := c.places, c.registry
+	c.mu.Unlock()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for i, p := range places {
+		source := registry
+		if c.infer {
+			source = p.Open()
+		} else if i > 0 {
+			break
+		}
+		tasks.Go(func() {
+			l, err := source.Fetch(ctx)
+			switch {
+			case err != nil:
+				c.log.Warn("no list after standing still", "source", p.String(), "error", err)
+			case c.infer:
+				c.mu.Lock()
+				c.member(membership.Told{Source: p.String(), Whole: true, Nodes: l.Nodes()})
+				c.mu.Unlock()
+			default:
+				c.learn(p.String(), source, l, policy.ListFull)
+			}
+		})
+	}
+}
+
+// attrs are what a line of counts says of stops. Core.mu is held.
+func (s *stillness) attrs() []slog.Attr {
+	return []slog.Attr{slog.Int("stops", s.stops), slog.Duration("stood", s.stood), slog.Int("aged", s.aged), slog.Int("written_late", s.late)}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -82,6 +82,7 @@
 // Conn is a client's connection.
 type Conn struct {
 	In      *bufio.Reader // for the session only
+	source  source
 	host    *Host
 	socket  *net.TCPConn
 	session Session // nil until the first command
@@ -99,6 +100,7 @@
 	since    time.Time // of the last answer
 	owed     time.Time // when the first silent answer was had that nothing has followed; zero for none
 	writing  time.Time // since when a write has been out, zero for none
+	limit    time.Time // of the command under way, as set by limitCommand; zero between commands
 }
 
 // Slot is the place of one command's answer among those of its connection.
@@ -116,7 +118,9 @@
 
 // New returns a connection that is yet to be served.
 func New(host *Host, socket *net.TCPConn) *Conn {
-	c := &Conn{host: host, socket: socket, In: bufio.NewReaderSize(socket, clientBuffer), since: time.Now()}
+	c := &Conn{host: host, socket: socket, since: time.Now()}
+	c.source.begin(c)
+	c.In = bufio.NewReaderSize(&c.source, clientBuffer)
 	c.changed.L = &c.mu
 	return c
 }
@@ -183,6 +187,7 @@
 			until = cutoff
 		}
 	}
+	c.limit = until
 	c.socket.SetReadDeadline(until)
 }
 
@@ -191,8 +196,12 @@
 	r.conn = c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.replies) >= pipelined && !c.gone {
-		c.changed.Wait()
+	if len(c.replies) >= pipelined && !c.gone {
+		from := c.host.Core.Now()
+		for len(c.replies) >= pipelined && !c.gone {
+			c.changed.Wait()
+		}
+		c.source.paused(from)
 	}
 	c.replies = append(c.replies, r)
 	return r
@@ -241,7 +250,7 @@
 func (c *Conn) rest() between {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.limit = false, time.Time{}
 	if !c.closing && !c.ending {
 		c.socket.SetReadDeadline(time.Time{})
 		return resting
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -139,6 +139,11 @@
 		}
 		command.Value = body[:command.Size]
 	}
+	if command.Idempotency != "" && s.conn.Left() {
+		s.host.Bodies.Give(len(body))
+		return false, io.EOF
+	}
+	command.Age = s.conn.Age()
 	r := &reply{host: s.host, id: command.ID, size: len(body)}
 	s.conn.Add(&r.Slot)
 	command.Room = meta.Room(command.ID)
--- /dev/null
+++ b/internal/front/source.go
@@ -0,0 +1,120 @@
+package front
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mulleinpier/internal/core"
+	"mulleinpier/internal/still"
+	"mulleinpier/internal/upstream"
+)
+
+// source reads a client's socket, and knows how old what it brings may be. It belongs to the
+// connection's reader.
+type source struct {
+	conn  *Conn
+	core  *core.Core
+	read  still.Read    // the latest call that brought something
+	clean time.Duration // when all that had come was taken last, zero for never
+	pause still.Gap     // a time in which nothing was read, as too many commands were at work
+}
+
+// settled is how long after a stop whatever waited for a listener's reader has been taken.
+const settled = time.Second
+
+func (s *source) begin(c *Conn) {
+	s.conn, s.core = c, c.host.Core
+	// Right after a stop a new connection may have waited in the backlog for as long.
+	if now := s.core.Now(); s.core.Gap().To == 0 || now-s.core.Gap().To > settled {
+		s.clean = now
+	}
+}
+
+// paused notes that nothing was read since a time.
+func (s *source) paused(from time.Duration) {
+	if to := s.core.Now(); to-from >= still.Usual.Least {
+		s.pause = still.Gap{From: from, To: to}
+	}
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	for {
+		began := s.core.Now()
+		n, err := s.conn.socket.Read(p)
+		ended := s.core.Now()
+		if n == 0 && isTimeout(err) && s.conn.stoodWithin() {
+			continue
+		}
+		if n > 0 {
+			s.read = still.Read{Clean: s.clean, Began: began, Ended: ended}
+			s.clean = s.read.CleanAfter(n < len(p), s.core.Gap())
+		}
+		return n, err
+	}
+}
+
+// Age is when the last byte of the command just read may have come. It is for sessions, before
+// the next is read.
+func (c *Conn) Age() still.Age {
+	s := &c.source
+	age := s.core.Age(s.read, c.kernel)
+	if s.pause.To > s.read.Clean {
+		paused := still.AgeOf(s.read, s.pause, c.kernel())
+		age.Oldest, age.Latest = min(age.Oldest, paused.Oldest), min(age.Latest, paused.Latest)
+	}
+	return age
+}
+
+// kernel asks what the kernel knows of the connection.
+func (c *Conn) kernel() (k still.Kernel) {
+	info, ok := c.info()
+	if !ok {
+		return k
+	}
+	return still.Kernel{Known: true, Age: time.Duration(info.Last_data_recv) * time.Millisecond,
+		Alone: c.In.Buffered() == 0 && !upstream.Pending(c.socket)}
+}
+
+func (c *Conn) info() (info *unix.TCPInfo, ok bool) {
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return nil, false
+	}
+	raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, err == nil && info != nil && info.State > 0
+}
+
+// tcpCloseWait is the state of a connection whose other end has closed (RFC 9293).
+const tcpCloseWait = 8
+
+// Left tells whether the client has closed behind the command just read: it has asked elsewhere
+// by now, or will, and nobody waits for the answer. What may change something is not begun then:
+// what was long under way, or waited for a process that stood still, comes with its end behind it.
+func (c *Conn) Left() bool {
+	if c.In.Buffered() == 0 {
+		return upstream.Ended(c.socket)
+	}
+	info, ok := c.info()
+	return ok && info.State == tcpCloseWait
+}
+
+// stoodWithin gives the command under way its time anew if a stop of the process took it, and
+// tells whether.
+func (c *Conn) stoodWithin() bool {
+	gap := c.host.Core.Gap()
+	if gap.To == 0 {
+		return false
+	}
+	woke := c.host.Core.At(gap.To)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit.IsZero() || c.ending || !woke.After(c.limit.Add(-commandTime)) || !c.limit.Before(woke.Add(commandTime)) ||
+		time.Since(woke) >= commandTime {
+		return false
+	}
+	c.limit = woke.Add(commandTime)
+	c.socket.SetReadDeadline(c.limit)
+	return true
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -29,7 +29,7 @@
 	// Connections closed ahead of need: they count until the client closes too.
 	headroom = 16
 	// Idle and stuck clients are looked for so often.
-	sweepTime = 50 * time.Millisecond
+	sweepTime = 50 * time.Millisecond // still.Usual.Tick
 	// A connection that has idled for less is not closed to make room.
 	idleLeast = 100 * time.Millisecond
 	// One part in so many of all places is kept for clients that idle.
@@ -323,6 +323,7 @@
 		socket, err := d.AcceptTCP()
 		switch {
 		case err == nil:
+			<-s.core.Awake() // for as long as sends are held, which is bounded
 			s.admit(d, socket)
 		case errors.Is(err, net.ErrClosed) || isTimeout(err):
 			return
@@ -388,6 +389,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			s.core.Tick()
 			s.tidy(now)
 		case <-samples.C:
 			s.sample()
@@ -427,8 +429,9 @@
 		since  time.Time
 	}
 	var idlers []idler
+	woke := s.core.At(s.core.Gap().To) // nobody was stuck in a stop of ours
 	for c := range s.clients {
-		if at := c.StuckSince(); !at.IsZero() && now.Sub(at) > s.longest {
+		if at := c.StuckSince(); !at.IsZero() && now.Sub(woke) > s.longest && now.Sub(at) > s.longest {
 			c.Close()
 		} else if at, idle := c.IdleSince(); idle && now.Sub(at) > front.IdleTime {
 			c.CloseIdle()
--- a/internal/rehearse/binary.go
+++ b/internal/rehearse/binary.go
@@ -95,7 +95,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		l, err := dial(d.address)
+		l, err := dial(d.front)
 		if err != nil {
 			time.Sleep(10 * time.Millisecond)
 			continue
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -255,7 +255,7 @@
 	}
 	c.pools[place] = pool
 	c.mu.Unlock()
-	l, err := dial(d.address)
+	l, err := dial(d.front)
 	if err == nil {
 		l.binary = binary
 	}
@@ -345,7 +345,7 @@
 func (c *clients) silence(d *proxyDoor, l *link, id string, sent time.Time, wait time.Duration, err error) (ending, time.Duration) {
 	if isTimeout(err) {
 		// The client gives up, and what comes yet is watched for.
-		c.tasks.Go(func() { c.late(d, l, id, sent.Add(wait)) })
+		c.tasks.Go(func() { c.late(d, l, id, sent, sent.Add(wait)) })
 		return silent, 0
 	}
 	l.socket.Close()
@@ -368,6 +368,8 @@
 	killed := d.killed
 	d.mu.Unlock()
 	switch {
+	case c.excused(d, sent, sent.Add(took)): // the process stood still, or the link was cut
+		return silent
 	case killed.After(l.opened) && killed.After(sent.Add(-patience)) && time.Since(killed) < patience:
 		c.tally.excused()
 		return silent // left to the client: it may have run
@@ -398,7 +400,7 @@
 }
 
 // late watches a connection whose client has given up.
-func (c *clients) late(d *proxyDoor, l *link, id string, deadline time.Time) {
+func (c *clients) late(d *proxyDoor, l *link, id string, sent, deadline time.Time) {
 	defer l.socket.Close()
 	l.socket.SetDeadline(deadline.Add(watchTime + c.tally.slackNow()))
 	_, _, err := l.answer()
@@ -406,6 +408,7 @@
 	switch by := time.Since(deadline); {
 	case err == nil && by <= c.tally.slackNow():
 		c.tally.overdue(by)
+	case c.excused(d, sent, deadline):
 	case err == nil:
 		c.tally.lose("proxy %d answered %s %v after its deadline", d.index, id, by.Round(time.Millisecond))
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -489,7 +492,7 @@
 				continue
 			}
 			var err error
-			if l, err = dial(d.address); err != nil {
+			if l, err = dial(d.front); err != nil {
 				l = nil
 				time.Sleep(10 * time.Millisecond)
 				continue
@@ -521,6 +524,7 @@
 			case err == nil && a.Kind == request.Value && (string(a.ID) != id || !bytes.HasPrefix(value, []byte(keys[i]+" "))):
 				c.tally.wrong("proxy %d answered %s in a pipeline with that of %s", d.index, id, a.ID)
 			case err == nil:
+			case c.excused(d, sent, sent.Add(wait)):
 			case errors.As(err, &timeout) && timeout.Timeout():
 				c.tally.lose("proxy %d never answered %s in a pipeline", d.index, id)
 			default: // what the proxy has not read is asked for elsewhere
--- a/internal/rehearse/clients.go
+++ b/internal/rehearse/clients.go
@@ -179,7 +179,7 @@
 	p := &ClientsPlay{Name: t.name, About: t.about, Results: make([]*load.Result, len(kinds)), Doubled: make(map[string]int)}
 	var addresses []string
 	for _, d := range f.proxies {
-		addresses = append(addresses, d.address)
+		addresses = append(addresses, d.front)
 	}
 	var tasks sync.WaitGroup
 	errs := make([]error, len(kinds))
@@ -224,7 +224,7 @@
 // killedLately tells whether a proxy was killed outright within the time that a request may be out at it.
 func (f *fleet) killedLately(address string) bool {
 	for _, d := range f.proxies {
-		if d.address == address {
+		if d.front == address {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			return time.Since(d.killed) < patience
--- a/internal/rehearse/directory.go
+++ b/internal/rehearse/directory.go
@@ -34,8 +34,11 @@
 	at      map[int]string
 }
 
-func newPlatformList(entries []list.Entry) *platformList {
-	return &platformList{service: list.New(entries), at: make(map[int]string)}
+// newPlatformList has each proxy find a node where placed says.
+func newPlatformList(entries []list.Entry, placed func(proxy int, e *list.Entry) string) *platformList {
+	service := list.New(entries)
+	service.Placed = placed
+	return &platformList{service: service, at: make(map[int]string)}
 }
 
 func (d *platformList) config(proxy int) (string, error) {
--- /dev/null
+++ b/internal/rehearse/disturb.go
@@ -0,0 +1,287 @@
+package rehearse
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mulleinpier/internal/rehearse/rig"
+	"mulleinpier/internal/standin/list"
+)
+
+// This file has a scenario's events put the rig's faults into the fleet, and knows whom they
+// excuse.
+
+// stand is a time in which a process was stopped.
+type stand struct{ from, to time.Time }
+
+// wakeTime is what a process has to answer in that was stopped to just before a deadline.
+const wakeTime = 50 * time.Millisecond
+
+// links are the ways between parts of the fleet that a scenario has fail, one for each pair.
+// Pairs that none has fail talk without one.
+type links struct {
+	clients map[int]*rig.Link // by proxy; nil for no links of the kind
+	list    map[int]*rig.Link // by proxy
+
+	mu   sync.Mutex
+	held map[int]map[string]*rig.Link // proxy, node
+}
+
+// plan tells which links there are to be.
+func (l *links) plan(s *Scenario) {
+	for i := range s.Events {
+		e := &s.Events[i]
+		if e.Do != "link" {
+			continue
+		}
+		switch e.Between {
+		case "clients":
+			l.clients = make(map[int]*rig.Link)
+		case "nodes":
+			l.held = make(map[int]map[string]*rig.Link)
+		case "list":
+			l.list = make(map[int]*rig.Link)
+		}
+	}
+}
+
+// toProxy is where clients connect to a proxy.
+func (l *links) toProxy(d *proxyDoor) (string, error) {
+	if l.clients == nil {
+		return d.address, nil
+	}
+	link, err := rig.NewLink(proxyHost, d.address)
+	if err != nil {
+		return "", err
+	}
+	l.clients[d.index] = link
+	return link.Address(), nil
+}
+
+// linkedNode is where a proxy finds a node.
+func (f *fleet) linkedNode(proxy int, e *list.Entry) string {
+	l := &f.links
+	if l.held == nil {
+		return e.Address
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[proxy] == nil {
+		l.held[proxy] = make(map[string]*rig.Link)
+	}
+	link := l.held[proxy][e.Name]
+	if link == nil {
+		var err error
+		if link, err = rig.NewLink("127.0.0.2", e.Address); err != nil {
+			f.problem("%v", err)
+			return e.Address
+		}
+		l.held[proxy][e.Name] = link
+	}
+	return link.Address()
+}
+
+// linkedList puts a link before the place of a proxy's list.
+func (f *fleet) linkedList(proxy int, place string) (string, error) {
+	before, rest, ok := strings.Cut(place, "discovery = \"")
+	target, after, _ := strings.Cut(rest, "\"")
+	if !ok {
+		return "", errors.New("links to a list are for the platform's form")
+	}
+	if old := f.links.list[proxy]; old == nil {
+		link, err := rig.NewLink("127.0.0.1", target)
+		if err != nil {
+			return "", err
+		}
+		f.links.list[proxy] = link
+	}
+	return before + "discovery = \"" + f.links.list[proxy].Address() + "\"" + after, nil
+}
+
+// heldBetween tells whether what came from a proxy to a node may have waited on its link since
+// a time.
+func (l *links) heldBetween(proxy int, node string, since time.Time) bool {
+	l.mu.Lock()
+	link := l.held[proxy][node]
+	l.mu.Unlock()
+	return link != nil && link.TroubledSince(since.Add(-drainGrace))
+}
+
+func (l *links) close() {
+	for _, link := range l.clients {
+		link.Close()
+	}
+	for _, link := range l.list {
+		link.Close()
+	}
+	for _, byNode := range l.held {
+		for _, link := range byNode {
+			link.Close()
+		}
+	}
+}
+
+// chosen are the links that an event is about.
+func (l *links) chosen(e *Event, names []string) (list []*rig.Link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, proxy := range e.proxies() {
+		switch e.Between {
+		case "clients":
+			list = append(list, l.clients[proxy])
+		case "list":
+			list = append(list, l.list[proxy])
+		default:
+			for name, link := range l.held[proxy] {
+				if len(e.Nodes) == 0 || slices.ContainsFunc(e.Nodes, func(i int) bool { return names[i] == name }) {
+					list = append(list, link)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// proxies are those that a fault is about.
+func (e *Event) proxies() []int {
+	if len(e.Proxies) > 0 {
+		return e.Proxies
+	}
+	return []int{e.Proxy}
+}
+
+// checkFault tells what is wrong with an event of the rig's kinds.
+func (s *Scenario) checkFault(e *Event) error {
+	if e.Do != "stop" && e.Do != "link" && e.Do != "starve" && e.Do != "crowd" {
+		return nil
+	}
+	bad := func(i, n int) bool { return i < 0 || i >= n }
+	switch {
+	case slices.ContainsFunc(e.proxies(), func(i int) bool { return bad(i, s.Fleet.Proxies) }):
+		return fmt.Errorf("%s: there is no such proxy: %v", e.Do, e.proxies())
+	case slices.ContainsFunc(e.Nodes, func(i int) bool { return bad(i, s.Fleet.Nodes) }):
+		return fmt.Errorf("%s: there is no such node: %v", e.Do, e.Nodes)
+	case e.For <= 0 && e.Kind != "reset" || time.Duration(e.For) > 10*time.Minute:
+		return fmt.Errorf("%s: for cannot be %v: want above 0, to 10m", e.Do, time.Duration(e.For))
+	case e.Times > 10000:
+		return fmt.Errorf("%s: times cannot be %d: want 10000 at most", e.Do, e.Times)
+	case e.Do == "link" && !slices.Contains([]string{"clients", "nodes", "list"}, e.Between):
+		return fmt.Errorf("link: between cannot be %q: want clients, nodes or list", e.Between)
+	case e.Do == "link" && e.Kind != "reset" && rig.Faults[e.Kind] == nil:
+		return fmt.Errorf("link: there is no fault %q", e.Kind)
+	case e.Do == "link" && e.Between != "clients" && s.Fleet.Consul:
+		return errors.New("link: with Consul only those to clients can fail")
+	}
+	return nil
+}
+
+// disturb puts in a fault of the rig's kinds, until its end, and tells whether the event is one.
+func (f *fleet) disturb(ctx context.Context, e *Event) bool {
+	var each func(ctx context.Context, d *proxyDoor) error
+	switch e.Do {
+	case "stop":
+		schedule := rig.Stop{For: time.Duration(e.For), Every: time.Duration(e.Every), Times: e.Times}
+		each = func(ctx context.Context, d *proxyDoor) error { return d.stop(ctx, schedule) }
+	case "starve":
+		each = func(ctx context.Context, d *proxyDoor) error {
+			ctx, end := context.WithTimeout(ctx, time.Duration(e.For))
+			defer end()
+			return rig.Starve(ctx, d.current().cmd.Process.Pid, max(e.Times, 1))
+		}
+	case "crowd":
+		each = func(ctx context.Context, d *proxyDoor) error {
+			ctx, end := context.WithTimeout(ctx, time.Duration(e.For))
+			defer end()
+			rig.Crowd(ctx, d.front, max(e.Times, 1))
+			return nil
+		}
+	case "link":
+		f.failLinks(ctx, e)
+		return true
+	default:
+		return false
+	}
+	var tasks sync.WaitGroup
+	for _, i := range e.proxies() {
+		tasks.Go(func() {
+			if err := each(ctx, f.proxies[i]); err != nil {
+				f.problem("%s of proxy %d: %v", e.Do, i, err)
+			}
+		})
+	}
+	tasks.Wait()
+	return true
+}
+
+// failLinks has links fail for a time.
+func (f *fleet) failLinks(ctx context.Context, e *Event) {
+	names := make([]string, len(f.nodes))
+	for i, n := range f.nodes {
+		names[i] = n.Name()
+	}
+	chosen := f.links.chosen(e, names)
+	if e.Kind == "reset" {
+		for _, l := range chosen {
+			l.Reset()
+		}
+		return
+	}
+	set := func(fault rig.Fault) {
+		for _, l := range chosen {
+			if err := l.Set(fault); err != nil {
+				f.problem("link: %v", err)
+			}
+		}
+	}
+	set(rig.Faults[e.Kind](time.Duration(e.By)))
+	sleep(ctx, time.Duration(e.For))
+	set(rig.Fault{})
+}
+
+// stop stops the proxy's process by a schedule.
+func (d *proxyDoor) stop(ctx context.Context, schedule rig.Stop) error {
+	at := -1
+	note := func(from, to time.Time) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if at >= 0 {
+			d.stood[at].to = to
+		} else {
+			d.stood = append(d.stood, stand{from, to})
+		}
+		at = -1
+	}
+	if schedule.Times <= 1 { // its end is not known to those who ask meanwhile
+		d.mu.Lock()
+		at = len(d.stood)
+		d.stood = append(d.stood, stand{from: time.Now(), to: time.Now().Add(time.Hour)})
+		d.mu.Unlock()
+	}
+	return schedule.Do(ctx, d.current().cmd.Process.Pid, note)
+}
+
+// stoodAt tells whether the process stood still at a deadline, too late before it to answer.
+func (d *proxyDoor) stoodAt(deadline time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.stood, func(s stand) bool { return s.from.Before(deadline) && s.to.After(deadline.Add(-wakeTime)) })
+}
+
+// excused tells whether a try's answer could not come in its time, as the process stood still
+// or the link to it was cut, and counts it.
+func (c *clients) excused(d *proxyDoor, sent, deadline time.Time) bool {
+	if d.stoodAt(deadline) {
+		c.tally.stood()
+		return true
+	}
+	if link := c.fleet.links.clients[d.index]; link != nil && link.TroubledSince(sent) {
+		c.tally.severed()
+		return true
+	}
+	return false
+}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -37,6 +37,7 @@
 	nodes   []*node.Node
 	list    directory
 	proxies []*proxyDoor
+	links   links
 
 	mu       sync.Mutex
 	entries  []list.Entry // of nodes, as last told
@@ -57,6 +58,7 @@
 	fleet    *fleet
 	index    int
 	address  string
+	front    string // where clients connect: the same, or a link to it
 	config   string
 	listener *os.File // passed to each process, or nil
 
@@ -64,7 +66,8 @@
 
 	mu       sync.Mutex
 	process  *process
-	taking   bool // the front deals it connections
+	taking   bool    // the front deals it connections
+	stood    []stand // when its process was stopped, the latest last
 	killed   time.Time
 	quota    int
 	restarts int
@@ -78,6 +81,7 @@
 	p := s.Fleet
 	f.origin = origin.New(origin.Config{Slots: p.OriginSlots, Queue: p.OriginQueue, Work: time.Duration(p.OriginWork), Seed: s.Seed})
 	f.group = node.NewGroup(time.Duration(p.Window))
+	f.links.plan(s)
 	for i := range p.Nodes {
 		n, err := node.Start(node.Config{Name: fmt.Sprintf("n%d", i), Slots: p.Slots, Queue: p.Queue, Work: time.Duration(p.Work),
 			Capacity: p.Capacity, Conns: p.Connections, Report: true, Seed: s.Seed + uint64(i), Origin: f.origin, Group: f.group,
@@ -98,7 +102,7 @@
 		}
 		f.list = agents
 	} else {
-		f.list = newPlatformList(f.entries)
+		f.list = newPlatformList(f.entries, f.linkedNode)
 	}
 	for i := range p.Proxies {
 		d, err := f.newDoor(i)
@@ -148,6 +152,9 @@
 		}
 	}
 	listener.Close()
+	if d.front, err = f.links.toProxy(d); err != nil {
+		return nil, err
+	}
 	text, err := d.text("same")
 	if err != nil {
 		return nil, err
@@ -172,11 +179,19 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.fleet.links.list != nil {
+		if place, err = d.fleet.linkedList(d.index, place); err != nil {
+			return nil, err
+		}
+	}
 	fmt.Fprintf(&b, "%s[start]\nwait_for_address = \"10s\"\n", place)
 	fmt.Fprintf(&b, "[limits]\nmemory_mb = %d\nsockets = %d\nconnections_per_node = %d\n", p.MemoryMB, sockets, p.PerNode)
 	if p.Unreduced {
 		fmt.Fprintln(&b, "[service]\nreduce = false")
 	}
+	if p.Clock != "" {
+		fmt.Fprintf(&b, "[test]\nclock = %q\n", p.Clock)
+	}
 	for _, t := range s.Load.Tenants {
 		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
 	}
@@ -211,6 +226,7 @@
 func (f *fleet) arrived(name, id, value string, at time.Time) {
 	proxy := proxyOf(id)
 	told, draining := f.drainTold(proxy, name)
+	draining = draining && !f.links.heldBetween(proxy, name, told) // what a link held back was sent before
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.Sub(f.turned) > seenTime {
@@ -495,6 +511,7 @@
 	if f.list != nil {
 		f.list.close()
 	}
+	f.links.close()
 	f.origin.Close()
 	for _, n := range f.nodes {
 		n.Close()
--- a/internal/rehearse/library.go
+++ b/internal/rehearse/library.go
@@ -20,7 +20,7 @@
 		OnOverdue: t.overdue, OnLost: t.lose}
 	var addresses []string
 	for _, d := range c.fleet.proxies {
-		addresses = append(addresses, d.address)
+		addresses = append(addresses, d.front)
 	}
 	tenants := c.load.Tenants
 	if len(tenants) == 0 {
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -116,7 +116,7 @@
 // String says an event as the progress does.
 func (e Event) String() string {
 	text := e.Do
-	for _, part := range []string{e.Mode, e.With, e.Kind} {
+	for _, part := range []string{e.Mode, e.With, e.Between, e.Kind} {
 		if part != "" {
 			text += " " + part
 		}
@@ -127,6 +127,8 @@
 			return text + fmt.Sprintf(" proxy %d", e.Proxy)
 		}
 		return text + " all proxies"
+	case "stop", "link", "starve", "crowd":
+		return text + fmt.Sprintf(" proxies %v", e.proxies())
 	case "drain", "undrain", "cold", "remove", "fault", "flap", "die", "reborn":
 		return text + fmt.Sprintf(" node %d", e.Node)
 	}
@@ -150,6 +152,9 @@
 		tasks.Wait()
 	}
 	n := f.nodes[e.Node]
+	if f.disturb(ctx, &e) {
+		return
+	}
 	switch e.Do {
 	case "wave":
 		for i, d := range f.proxies {
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -32,6 +32,8 @@
 	LastBy      float64  `json:"last_at_a_drained_node_ms"`
 	Crossed     int      `json:"crossed"`
 	Excused     int      `json:"excused"`
+	Stood       int      `json:"stopped"`
+	Severed     int      `json:"severed"`
 	Overdue     int      `json:"overdue"`
 	OverdueBy   float64  `json:"overdue_by_ms"`
 	Lag         float64  `json:"lag_ms"` // of the rehearsal itself, at the most
@@ -84,6 +86,7 @@
 	}
 	o := f.origin.Stats()
 	r.Requests, r.Lost, r.Wrong, r.Crossed, r.Excused = rules.requests, rules.lost, rules.wrong, rules.crossed, rules.excused
+	r.Stood, r.Severed = rules.stood, rules.severed
 	r.Overdue, r.OverdueBy = rules.overdue, millis(rules.overBy)
 	r.Lag = millis(t.most)
 	r.Unopened, r.NotOffered = t.refuse, t.unsent
@@ -147,9 +150,9 @@
 	w.Flush()
 	fmt.Fprintf(out, "%d restarts, %d reloads; %d effects; origin full %d times; %d connections to a node at most\n", r.Restarts, r.Reloads,
 		r.Effects, r.OriginFull, r.MostPerNode)
-	fmt.Fprintf(out, "no breach: the last request came to a draining node %.0f ms after its drain was told; %d requests crossed a close, %d were out at a killed proxy, %d connections did not come up, %d answers "+
+	fmt.Fprintf(out, "no breach: the last request came to a draining node %.0f ms after its drain was told; %d requests crossed a close, %d were out at a killed proxy, %d at one that stood still, %d over a cut link, %d connections did not come up, %d answers "+
 		"came up to %.0f ms after their deadline, %d requests were not offered; the rehearsal itself was %.0f ms late at the most\n",
-		r.LastBy, r.Crossed, r.Excused, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered, r.Lag)
+		r.LastBy, r.Crossed, r.Excused, r.Stood, r.Severed, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered, r.Lag)
 	if r.Wrong > 0 || r.Fallen > 0 {
 		fmt.Fprintf(out, "besides: %d wrong answers, %d nodes pushed over\n", r.Wrong, r.Fallen)
 	}
--- /dev/null
+++ b/internal/rehearse/rig/link.go
@@ -0,0 +1,264 @@
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Way is what one direction of a link does with what comes.
+type Way struct {
+	Held  bool          // nothing passes; what comes waits and is delivered when it is not held any more
+	Delay time.Duration // a piece passes so much later
+	Rate  int           // bytes a second; 0 for no bound
+}
+
+// Fault is what a link does. The zero value passes all on.
+type Fault struct {
+	Forth, Back Way  // from who connects to who is connected to, and the other way
+	Closed      bool // no new connection comes up: the backlog is full
+}
+
+// Faults by name, as scenarios say them.
+var Faults = map[string]func(by time.Duration) Fault{
+	"":      func(time.Duration) Fault { return Fault{} },
+	"cut":   func(time.Duration) Fault { return Fault{Forth: Way{Held: true}, Back: Way{Held: true}, Closed: true} },
+	"forth": func(time.Duration) Fault { return Fault{Forth: Way{Held: true}} }, // what goes out never comes
+	"back":  func(time.Duration) Fault { return Fault{Back: Way{Held: true}} },  // calls go out and nothing comes
+	"delay": func(by time.Duration) Fault { return Fault{Forth: Way{Delay: by}, Back: Way{Delay: by}} },
+	"slow":  func(time.Duration) Fault { return Fault{Forth: Way{Rate: slowRate}, Back: Way{Rate: slowRate}} },
+}
+
+const (
+	slowRate  = 4 << 10
+	pieceMost = 16 << 10
+	// A link carries so many connections at a time; more are refused.
+	linkConns = 1024
+	dialTime  = 2 * time.Second
+)
+
+// Link is a way from whoever connects to its address to a target, through which all bytes
+// pass and may be held, slowed or cut. It is safe for concurrent use.
+type Link struct {
+	target  string
+	address string
+
+	mu       sync.Mutex
+	changed  sync.Cond // of fault and closed
+	fault    Fault
+	troubled time.Time // when a fault last ended
+	listener *net.TCPListener
+	fill     []net.Conn
+	conns    map[net.Conn]struct{}
+	closed   bool
+	tasks    sync.WaitGroup
+}
+
+// NewLink opens a link to a target on a port of a loopback host.
+func NewLink(host, target string) (*Link, error) {
+	l := &Link{target: target, conns: make(map[net.Conn]struct{})}
+	l.changed.L = &l.mu
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	l.listener, l.address = listener.(*net.TCPListener), listener.Addr().String()
+	l.tasks.Go(func() { l.accept(l.listener) })
+	return l, nil
+}
+
+// Address is where the link begins.
+func (l *Link) Address() string { return l.address }
+
+// Set puts a fault in, or takes it out with the zero value.
+func (l *Link) Set(f Fault) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return net.ErrClosed
+	}
+	before := l.fault
+	l.fault, l.troubled = f, time.Now()
+	l.changed.Broadcast()
+	switch {
+	case f.Closed && !before.Closed:
+		return l.shut()
+	case !f.Closed && before.Closed:
+		return l.reopen()
+	}
+	return nil
+}
+
+// TroubledSince tells whether a fault is in, or was at a time or later.
+func (l *Link) TroubledSince(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault != (Fault{}) || l.troubled.After(at)
+}
+
+// Reset ends all connections of the link with resets.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// shut fills the backlog of the listener, which nobody takes from any more: whoever connects
+// hears nothing. l.mu is held.
+func (l *Link) shut() error {
+	raw, err := l.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
+		return err
+	}
+	l.listener.SetDeadline(time.Unix(1, 0)) // ends its accept; the socket stays
+	for range 8 {
+		c, err := net.DialTimeout("tcp", l.address, 50*time.Millisecond)
+		if err != nil {
+			return nil // full
+		}
+		l.fill = append(l.fill, c)
+	}
+	return errors.New("link: the backlog does not fill")
+}
+
+// reopen takes connections again. l.mu is held.
+func (l *Link) reopen() error {
+	for _, c := range l.fill {
+		c.Close()
+	}
+	l.fill = nil
+	raw, err := l.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 128) }); err != nil {
+		return err
+	}
+	l.listener.SetDeadline(time.Time{})
+	l.tasks.Go(func() { l.accept(l.listener) })
+	return nil
+}
+
+// Close ends the link and all that passes.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.listener.Close()
+	for _, c := range l.fill {
+		c.Close()
+	}
+	for c := range l.conns {
+		c.Close()
+	}
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	l.tasks.Wait()
+}
+
+func (l *Link) accept(listener *net.TCPListener) {
+	for {
+		in, err := listener.Accept()
+		if err != nil {
+			return // closed, or shut for a while
+		}
+		l.tasks.Go(func() { l.carry(in) })
+	}
+}
+
+// enter notes a connection, and tells whether the link takes it.
+func (l *Link) enter(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.conns) >= 2*linkConns {
+		c.Close()
+		return false
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *Link) leave(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	c.Close()
+}
+
+func (l *Link) carry(in net.Conn) {
+	if !l.enter(in) {
+		return
+	}
+	defer l.leave(in)
+	out, err := net.DialTimeout("tcp", l.target, dialTime)
+	if err != nil {
+		in.(*net.TCPConn).SetLinger(0) // as if it had been refused
+		return
+	}
+	if !l.enter(out) {
+		return
+	}
+	defer l.leave(out)
+	var both sync.WaitGroup
+	both.Go(func() { l.pass(in, out, func(f *Fault) *Way { return &f.Back }) })
+	l.pass(out, in, func(f *Fault) *Way { return &f.Forth })
+	both.Wait()
+}
+
+// pass takes what comes from one end to the other, as its way's fault wants it.
+func (l *Link) pass(to, from net.Conn, way func(*Fault) *Way) {
+	piece := make([]byte, pieceMost)
+	for {
+		n, err := from.Read(piece)
+		if !l.await(way) {
+			return
+		}
+		if n > 0 {
+			l.dawdle(n, way)
+			if _, failed := to.Write(piece[:n]); failed != nil {
+				from.Close()
+				return
+			}
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				to.(*net.TCPConn).CloseWrite()
+			} else {
+				to.(*net.TCPConn).SetLinger(0)
+				to.Close()
+			}
+			return
+		}
+	}
+}
+
+// await waits while a way is held, and returns false once the link has ended.
+func (l *Link) await(way func(*Fault) *Way) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for way(&l.fault).Held && !l.closed {
+		l.changed.Wait()
+	}
+	return !l.closed
+}
+
+// dawdle takes the time that a piece needs.
+func (l *Link) dawdle(size int, way func(*Fault) *Way) {
+	l.mu.Lock()
+	w := *way(&l.fault)
+	l.mu.Unlock()
+	d := w.Delay
+	if w.Rate > 0 {
+		d += time.Duration(size) * time.Second / time.Duration(w.Rate)
+	}
+	time.Sleep(min(d, 30*time.Second))
+}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -65,6 +65,7 @@
 	BinaryNodes  int    `toml:"binary_nodes"` // every so many-th node speaks binary; 0 for none
 	Consul       bool   // proxies follow Consul agents, one a zone
 	Unreduced    bool   // proxies don't reduce service
+	Clock        string // how the proxies' clock goes, as a configuration of tests has it
 	Lacks        string // the origin has no key that begins so
 }
 
@@ -133,6 +134,11 @@
 	By    span   // of fault
 	Part  int    // of fault: one request in so many
 	Zone  string // of dark and light
+	For   span   // of stop, link, starve and crowd: how long
+	// Of stop, link, starve and crowd: which proxies (none for that of Proxy), and of a link to
+	// nodes which of them (none for all).
+	Proxies, Nodes []int
+	Between        string // of link: clients, nodes or list, to each of which the proxies are linked
 }
 
 // what events there are, and what they do.
@@ -156,6 +162,10 @@
 	"brown":     "has the origin take By for a piece of work; without By the usual",
 	"dark":      "ends the processes of all nodes of a Zone; nobody tells the list",
 	"light":     "starts them anew, cold, and has the list tell it",
+	"stop":      "stops proxies (SIGSTOP) For a time and continues them, Times times, one each Every",
+	"link":      "has the links Between proxies and clients, nodes or list fail by Kind (cut, forth, back, delay, slow, reset), By and For a time",
+	"starve":    "takes the proxies' cores For a time, by Times busy threads beside each",
+	"crowd":     "opens Times connections to proxies and holds them For a time, without a word",
 }
 
 var modes = []string{"", "gap", "overlap"}
@@ -236,6 +246,9 @@
 		}
 	}
 	for i, e := range s.Events {
+		if err := s.checkFault(&e); err != nil {
+			return fmt.Errorf("event %d: %w", i, err)
+		}
 		switch {
 		case (e.Do == "dark" || e.Do == "light") && !slices.Contains(f.Zones, e.Zone):
 			return fmt.Errorf("event %d: there is no zone %q", i, e.Zone)
@@ -248,7 +261,7 @@
 		case time.Duration(e.At) > s.length():
 			return fmt.Errorf("event %d comes after the end", i)
 		}
-		if _, err := node.ParseFault(e.Kind); err != nil && e.Do != "list-down" {
+		if _, err := node.ParseFault(e.Kind); err != nil && e.Do != "list-down" && e.Do != "link" {
 			return fmt.Errorf("event %d: %w", i, err)
 		}
 		if e.Times < 0 || e.Times > f.Nodes && (e.Do == "leave" || e.Do == "return") {
--- a/internal/rehearse/tally.go
+++ b/internal/rehearse/tally.go
@@ -88,6 +88,8 @@
 	wrong    int // answers that are not the request's
 	crossed  int // closed between requests as they went out
 	excused  int // out when their proxy was killed outright
+	stood    int // out at a process that stood still to beyond their deadline
+	severed  int // out over a link that was cut
 	overdue  int // answered just after the deadline
 	overBy   time.Duration
 	samples  []string
@@ -169,6 +171,8 @@
 
 func (t *tally) sent()       { t.add(func(b *broken) { b.requests++ }) }
 func (t *tally) crossed()    { t.add(func(b *broken) { b.crossed++ }) }
+func (t *tally) stood()      { t.add(func(b *broken) { b.stood++ }) }
+func (t *tally) severed()    { t.add(func(b *broken) { b.severed++ }) }
 func (t *tally) excused()    { t.add(func(b *broken) { b.excused++ }) }
 func (t *tally) notOffered() { t.add(func(*broken) { t.unsent++ }) }
 func (t *tally) unopened()   { t.add(func(*broken) { t.refuse++ }) }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -10,7 +10,11 @@
 //     unchanged, but for the time that the proxy waits.
 package request
 
-import "time"
+import (
+	"time"
+
+	"mulleinpier/internal/still"
+)
 
 // Verb is a request's kind.
 type Verb uint8
@@ -31,6 +35,7 @@
 	Tenant      string
 	Idempotency string        // "" for none
 	Wait        time.Duration // how long the client waits; negative if it did not say
+	Age         still.Age     // when its last byte may have come, by the core's clock; zero for just now
 	Retry       bool          // marked by the client as a repetition
 	Flags       uint32        // of a Set: kept with the value by nodes whose dialect has room for it
 	Serial      uint32        // set by the core: tells answers apart where a dialect has no room for the id
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -44,6 +44,10 @@
 
 // Service is a stand-in list service. It is safe for concurrent use.
 type Service struct {
+	// Placed, if set before use, is where a proxy finds a node: the address of an entry may differ
+	// from one proxy to the next.
+	Placed func(proxy int, e *Entry) string
+
 	mu      sync.Mutex
 	changed chan struct{} // closed at each change
 	index   uint64
@@ -267,6 +271,12 @@
 	for first := true; ; first = false {
 		if len(m.Endpoints) > 0 || first {
 			s.tell(proxy, &m)
+			if s.Placed != nil {
+				m.Endpoints = slices.Clone(m.Endpoints) // the log's own hold the real addresses
+				for i := range m.Endpoints {
+					m.Endpoints[i].Address = s.Placed(proxy, &m.Endpoints[i])
+				}
+			}
 			if out.Encode(m) != nil {
 				return
 			}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,6 +24,8 @@
 	// A node without room for one connection more answers busy and ends it, which
 	// come together but not always in one piece.
 	endTime = 2 * time.Millisecond
+	// A write that ends so long after what allowed it was looked at is told as late.
+	lateWrite = 300 * time.Millisecond
 )
 
 // conn is one connection to a node. Its fields are guarded by Nodes.mu.
@@ -104,6 +106,7 @@
 		batch := c.out
 		c.out, c.writing = nil, true
 		ns.mu.Unlock()
+		looked := time.Now()
 		batch = ns.handler.Begin(batch)
 		var parts net.Buffers
 		parts, text = render(c.dialect, batch, text[:0])
@@ -116,6 +119,9 @@
 		if len(batch) > 0 {
 			ns.mu.Unlock()
 			n, err := parts.WriteTo(c.socket)
+			if by := time.Since(looked); by >= lateWrite {
+				ns.handler.Late(batch, by)
+			}
 			ns.mu.Lock()
 			c.partly = 0
 			for _, a := range batch {
@@ -252,16 +258,26 @@
 // Pending tells whether unread bytes, or a connection's end, wait in the kernel.
 // It may be called while another goroutine waits for them.
 func Pending(socket *net.TCPConn) bool {
+	_, err := peek(socket)
+	return err == nil
+}
+
+// Ended tells whether the other end has closed, or broken, a connection and all that came before
+// is read.
+func Ended(socket *net.TCPConn) bool {
+	n, err := peek(socket)
+	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+}
+
+func peek(socket *net.TCPConn) (n int, err error) {
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	waiting := false
-	raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = err == nil
+	failed := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return waiting
+	return n, errors.Join(err, failed)
 }
 
 // ending tells whether the connection has ended behind what was read of it.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,6 +49,9 @@
 	// Begin drops the attempts of a batch whose first byte must not be written
 	// any more, and returns the others. Those dropped have ended.
 	Begin(batch []*Attempt) []*Attempt
+	// Late tells that attempts were written so long after Begin let them: the process stood
+	// still in between, or the node took nothing.
+	Late(batch []*Attempt, by time.Duration)
 	// Answered ends an attempt with a served answer, which is the handler's from then on.
 	Answered(a *Attempt, answer *request.Answer)
 	// Ended ends an attempt; answer is nil where none came.
@@ -497,6 +500,34 @@
 	}
 }
 
+// Refresh closes the idle connections that ended meanwhile, or have idled for so long that their
+// nodes may end them: after a stop of the process nobody has noticed either. No lock is held
+// while they are looked at.
+func (ns *Nodes) Refresh() {
+	ns.mu.Lock()
+	var idle []*conn
+	for _, n := range ns.nodes {
+		for _, c := range n.conns {
+			if c.outstanding() == 0 {
+				idle = append(idle, c)
+			}
+		}
+	}
+	limit := ns.limits.Idle
+	ns.mu.Unlock()
+	dead := slices.DeleteFunc(idle, func(c *conn) bool { return !Ended(c.socket) && !Pending(c.socket) })
+	ns.mu.Lock()
+	for _, c := range dead {
+		if c.outstanding() == 0 {
+			c.close()
+		}
+	}
+	ns.mu.Unlock()
+	if limit > 0 {
+		ns.sweep(time.Now())
+	}
+}
+
 // close closes all connections, for good.
 func (ns *Nodes) close() {
 	ns.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -30,6 +30,8 @@
 
 func (e ends) Begin(batch []*Attempt) []*Attempt { return batch }
 
+func (e ends) Late([]*Attempt, time.Duration) {}
+
 func (e ends) Answered(a *Attempt, answer *request.Answer) {
 	e <- end{attempt: a, text: string(answer.Value())}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -156,6 +156,10 @@
 	ServiceShelter           // of the others only those whose key a record names
 )
 
+// Stood tells that the proxy stood still until now. What was out meanwhile tells nothing of
+// servers, and what fades with time has not faded.
+type Stood struct{ For time.Duration }
+
 // ServiceChange puts a level of service into force.
 type ServiceChange struct{ Level Service }
 
@@ -274,6 +278,7 @@
 func (ProbeResult) event()   {}
 func (PeerMessage) event()   {}
 func (ServiceChange) event() {}
+func (Stood) event()         {}
 
 // ActionKind says what an Action asks for.
 type ActionKind uint8
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,6 +126,7 @@
 	copied  time.Duration // without an answer until then, a second copy may be sent
 	overdue time.Duration // and until then, its server is slow even if it answers others
 	judged  bool          // counted for its server's health
+	stood   bool          // the proxy stood still while it was out
 }
 
 type request struct {
@@ -140,6 +141,7 @@
 	ended    bool
 	stream   bool
 	served   bool
+	stood    bool // the proxy stood still while it was open
 	open     int
 	attempts []attempt
 }
@@ -242,6 +244,8 @@
 		}
 	case Timer:
 		b.timer(e)
+	case Stood:
+		b.stood(e.For)
 	case ServiceChange:
 		b.level = e.Level
 	}
@@ -888,6 +892,9 @@
 // the aim tells of its patience; one that was never sent, of the gates.
 func (b *Balancer) count(r *request) {
 	late := 0
+	if r.stood {
+		return
+	}
 	if early := b.now-r.arrived <= r.class.Aim; !r.served && early && len(r.attempts) > 0 && r.open > 0 || len(r.attempts) == 0 {
 		return
 	} else if !r.served || !early {
@@ -915,6 +922,10 @@
 	if a.sent < s.Started {
 		return // sent before its restart
 	}
+	if a.stood {
+		b.learnLittle(r, s, e.Result)
+		return
+	}
 	if e.Result != Cancelled && e.Result != TimedOut && e.Result != ConnectFailed {
 		s.heard = b.now
 	}
