Let go of held sends once, and put stops, cuts and slow links into rehearsals

Change: Begin holds only while the list is asked for (Module.Stays), and what fits one portion ends the waking at once. Tests: TestHeldSendsGoInPortions fails without it.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -38,6 +39,9 @@
   rehearse clients [--short]    tills that use the client library beside such as the operators describe, in five
                                 troubles (two, 30 s); --tills N of each kind, 1,000 if left out;
                                 --trouble restart|only|kill|gone|outage for one
+  rehearse still [--short] [--at 1,3,6] [--trouble WORDS] [--seed N]
+                                processes that stand still, links that are cut: each trouble at three of twelve
+                                proxies, or at so many (one scenario, 45 s)
   rehearse members              what following 2,000 nodes with 50 changes a second costs
   rehearse conform              the conformance suite: both dialects of clients by both of nodes
   rehearse sight --fault none|lose|double|drain [--every N]
@@ -76,9 +80,10 @@
 
 // settings are the flags of all commands.
 type settings struct {
-	program, json, keep, scenario, fault, trouble string
-	short, quiet, binary, consul, library         bool
-	runs, requests, every, tills                  int
+	program, json, keep, scenario, fault, trouble, at string
+	seed                                              uint64
+	short, quiet, binary, consul, library             bool
+	runs, requests, every, tills                      int
 }
 
 // printer is a report of any command.
@@ -110,6 +115,8 @@
 	flags.StringVar(&s.scenario, "scenario", "up", "")
 	flags.StringVar(&s.fault, "fault", "", "")
 	flags.StringVar(&s.trouble, "trouble", "", "")
+	flags.StringVar(&s.at, "at", "3", "")
+	flags.Uint64Var(&s.seed, "seed", 1, "")
 	flags.BoolVar(&s.short, "short", false, "")
 	flags.BoolVar(&s.consul, "consul", false, "")
 	flags.BoolVar(&s.binary, "binary", false, "")
@@ -210,6 +217,19 @@
 			return err
 		}
 		return s.judge(report, out)
+	case "still":
+		if s.short {
+			return s.play(ctx, "still-short", o, out)
+		}
+		at, err := proxyCounts(s.at)
+		if err != nil {
+			return err
+		}
+		report, err := rehearse.Still(ctx, rehearse.StillOptions{Options: o, At: at, Only: s.trouble, Seed: s.seed})
+		if err != nil {
+			return err
+		}
+		return s.judge(report, out)
 	case "conform":
 		report, err := rehearse.Conform(ctx, o)
 		if err != nil {
@@ -230,6 +250,18 @@
 // request, double handovers only.
 var usualEvery = map[string]int{double.None: 1, double.Lose: 500, double.Twice: 100, double.Drains: 500}
 
+// proxyCounts reads a list of numbers of proxies.
+func proxyCounts(text string) (list []int, err error) {
+	for part := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 1 || n > 12 {
+			return nil, fmt.Errorf("%w: --at cannot be %q: want numbers of 1 to 12, by commas", errUsage, text)
+		}
+		list = append(list, n)
+	}
+	return list, nil
+}
+
 // injected sums up what doubles have logged at their ends.
 func injected(folder string) (put int, counted bool) {
 	logs, err := filepath.Glob(filepath.Join(folder, "p*.log"))
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -67,7 +67,7 @@
 	return string(out), cmd.ProcessState.ExitCode(), report
 }
 
-var verdict = regexp.MustCompile(`(?m)^verdict: (ok|BROKEN) requests=(\d+) lost=(\d+) doubled=(\d+) late_drains=(\d+) crashes=(\d+)$`)
+var verdict = regexp.MustCompile(`(?m)^verdict: (ok|BROKEN) requests=(\d+) lost=(\d+) doubled=(\d+) late_drains=(\d+) crashes=(\d+)( stopped=\d+)?$`)
 
 // TestRulesHold plays real processes through what operators do to them, and what
 // befalls them meanwhile.
@@ -82,6 +82,7 @@
 		{"Consul agents that fail", []string{"play", "consul-short"}, 0, 0},
 		{"reloads", []string{"play", "reload"}, 4, 80},
 		{"all twenty at once", []string{"play", "storm"}, 40, 20},
+		{"processes that stand still", []string{"still", "--short"}, 1, 1},
 		{"nodes that fail in every way", []string{"play", "faults"}, 6, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,32 @@
+// Package clock reads the system's clocks that the standard library doesn't give: how far the one
+// that counts the machine's sleep is ahead of the monotonic one, which Go's times go by.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Ahead returns by how much CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC: the time that the machine
+// has slept. Where either can't be read it is zero, as if it never slept. Between the two readings the
+// process may be put off its core; then it seems less, by as much, for this once, and never more.
+func Ahead() time.Duration {
+	var boot, mono unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &mono) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - mono.Nano())
+}
+
+// Sleeping is Ahead of a machine that seems to sleep for a time once, so long after now. It is for
+// rehearsals: the monotonic clock of a real one stands meanwhile, and so do all timers.
+func Sleeping(at, d time.Duration) func() time.Duration {
+	begun := time.Now()
+	return func() time.Duration {
+		if time.Since(begun) < at {
+			return Ahead()
+		}
+		return Ahead() + d
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"mulleinpier/internal/clock"
 	"mulleinpier/internal/consul"
 	"mulleinpier/internal/core"
 	"mulleinpier/internal/discovery"
@@ -169,6 +170,13 @@
 	c.Start.Nodes = g.duration("wait_for_nodes", 5*time.Second, 0, time.Minute)
 	c.Start.Address = g.duration("wait_for_address", 0, 0, time.Minute)
 	g.end()
+	p.Ahead = clock.Ahead
+	if top.has("test") { // for rehearsals
+		t := top.table("test")
+		at, d := t.duration("sleep_at", 0, 0, longest), t.duration("sleep_for", 0, 0, longest)
+		p.Ahead = clock.Sleeping(at, d)
+		t.end()
+	}
 	top.end()
 
 	if err := d.err(); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -499,7 +499,7 @@
 			c.end(r, a, policy.NotSent, nil)
 			continue
 		}
-		if c.park(r, a) {
+		if c.still.module.Stays() && c.park(r, a) {
 			continue
 		}
 		if r.expires.Before(u.Deadline) { // the machine slept
--- a/internal/rehearse/disturb.go
+++ b/internal/rehearse/disturb.go
@@ -19,6 +19,9 @@
 // stand is a time in which a process was stopped.
 type stand struct{ from, to time.Time }
 
+// linkHost is where links begin: at an address whose ports nobody takes who is down for a while.
+const linkHost = "127.0.0.4"
+
 // wakeTime is what a process has to answer in that was stopped to just before a deadline.
 const wakeTime = 50 * time.Millisecond
 
@@ -55,7 +58,7 @@
 	if l.clients == nil {
 		return d.address, nil
 	}
-	link, err := rig.NewLink(proxyHost, d.address)
+	link, err := rig.NewLink(linkHost, d.address)
 	if err != nil {
 		return "", err
 	}
@@ -77,7 +80,7 @@
 	link := l.held[proxy][e.Name]
 	if link == nil {
 		var err error
-		if link, err = rig.NewLink("127.0.0.2", e.Address); err != nil {
+		if link, err = rig.NewLink(linkHost, e.Address); err != nil {
 			f.problem("%v", err)
 			return e.Address
 		}
@@ -94,7 +97,7 @@
 		return "", errors.New("links to a list are for the platform's form")
 	}
 	if old := f.links.list[proxy]; old == nil {
-		link, err := rig.NewLink("127.0.0.1", target)
+		link, err := rig.NewLink(linkHost, target)
 		if err != nil {
 			return "", err
 		}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -189,8 +189,8 @@
 	if p.Unreduced {
 		fmt.Fprintln(&b, "[service]\nreduce = false")
 	}
-	if p.Clock != "" {
-		fmt.Fprintf(&b, "[test]\nclock = %q\n", p.Clock)
+	if p.SleepFor > 0 {
+		fmt.Fprintf(&b, "[test]\nsleep_at = %q\nsleep_for = %q\n", time.Duration(p.SleepAt), time.Duration(p.SleepFor))
 	}
 	for _, t := range s.Load.Tenants {
 		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -41,7 +41,8 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, s.length())
 	defer stop()
-	report := &Report{Scenario: s.Name, About: s.About, Proxies: s.Fleet.Proxies, Nodes: s.Fleet.Nodes}
+	stops := slices.ContainsFunc(s.Events, func(e Event) bool { return e.Do == "stop" })
+	report := &Report{Stops: stops, Scenario: s.Name, About: s.About, Proxies: s.Fleet.Proxies, Nodes: s.Fleet.Nodes}
 	fetches := make([]int, len(s.Phases)+1)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.run(ctx) })
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -15,7 +15,8 @@
 	Proxies  int           `json:"proxies"`
 	Nodes    int           `json:"nodes"`
 	Phases   []PhaseReport `json:"phases"`
-	Start    []Footprint   `json:"start"` // by proxy, at the end of the first phase
+	Course   []Stretch     `json:"course"` // a quarter of a second each
+	Start    []Footprint   `json:"start"`  // by proxy, at the end of the first phase
 	End      []Footprint   `json:"end"`
 	Levels   [][]Change    `json:"levels"` // of service, by proxy
 	Restarts int           `json:"restarts"`
@@ -32,7 +33,8 @@
 	LastBy      float64  `json:"last_at_a_drained_node_ms"`
 	Crossed     int      `json:"crossed"`
 	Excused     int      `json:"excused"`
-	Stood       int      `json:"stopped"`
+	Stops       bool     `json:"stops"`   // processes were stopped
+	Stood       int      `json:"stopped"` // requests out at them to beyond their deadlines
 	Severed     int      `json:"severed"`
 	Overdue     int      `json:"overdue"`
 	OverdueBy   float64  `json:"overdue_by_ms"`
@@ -81,6 +83,7 @@
 func (r *Report) fill(f *fleet, t *tally, fetches []int) {
 	var rules broken
 	r.Phases, rules = t.figures()
+	r.Course = t.course
 	for i := range r.Phases {
 		r.Phases[i].Fetches = fetches[i+1] - fetches[i]
 	}
@@ -128,8 +131,12 @@
 	if !r.OK() {
 		word = "BROKEN"
 	}
-	return fmt.Sprintf("verdict: %s requests=%d lost=%d doubled=%d late_drains=%d crashes=%d", word, r.Requests, r.Lost, r.Doubled,
+	line := fmt.Sprintf("verdict: %s requests=%d lost=%d doubled=%d late_drains=%d crashes=%d", word, r.Requests, r.Lost, r.Doubled,
 		r.LateDrains, r.Crashes)
+	if r.Stops {
+		line += fmt.Sprintf(" stopped=%d", r.Stood)
+	}
+	return line
 }
 
 // Print writes the report as tables, its verdict last.
--- /dev/null
+++ b/internal/rehearse/rig/rig_test.go
@@ -0,0 +1,176 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"os/exec"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/testwait"
+)
+
+// echo answers each line by itself, until the test ends.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testwait.Patience))
+	return c, bufio.NewReader(c)
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func hear(t *testing.T, in *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := in.ReadString('\n'); err != nil || got != want {
+		t.Fatalf("%q, %v; want %q", got, err, want)
+	}
+}
+
+// TestLinkHoldsAndDelivers guards invariant 2: what a fault holds back comes whole and in order once it ends,
+// and nothing comes before.
+func TestLinkHoldsAndDelivers(t *testing.T) {
+	for _, kind := range []string{"forth", "back", "cut"} {
+		t.Run(kind, func(t *testing.T) {
+			l, err := NewLink("127.0.0.1", echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			c, in := dial(t, l.Address())
+			say(t, c, "a\n")
+			hear(t, in, "a\n")
+			before := time.Now()
+			if err := l.Set(Faults[kind](0)); err != nil {
+				t.Fatal(err)
+			}
+			say(t, c, "b\n")
+			say(t, c, "c\n")
+			c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			if got, err := in.ReadString('\n'); err == nil {
+				t.Fatalf("%q came through", got)
+			}
+			c.SetReadDeadline(time.Now().Add(testwait.Patience))
+			if kind == "cut" {
+				if n, err := net.DialTimeout("tcp", l.Address(), 100*time.Millisecond); err == nil {
+					n.Close()
+					t.Error("a connection came up")
+				}
+			}
+			if err := l.Set(Fault{}); err != nil {
+				t.Fatal(err)
+			}
+			hear(t, in, "b\n")
+			hear(t, in, "c\n")
+			if !l.TroubledSince(before) || l.TroubledSince(time.Now()) {
+				t.Error("its trouble is not known")
+			}
+			again, in := dial(t, l.Address())
+			say(t, again, "d\n")
+			hear(t, in, "d\n")
+		})
+	}
+}
+
+func TestLinkDelaysAndResets(t *testing.T) {
+	l, err := NewLink("127.0.0.1", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, in := dial(t, l.Address())
+	if err := l.Set(Faults["delay"](50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	from := time.Now()
+	say(t, c, "a\n")
+	hear(t, in, "a\n")
+	if took := time.Since(from); took < 100*time.Millisecond {
+		t.Errorf("there and back in %v", took)
+	}
+	l.Reset()
+	if _, err := in.ReadByte(); err == nil {
+		t.Error("still open after a reset")
+	}
+}
+
+// TestStopEnds guards invariant 1: a process stands for as long as it is told to, and goes on, also when
+// the rehearsal ends before.
+func TestStopEnds(t *testing.T) {
+	cmd := exec.Command("sleep", "60")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	var stands []time.Duration
+	told := func(from, to time.Time) { stands = append(stands, to.Sub(from)) }
+	if err := (Stop{For: 50 * time.Millisecond, Every: 60 * time.Millisecond, Times: 3}).Do(context.Background(), cmd.Process.Pid, told); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range stands {
+		if d < 50*time.Millisecond {
+			t.Errorf("stood for %v", d)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Stop{For: time.Hour}.Do(ctx, cmd.Process.Pid, told) }()
+	testwait.Until(t, "the process to stand", func() bool { return Stands(cmd.Process.Pid) })
+	cancel()
+	testwait.Receive(t, "the stop to end", ended)
+	testwait.Until(t, "the process to go on", func() bool { return !Stands(cmd.Process.Pid) })
+	if len(stands) != 4 {
+		t.Errorf("%d stops told", len(stands))
+	}
+}
+
+func TestCrowdAndStarveEnd(t *testing.T) {
+	cmd := exec.Command("sleep", "60")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if err := Starve(ctx, cmd.Process.Pid, 1); err != nil {
+		t.Error(err)
+	}
+	if up := Crowd(ctx, echo(t), 5); up > 5 {
+		t.Errorf("%d connections", up)
+	}
+}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -65,7 +65,8 @@
 	BinaryNodes  int    `toml:"binary_nodes"` // every so many-th node speaks binary; 0 for none
 	Consul       bool   // proxies follow Consul agents, one a zone
 	Unreduced    bool   // proxies don't reduce service
-	Clock        string // how the proxies' clock goes, as a configuration of tests has it
+	SleepAt      span   `toml:"sleep_at"`  // the proxies' machine seems to sleep, so long after a proxy's start
+	SleepFor     span   `toml:"sleep_for"` // and for so long; 0 for no sleep
 	Lacks        string // the origin has no key that begins so
 }
 
--- /dev/null
+++ b/internal/rehearse/still.go
@@ -0,0 +1,255 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// This file plays processes that stand still and links that fail, one trouble at a time, and
+// lays out what each cost.
+
+// stillTrouble is one fault, or several together, at some of the proxies.
+type stillTrouble struct {
+	name  string
+	lasts time.Duration
+	// events are what happens, with times that count from the trouble's beginning.
+	events func(proxies []int) []Event
+}
+
+// second is a scenario's span.
+func second(s float64) span { return span(s * float64(time.Second)) }
+
+// stopped is a trouble of proxies that stand still, and of what else happens meanwhile.
+func stopped(name string, seconds float64, more ...Event) stillTrouble {
+	return stillTrouble{name, time.Duration(second(seconds)), func(proxies []int) []Event {
+		return append([]Event{{Do: "stop", Proxies: proxies, For: second(seconds)}}, more...)
+	}}
+}
+
+// linked is a trouble of the proxies' links.
+func linked(name, between, kind string, seconds float64, by time.Duration) stillTrouble {
+	return stillTrouble{name, time.Duration(second(seconds)), func(proxies []int) []Event {
+		return []Event{{Do: "link", Proxies: proxies, Between: between, Kind: kind, For: second(seconds), By: span(by)}}
+	}}
+}
+
+// and is two troubles together.
+func (t stillTrouble) and(u stillTrouble) stillTrouble {
+	return stillTrouble{t.name + " + " + u.name, max(t.lasts, u.lasts), func(proxies []int) []Event {
+		return append(t.events(proxies), u.events(proxies)...)
+	}}
+}
+
+// eachProxy has an event befall every one of the proxies.
+func eachProxy(t stillTrouble, e Event) stillTrouble {
+	events := t.events
+	t.events = func(proxies []int) (list []Event) {
+		list = events(proxies)
+		for _, p := range proxies {
+			e.Proxy = p
+			list = append(list, e)
+		}
+		return list
+	}
+	return t
+}
+
+// stillTroubles are what `rehearse still` plays.
+func stillTroubles() []stillTrouble {
+	bursts := stillTrouble{"bursts of 50 ms in 60", 10 * time.Second, func(proxies []int) []Event {
+		return []Event{{Do: "stop", Proxies: proxies, For: second(0.05), Every: second(0.06), Times: 166}}
+	}}
+	starved := stillTrouble{"core withheld", 4 * time.Second, func(proxies []int) []Event {
+		return []Event{{Do: "starve", Proxies: proxies, For: second(4), Times: 3}}
+	}}
+	crowded := stillTrouble{"backlog full", 3 * time.Second, func(proxies []int) []Event {
+		return []Event{{Do: "crowd", Proxies: proxies, For: second(3), Times: 600}}
+	}}
+	stalled := stillTrouble{"nodes stopped 3 s", 3 * time.Second, func([]int) []Event {
+		return []Event{{Do: "fault", Node: 1, Kind: "stall"}, {Do: "fault", Node: 2, Kind: "stall"}, {At: second(3), Do: "fault", Node: 1}, {At: second(3), Do: "fault", Node: 2}}
+	}}
+	return []stillTrouble{
+		stopped("stop 0.2 s", 0.2), stopped("stop 1 s", 1), stopped("stop 1.6 s", 1.6), stopped("stop 3 s", 3), stopped("stop 6 s", 6),
+		stopped("stop 30 s", 30), bursts, starved, crowded, stalled,
+		stopped("stop 3 s, drain meanwhile", 3, Event{At: second(1), Do: "drain", Node: 3}),
+		stopped("stop 3 s, node replaced", 3, Event{At: second(1), Do: "cold", Node: 4}),
+		stopped("stop 3 s, node gone", 3, Event{At: second(1), Do: "remove", Node: 5}),
+		eachProxy(stopped("stop 3 s, SIGTERM waiting", 3), Event{At: second(1), Do: "restart", Mode: "gap"}),
+		eachProxy(stopped("stop 3 s, SIGHUP waiting", 3), Event{At: second(1), Do: "hangup", With: "same", Times: 3, Every: second(0.2)}),
+		linked("clients cut 3 s", "clients", "cut", 3, 0), linked("clients' requests held 3 s", "clients", "forth", 3, 0),
+		linked("answers to clients held 3 s", "clients", "back", 3, 0), linked("clients reset", "clients", "reset", 1, 0),
+		linked("nodes cut 3 s", "nodes", "cut", 3, 0), linked("nodes' answers held 3 s", "nodes", "back", 3, 0),
+		linked("nodes 100 ms away", "nodes", "delay", 4, 100*time.Millisecond),
+		linked("list answers held 6 s", "list", "back", 6, 0).and(stopped("stop 1 s, drain meanwhile", 1, Event{At: second(0.5), Do: "drain", Node: 3})),
+		stopped("stop 3 s", 3).and(crowded), stopped("stop 3 s", 3).and(stalled), stopped("stop 1.6 s", 1.6).and(linked("nodes cut 3 s", "nodes", "cut", 3, 0)),
+		stopped("stop 3 s", 3).and(linked("list answers held 6 s", "list", "back", 6, 0)),
+	}
+}
+
+// StillOptions say what to play.
+type StillOptions struct {
+	Options
+	At   []int  // at how many proxies each trouble is played; three if left out
+	Only string // troubles whose names hold it
+	Seed uint64
+}
+
+// stillProxies is how many proxies there are.
+const stillProxies = 12
+
+// calmBefore and calmAfter are what a trouble has round it.
+const (
+	calmBefore = 3 * time.Second
+	calmAfter  = 6 * time.Second
+)
+
+// scenario is a trouble at so many proxies.
+func (t stillTrouble) scenario(at int, seed uint64) (*Scenario, error) {
+	s, err := Load("still")
+	if err != nil {
+		return nil, err
+	}
+	s.Name, s.About, s.Seed = t.name, fmt.Sprintf("%s at %d of %d proxies", t.name, at, stillProxies), seed
+	s.Load.Rate, s.Load.Handovers = 600, 0.3
+	s.Fleet.Proxies = stillProxies
+	s.Phases = []Phase{{Name: "calm", For: span(calmBefore)}, {Name: "trouble", For: span(t.lasts)}, {Name: "after", For: span(calmAfter)}}
+	proxies := make([]int, at)
+	for i := range proxies {
+		proxies[i] = i * stillProxies / at
+	}
+	s.Events = nil
+	for _, e := range t.events(proxies) {
+		e.At += span(calmBefore)
+		s.Events = append(s.Events, e)
+	}
+	return s, s.check()
+}
+
+// StillRow is what one trouble cost.
+type StillRow struct {
+	Trouble string  `json:"trouble"`
+	At      int     `json:"proxies"`
+	Share   float64 `json:"in_time_percent"` // from the trouble's beginning on
+	Back    float64 `json:"back_s"`          // from the trouble's end until all is as before
+	Report  *Report `json:"report"`
+}
+
+// StillReport is of all troubles.
+type StillReport struct {
+	Rows    []StillRow `json:"rows"`
+	Closing string     `json:"verdict"`
+}
+
+// Still plays all troubles.
+func Still(ctx context.Context, o StillOptions) (*StillReport, error) {
+	if len(o.At) == 0 {
+		o.At = []int{3}
+	}
+	r := &StillReport{}
+	for _, t := range stillTroubles() {
+		if !strings.Contains(t.name, o.Only) {
+			continue
+		}
+		for _, at := range o.At {
+			s, err := t.scenario(at, max(o.Seed, 1))
+			if err != nil {
+				return nil, err
+			}
+			options := o.Options
+			options.Folder = filepath.Join(o.Folder, fmt.Sprintf("still-%d", len(r.Rows)))
+			if err := os.MkdirAll(options.Folder, 0o755); err != nil {
+				return nil, err
+			}
+			report, err := Play(ctx, s, options)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", t.name, err)
+			}
+			r.Rows = append(r.Rows, StillRow{Trouble: t.name, At: at, Share: shareFrom(report.Phases[1:]), Back: report.backAfter(calmBefore + t.lasts), Report: report})
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+		}
+	}
+	r.Closing = r.Verdict()
+	return r, nil
+}
+
+func shareFrom(phases []PhaseReport) float64 {
+	all := PhaseReport{}
+	for _, p := range phases {
+		all.Offered, all.InTime = all.Offered+p.Offered, all.InTime+p.InTime
+	}
+	return all.Share()
+}
+
+// backAfter is how long after a time the share in time was last under 98 per cent in a
+// stretch of the course.
+func (r *Report) backAfter(end time.Duration) (back float64) {
+	for i, c := range r.Course {
+		from := time.Duration(i) * courseTick
+		if c.Offered > 0 && from >= end && float64(c.InTime) < 0.98*float64(c.Offered) {
+			back = (from + courseTick - end).Seconds()
+		}
+	}
+	return back
+}
+
+// sum adds up a figure of all reports.
+func (r *StillReport) sum(of func(*Report) int) (n int) {
+	for _, row := range r.Rows {
+		n += of(row.Report)
+	}
+	return n
+}
+
+// OK tells whether all rules held in all troubles.
+func (r *StillReport) OK() bool {
+	return len(r.Rows) > 0 && r.sum(func(r *Report) int {
+		if r.OK() {
+			return 0
+		}
+		return 1
+	}) == 0
+}
+
+// Verdict is the closing line.
+func (r *StillReport) Verdict() string {
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	return fmt.Sprintf("verdict: %s requests=%d lost=%d doubled=%d late_drains=%d crashes=%d stopped=%d", word,
+		r.sum(func(r *Report) int { return r.Requests }), r.sum(func(r *Report) int { return r.Lost }),
+		r.sum(func(r *Report) int { return r.Doubled }), r.sum(func(r *Report) int { return r.LateDrains }),
+		r.sum(func(r *Report) int { return r.Crashes }), r.sum(func(r *Report) int { return r.Stood }))
+}
+
+// Print writes the table, its verdict last.
+func (r *StillReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "trouble\tproxies\tin time\tlost\tstopped\tsevered\tdoubled\tlate drains\trefused\tunknown\tback after s")
+	for _, row := range r.Rows {
+		p := row.Report
+		refused, failed := 0, 0
+		for _, x := range p.Phases[1:] {
+			refused, failed = refused+x.Refused, failed+x.Failed
+		}
+		fmt.Fprintf(w, "%s\t%d\t%.2f%%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\n", row.Trouble, row.At, row.Share, p.Lost, p.Stood, p.Severed, p.Doubled,
+			p.LateDrains, refused, failed, row.Back)
+	}
+	w.Flush()
+	for _, row := range r.Rows {
+		for i, p := range row.Report.Problems {
+			if i < 5 {
+				fmt.Fprintf(out, "  %s at %d: %s\n", row.Trouble, row.At, strings.ReplaceAll(p, "\n", " | "))
+			}
+		}
+	}
+	fmt.Fprintln(out, r.Verdict())
+}
--- a/internal/rehearse/tally.go
+++ b/internal/rehearse/tally.go
@@ -15,6 +15,7 @@
 
 	mu     sync.Mutex
 	counts []count
+	course []Stretch // of courseTick each
 	rules  broken
 	unsent int
 	refuse int // connections that did not come up
@@ -23,9 +24,16 @@
 	most   time.Duration // of it
 }
 
+// Stretch is what began in a short stretch of time, and what of it was in time.
+type Stretch struct {
+	Offered int `json:"offered"`
+	InTime  int `json:"in_time"`
+}
+
 const (
-	lagTick = 10 * time.Millisecond
-	lagKept = 5 * time.Second
+	courseTick = 250 * time.Millisecond
+	lagTick    = 10 * time.Millisecond
+	lagKept    = 5 * time.Second
 )
 
 // watchLag keeps how late the rehearsal itself was woken lately, until ctx ends. What
@@ -98,6 +106,7 @@
 // note is a request's place in the tally.
 type note struct {
 	phase    int
+	stretch  int
 	handover bool
 	worth    float64
 }
@@ -127,11 +136,15 @@
 }
 
 func (t *tally) begin(at time.Time, handover, over bool) note {
-	n := note{phase: t.phaseAt(at), handover: handover, worth: worthOf(handover, over)}
+	n := note{phase: t.phaseAt(at), stretch: max(int(at.Sub(t.began)/courseTick), 0), handover: handover, worth: worthOf(handover, over)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &t.counts[n.phase]
 	c.offered++
+	for len(t.course) <= n.stretch {
+		t.course = append(t.course, Stretch{})
+	}
+	t.course[n.stretch].Offered++
 	c.worth += n.worth
 	if handover {
 		c.handovers++
@@ -154,6 +167,7 @@
 		c.latencies = append(c.latencies, float32(took.Seconds()))
 		if took <= aim {
 			c.inTime++
+			t.course[n.stretch].InTime++
 			c.earned += n.worth
 			if n.handover {
 				c.handoversInTime++
--- a/internal/still/still.go
+++ b/internal/still/still.go
@@ -73,7 +73,7 @@
 	Release struct{ Most int }
 	// Again asks for a Look after a time.
 	Again struct{ After time.Duration }
-	// Awake ends what Stood began, once nothing more is held.
+	// Awake ends what Stood began: nothing more is held.
 	Awake struct{ After time.Duration }
 )
 
@@ -107,9 +107,12 @@
 // Gap returns the latest stop.
 func (m *Module) Gap() Gap { return m.gap }
 
-// Holds tells whether sends are to be held.
+// Holds tells whether sends are to be held as they are decided.
 func (m *Module) Holds() bool { return m.state != awake }
 
+// Stays tells whether nothing at all is to be written: those that were let go are.
+func (m *Module) Stays() bool { return m.state == waking }
+
 // Held tells how many sends are held now, after each portion.
 func (m *Module) Held(n int) { m.held = n }
 
@@ -141,12 +144,15 @@
 		m.state, m.until = releasing, now
 		fallthrough
 	case m.state == releasing && now >= m.until:
-		if m.held == 0 {
+		if m.held > 0 {
+			out = append(out, Release{m.limits.Burst})
+		}
+		if m.held <= m.limits.Burst { // what comes from now on need not wait for what came before
 			m.state = awake
 			return append(out, Awake{now - m.gap.To})
 		}
 		m.until = now + m.limits.Pause
-		out = append(out, Release{m.limits.Burst}, Again{m.limits.Pause})
+		out = append(out, Again{m.limits.Pause})
 	}
 	return out
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
+	"mulleinpier/internal/testwait"
 	"mulleinpier/internal/room"
 )
 
@@ -299,3 +300,29 @@
 		t.Error("the connection used all along was closed")
 	}
 }
+
+// dozes is a Handler whose process seems to stand still between its last look and the write.
+type dozes struct {
+	ends
+	late chan int
+}
+
+func (d dozes) Begin(batch []*Attempt) []*Attempt {
+	time.Sleep(lateWrite)
+	return batch
+}
+
+func (d dozes) Late(batch []*Attempt, _ time.Duration) { d.late <- len(batch) }
+
+// TestWriteLongAfterItsLookIsTold guards the count of what a stop between the last look and the write
+// lets through: it can't be prevented, but not go unseen either.
+func TestWriteLongAfterItsLookIsTold(t *testing.T) {
+	nodes, handler := startNodes(t, func(id string, socket net.Conn) { fmt.Fprintf(socket, "VA 2 O%s\r\nhi\r\n", id) })
+	d := dozes{handler, make(chan int, 10)}
+	nodes.handler = d
+	a := get(t, nodes, "a")
+	if n := testwait.Receive(t, "the late write to be told", d.late); n != 1 {
+		t.Errorf("%d were written late", n)
+	}
+	d.expectServed(t, a)
+}
--- /dev/null
+++ b/policy/stood_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStopTellsNothingOfServers guards what a proxy has learnt against a stop of its own: what was out
+// ends late, all at once, and no server is worse for it, no gate opens by it and no record is lost.
+func TestStopTellsNothingOfServers(t *testing.T) {
+	for name, told := range map[string]bool{"told": true, "not told": false} {
+		t.Run(name, func(t *testing.T) {
+			b, err := New(Settings{Proxies: 3, Zones: []string{"a"}, Kinds: []string{"k"}, Origin: -1, Tick: 5 * time.Millisecond,
+				Classes: []Class{{Name: "read", Aim: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}},
+				Limits:  Limits{MaxAttempts: 4, Duplicates: true, Cancel: true}, Rules: Rules{ColdShare: 0.3, ColdRamp: time.Second}}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Duration(0)
+			up := func(n string) Member { return Member{Server: n, Mode: Serving, Weight: 1} }
+			b.Handle(now, ListUpdate{Version: 1, Kind: ListFull, Members: []Member{up("x"), up("y"), up("z")}}, nil)
+			id, sent := uint64(0), map[uint64]Action{}
+			ask := func() {
+				id++
+				for _, a := range b.Handle(now, Arrival{ID: id, Key: string(rune('a' + id%7)), Deadline: now + 2*time.Second}, nil) {
+					if a.Kind == Send {
+						sent[a.ID] = a
+					}
+				}
+			}
+			answer := func(i uint64, r Result) {
+				if a, ok := sent[i]; ok {
+					b.Handle(now, Outcome{ID: i, Server: a.Server, Result: r, Took: 20 * time.Millisecond, Note: NoteHit}, nil)
+					delete(sent, i)
+				}
+			}
+			for range 200 { // calm
+				ask()
+				now += 20 * time.Millisecond
+				answer(id, Served)
+			}
+			work, before := b.work, b.gates[true].asked
+			for range 20 { // out when the stop begins
+				ask()
+			}
+			now += 1500 * time.Millisecond
+			if told {
+				b.Handle(now, Stood{For: 1500 * time.Millisecond}, nil)
+			}
+			for i := range sent {
+				if i%2 == 0 {
+					answer(i, TimedOut)
+				} else {
+					a := sent[i]
+					b.Handle(now, Outcome{ID: i, Server: a.Server, Result: Served, Took: 1500 * time.Millisecond, Note: NoteHit}, nil)
+				}
+			}
+			b.now = now
+			hurt := b.work > 1.05*work || b.gates[true].open(gatePrior) < 1
+			for _, s := range b.list {
+				hurt = hurt || s.fails > 0 || b.sick(s, 0) > oneFailure || s.until > now
+			}
+			if faded := b.gates[true].asked < before; told && (hurt || faded) {
+				t.Errorf("hurt %v, gate faded %v: work %v to %v, gate %v of %v asked", hurt, faded, work, b.work, b.gates[true].asked, before)
+			} else if !told && !hurt {
+				t.Error("nothing was hurt without being told: the test shows nothing")
+			}
+		})
+	}
+}
