--- a/internal/model/client.go
+++ b/internal/model/client.go
@@ -47,7 +47,7 @@
 		return
 	}
 	for range 8 { // tries at connecting
-		if p := f.proxies[f.rng.IntN(len(f.proxies))]; !p.dead {
+		if p := f.proxies[f.draw()]; !p.dead {
 			f.count().Tries++
 			f.after(f.Way, func() {
 				if p.dead {
@@ -62,6 +62,14 @@
 	f.after(f.Clients.Pause, func() { f.try(r) })
 }
 
+// draw is the proxy that the next connection is dealt to.
+func (f *Fleet) draw() int {
+	if f.Clients.Heavy > 0 && f.rng.Float64() < f.Clients.Heavy/float64(len(f.proxies)) {
+		return 0
+	}
+	return f.rng.IntN(len(f.proxies))
+}
+
 // refused is an answer that promises that another try is harmless.
 func (f *Fleet) refused(r *ask, advice time.Duration) {
 	if f.Clients.Eager {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -62,7 +62,8 @@
 	Keys  int       // that they ask for, the n-th as often as 1/n of the first
 	Share []float64 // of first tries, by class
 	Pause time.Duration
-	Eager bool // ask again after Pause, whatever a refusal advises
+	Heavy float64 // times the mean that proxy 0 sees; 0 for the same as others
+	Eager bool    // ask again after Pause, whatever a refusal advises
 }
 
 // Second counts what happened within one second of the play, fleet-wide.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,8 +12,8 @@
 
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
-	"mulleinpier/internal/testwait"
 	"mulleinpier/internal/room"
+	"mulleinpier/internal/testwait"
 )
 
 // patience bounds each wait of these tests; none of them depends on its length.
