Begin leases for fleet-wide tasks: voters, holders, a guard, verbs and a rehearsal

Instances know nothing of each other.

Change: package lease (book, the leader's time, a holder's time) and lease/quorum (one voter on go.etcd.io/raft's log), both without I/O or clock; lease/agent (HTTP and CBOR, one loop, the guard) and store (bbolt) carry them out. `[peers]` in the configuration, deploy/leases.toml, `mullein lease hold|list|show|release|revoke|limit|init`, `rehearse lease`. Off unless configured. Ways weighed, assumptions and what is missing: docs/design/lease.md (restart permits, who lives, changing voters, transfer as a verb, cost at rest).

--- /dev/null
+++ b/cmd/mullein/lease.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/lease/agent"
+)
+
+// exitTaken and exitLost go on from the exit codes of reads and writes.
+const (
+	exitTaken = 6 // the task is held by another, and --wait was not given or has run out
+	exitLost  = 7 // the lease ended before the command did, which was ended for it
+)
+
+// quorumOf says whom to ask for leases.
+type quorumOf struct {
+	Fleet  string        `required:"" env:"MULLEIN_FLEET" help:"The fleet's name."`
+	Voters []string      `required:"" env:"MULLEIN_VOTERS" help:"The voters, name=host:port, separated by commas, in the order of the configuration."`
+	Within time.Duration `default:"5s" help:"How long to try to reach a voter that can decide."`
+}
+
+func (q *quorumOf) fleet() agent.Fleet {
+	f := agent.Fleet{Name: q.Fleet}
+	for _, v := range q.Voters {
+		name, address, _ := strings.Cut(v, "=")
+		f.Voters = append(f.Voters, agent.Peer{Name: name, Address: address})
+	}
+	return f
+}
+
+func (q *quorumOf) client() (*agent.Client, error) {
+	c, err := agent.NewClient(q.fleet())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return c, nil
+}
+
+type leaseCommand struct {
+	Hold    holdCommand   `cmd:"" help:"Run a command while holding a task; it is ended before the lease is."`
+	List    listCommand   `cmd:"" help:"List all tasks, who holds and who waits."`
+	Show    showCommand   `cmd:"" help:"Show one task."`
+	Release numberCommand `cmd:"" help:"Give a grant back whose holder is known to have stopped for good."`
+	Revoke  numberCommand `cmd:"" help:"Have a grant not renewed any more: it ends when its time is over."`
+	Limit   limitCommand  `cmd:"" help:"Set how many may hold a task at once."`
+	Init    initVoterCmd  `cmd:"" help:"Make a voter's memory, once in its life."`
+}
+
+type holdCommand struct {
+	quorumOf
+	Task    string        `arg:"" help:"The task."`
+	Command []string      `arg:"" passthrough:"" help:"The command, behind --."`
+	Length  time.Duration `default:"5s" help:"The lease's length: as long as others wait when this machine is lost."`
+	Wait    time.Duration `default:"0s" help:"How long to wait for the task; 0 for not at all."`
+	Name    string        `help:"What the holder is called; the host's name if left out."`
+	Grace   time.Duration `default:"500ms" help:"Between SIGTERM and SIGKILL when the lease ends."`
+}
+
+type listCommand struct {
+	quorumOf
+	JSON bool `help:"As JSON."`
+}
+
+type showCommand struct {
+	listCommand
+	Task string `arg:""`
+}
+
+type numberCommand struct {
+	quorumOf
+	Task   string `arg:""`
+	Number uint64 `arg:"" help:"The grant's number, as list shows it."`
+}
+
+type limitCommand struct {
+	quorumOf
+	Task string `arg:""`
+	Most int    `arg:""`
+}
+
+type initVoterCmd struct {
+	quorumOf
+	Memory string `required:"" help:"Path of the file, which must not be there."`
+}
+
+// run carries out one of the verbs, named as the parser names it.
+func (c *leaseCommand) run(ctx context.Context, verb string, out, log io.Writer) error {
+	switch verb {
+	case "hold":
+		return c.Hold.run(ctx, out, log)
+	case "list":
+		return c.List.run(ctx, "", out)
+	case "show":
+		return c.Show.run(ctx, c.Show.Task, out)
+	case "release":
+		return decide(ctx, &c.Release.quorumOf, lease.Command{Kind: lease.Release, Task: c.Release.Task, Number: c.Release.Number})
+	case "revoke":
+		return decide(ctx, &c.Revoke.quorumOf, lease.Command{Kind: lease.Revoke, Task: c.Revoke.Task, Number: c.Revoke.Number})
+	case "limit":
+		return decide(ctx, &c.Limit.quorumOf, lease.Command{Kind: lease.Limit, Task: c.Limit.Task, Most: c.Limit.Most})
+	}
+	f := c.Init.fleet()
+	return agent.Init(c.Init.Memory, &f)
+}
+
+// decide has the voters carry out a command.
+func decide(ctx context.Context, q *quorumOf, command lease.Command) error {
+	c, err := q.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, q.Within)
+	defer cancel()
+	_, err = c.Do(ctx, command)
+	return err
+}
+
+func (c *listCommand) run(ctx context.Context, only string, out io.Writer) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.Within)
+	defer cancel()
+	s, err := client.State(ctx)
+	if err != nil {
+		return err
+	}
+	if only != "" && s.Book.Tasks[only] == nil {
+		return fmt.Errorf("%w: nobody has asked for task %q", lease.ErrUnknown, only)
+	}
+	if c.JSON {
+		if only != "" {
+			return json.NewEncoder(out).Encode(s.Book.Tasks[only])
+		}
+		return json.NewEncoder(out).Encode(s)
+	}
+	if !s.Leads {
+		fmt.Fprintf(out, "%s knows of no leader; what follows may be old\n", s.Voter)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "task\tat once\tnumber\theld by\tlength\tends within\t")
+	names := make([]string, 0, len(s.Book.Tasks))
+	for name := range s.Book.Tasks {
+		if only == "" || name == only {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t := s.Book.Tasks[name]
+		for _, g := range t.Held {
+			left, note := "?", ""
+			if l, ok := s.Left[g.Number]; ok {
+				left = time.Duration(l * float64(time.Second)).Round(time.Millisecond).String()
+			}
+			if g.Revoked {
+				note = "revoked"
+			}
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%v\t%s\t%s\n", name, t.Most, g.Number, g.Holder, g.Length, left, note)
+		}
+		for i, x := range t.Waiting {
+			fmt.Fprintf(w, "%s\t%d\t\t%s\t%v\t\twaits, place %d\n", name, t.Most, x.Holder, x.Length, i+1)
+		}
+		if len(t.Held)+len(t.Waiting) == 0 {
+			fmt.Fprintf(w, "%s\t%d\t\t\t\t\tfree\n", name, t.Most)
+		}
+	}
+	return w.Flush()
+}
+
+func (c *holdCommand) run(ctx context.Context, out, log io.Writer) error {
+	argv := c.Command
+	if len(argv) > 0 && argv[0] == "--" {
+		argv = argv[1:]
+	}
+	if len(argv) == 0 {
+		return fmt.Errorf("%w: hold wants a command behind --", errUsage)
+	}
+	name := c.Name
+	if name == "" {
+		name, _ = os.Hostname()
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	h, err := client.Hold(ctx, c.Task, name, c.Length, c.Wait > 0)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer h.Close()
+	patience, cancel := context.WithTimeout(ctx, max(c.Wait, c.Within))
+	defer cancel()
+	number, err := h.Await(patience)
+	if errors.Is(err, context.DeadlineExceeded) && c.Wait > 0 {
+		err = lease.ErrTaken
+	}
+	if err != nil {
+		return err
+	}
+	// The command is ended before the lease is: a renewal that does not come in time is noticed while
+	// there is still the grace left.
+	lost := h.LostBefore(ctx, c.Grace+50*time.Millisecond)
+	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.Env = append(os.Environ(), fmt.Sprintf("MULLEIN_LEASE=%d", number), "MULLEIN_TASK="+c.Task)
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, out, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	signal := func(s syscall.Signal) { syscall.Kill(-cmd.Process.Pid, s) }
+	select {
+	case err := <-ended:
+		return err
+	case <-lost:
+		err = agent.ErrLost
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(c.Grace):
+		signal(syscall.SIGKILL)
+		<-ended
+	}
+	return err
+}
--- a/cmd/mullein/main.go
+++ b/cmd/mullein/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -17,6 +18,8 @@
 	"github.com/alecthomas/kong"
 
 	"mulleinpier/client"
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/load"
 )
 
@@ -100,6 +103,8 @@
 	Get  getCommand  `cmd:"" help:"Read keys."`
 	Set  setCommand  `cmd:"" help:"Write a key."`
 	Load loadCommand `cmd:"" help:"Put a load on proxies, and tell what became of it."`
+
+	Lease leaseCommand `cmd:"" help:"Leases for tasks that one process does for the whole fleet."`
 }
 
 var errUsage = errors.New("bad usage")
@@ -128,6 +133,10 @@
 		return exitUnknown
 	case errors.Is(err, client.ErrRefused):
 		return exitRefused
+	case errors.Is(err, lease.ErrTaken):
+		return exitTaken
+	case errors.Is(err, agent.ErrLost):
+		return exitLost
 	}
 	return exitFailed
 }
@@ -159,6 +168,10 @@
 	case "set <key>", "set <key> <value>":
 		return c.Set.run(ctx, in, out, log)
 	}
+	if verb, ok := strings.CutPrefix(chosen.Command(), "lease "); ok {
+		verb, _, _ = strings.Cut(verb, " ")
+		return c.Lease.run(ctx, verb, out, log)
+	}
 	return c.Load.run(ctx, out)
 }
 
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"mulleinpier/internal/config"
+	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/notify"
 	"mulleinpier/internal/rehearse"
 	"mulleinpier/internal/standin/double"
@@ -42,6 +43,9 @@
   rehearse still [--short] [--at 1,3,6] [--trouble WORDS] [--seed N]
                                 processes that stand still, links that are cut: each trouble at three of twelve
                                 proxies, or at so many (one scenario, 45 s)
+  rehearse lease [--short] [--seed N] [--careless]
+                                one task among eight processes, with faults between them, two minutes (25 s);
+                                --careless: at a resource that compares no numbers
   rehearse members              what following 2,000 nodes with 50 changes a second costs
   rehearse conform              the conformance suite: both dialects of clients by both of nodes
   rehearse sight --fault none|lose|double|drain [--every N]
@@ -82,7 +86,7 @@
 type settings struct {
 	program, json, keep, scenario, fault, trouble, at string
 	seed                                              uint64
-	short, quiet, binary, consul, library             bool
+	short, quiet, binary, consul, library, careless   bool
 	runs, requests, every, tills                      int
 }
 
@@ -105,6 +109,8 @@
 		return playDouble(ctx, args[1:], progress)
 	case "relay":
 		return playRelay(ctx, args[1:])
+	case "holder":
+		return playHolder(ctx, args[1:])
 	}
 	var s settings
 	flags := flag.NewFlagSet(command, flag.ContinueOnError)
@@ -117,6 +123,7 @@
 	flags.StringVar(&s.trouble, "trouble", "", "")
 	flags.StringVar(&s.at, "at", "3", "")
 	flags.Uint64Var(&s.seed, "seed", 1, "")
+	flags.BoolVar(&s.careless, "careless", false, "")
 	flags.BoolVar(&s.short, "short", false, "")
 	flags.BoolVar(&s.consul, "consul", false, "")
 	flags.BoolVar(&s.binary, "binary", false, "")
@@ -230,6 +237,20 @@
 			return err
 		}
 		return s.judge(report, out)
+	case "lease":
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		length := 2 * time.Minute
+		if s.short {
+			length = 25 * time.Second
+		}
+		report, err := rehearse.Lease(ctx, rehearse.LeaseOptions{Options: o, Holder: []string{self, "holder"}, For: length, Seed: s.seed, Careless: s.careless})
+		if err != nil {
+			return err
+		}
+		return s.judge(report, out)
 	case "conform":
 		report, err := rehearse.Conform(ctx, o)
 		if err != nil {
@@ -401,6 +422,28 @@
 	return nil
 }
 
+// playHolder holds a task over and over: holder JUDGE SEED FLEET VOTER=ADDRESS...
+func playHolder(ctx context.Context, args []string) error {
+	if len(args) < 4 {
+		return fmt.Errorf("%w: holder takes a judge, a number, a fleet and its voters", errUsage)
+	}
+	seed, err := strconv.ParseUint(args[1], 10, 64)
+	if err != nil {
+		return fmt.Errorf("%w: holder: seed %q", errUsage, args[1])
+	}
+	f := agent.Fleet{Name: args[2]}
+	for _, v := range args[3:] {
+		name, address, _ := strings.Cut(v, "=")
+		f.Voters = append(f.Voters, agent.Peer{Name: name, Address: address})
+	}
+	manager, err := notify.FromEnvironment(os.Getenv)
+	if err != nil {
+		return err
+	}
+	manager.Tell(notify.Ready)
+	return rehearse.ActAsHolder(ctx, args[0], seed, f)
+}
+
 // playRelay is a byte relay: relay ADDRESS TO.
 func playRelay(ctx context.Context, args []string) error {
 	if len(args) != 2 {
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// TestLease plays one task among eight processes, with faults between them: no two acts overlap at a resource
+// that compares numbers.
+func TestLease(t *testing.T) {
+	out, code, _ := rehearsal(t, "lease", "--short", "--json", filepath.Join(t.TempDir(), "report.json"))
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if last := lines[len(lines)-1]; code != 0 || !regexp.MustCompile(`^verdict: ok acts=\d{2,} overlaps=0 backward=0 crashes=0$`).MatchString(last) {
+		t.Fatalf("exit %d:\n%s", code, out)
+	}
+}
+
 // TestDegrade plays two troubles together, without and with levels of service: the rules hold,
 // every proxy reduces its service with a cause where it may, and none does where it may not.
 func TestDegrade(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 	"mulleinpier/internal/core"
 	"mulleinpier/internal/discovery"
 	"mulleinpier/internal/front/binary"
+	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/membership"
 	"mulleinpier/internal/proxy"
 	"mulleinpier/internal/route"
@@ -37,6 +38,14 @@
 	Register *consul.Registration // in Consul's catalogue; nil for none
 	Log      Log
 	Start    Start
+	Peers    *Peers // nil where instances don't know each other
+}
+
+// Peers are the voters of the fleet's leases, and this one's part among them.
+type Peers struct {
+	Fleet  agent.Fleet
+	Name   string // of this voter, "" for none
+	Memory string // path of what it must remember
 }
 
 // Log says what is logged and how.
@@ -170,6 +179,7 @@
 	c.Start.Nodes = g.duration("wait_for_nodes", 5*time.Second, 0, time.Minute)
 	c.Start.Address = g.duration("wait_for_address", 0, 0, time.Minute)
 	g.end()
+	c.peers(top, filepath.Dir(path))
 	p.Ahead = clock.Ahead
 	if top.has("test") { // for rehearsals
 		t := top.table("test")
@@ -323,6 +333,33 @@
 	t.end()
 }
 
+// peers reads who votes on leases.
+func (c *Config) peers(top *table, folder string) {
+	if !top.has("peers") {
+		return
+	}
+	t := top.table("peers")
+	p := &Peers{Fleet: agent.Fleet{Name: t.text("fleet", "", printable)}, Name: t.text("voter", "", anything), Memory: t.text("memory", "", anything)}
+	for _, v := range t.texts("voters", nil, anything) {
+		name, address, _ := strings.Cut(v, "=")
+		p.Fleet.Voters = append(p.Fleet.Voters, agent.Peer{Name: name, Address: address})
+	}
+	if err := p.Fleet.Check(); err != nil {
+		t.d.add(t.key("voters"), "cannot be: %v", err)
+	}
+	if p.Name != "" && !slices.ContainsFunc(p.Fleet.Voters, func(v agent.Peer) bool { return v.Name == p.Name }) {
+		t.d.add(t.key("voter"), "cannot be %q: want the name of one of the voters", p.Name)
+	}
+	if (p.Name == "") != (p.Memory == "") {
+		t.d.add(t.key("memory"), "goes with %s", t.key("voter"))
+	}
+	if p.Memory != "" && !filepath.IsAbs(p.Memory) {
+		p.Memory = filepath.Join(folder, p.Memory)
+	}
+	t.end()
+	c.Peers = p
+}
+
 // binary reads how the binary protocol is spoken, to clients and to nodes.
 func (c *Config) binary(top *table, folder string) {
 	t := top.table("binary")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -258,7 +258,9 @@
 	var ready sync.WaitGroup
 	ready.Go(func() { d.awaitNodes(ctx, server, c, log) })
 	leave := d.register(ctx, server, c, log)
+	endVoting := vote(c.Peers, log)
 	server.Serve(ctx)
+	endVoting()
 	ready.Wait()
 	leave()
 	log.Info("all answered")
--- /dev/null
+++ b/internal/lease/agent/agent_test.go
@@ -0,0 +1,256 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/store"
+	"mulleinpier/internal/testwait"
+)
+
+// fleet is three voters in this process, each with a disk and a listener of its own.
+type fleet struct {
+	t      *testing.T
+	Fleet  Fleet
+	paths  []string
+	ends   []func()
+	broken [3]atomic.Bool // disks
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, Fleet: Fleet{Name: "test"}, ends: make([]func(), 3)}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.5:0") // where no connection goes out from
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Fleet.Voters = append(f.Fleet.Voters, Peer{fmt.Sprint("v", i), l.Addr().String()})
+		l.Close()
+		f.paths = append(f.paths, filepath.Join(t.TempDir(), "memory"))
+	}
+	for i := range 3 {
+		if err := Init(f.paths[i], &f.Fleet); err != nil {
+			t.Fatal(err)
+		}
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.ends {
+			f.stop(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i int) {
+	f.t.Helper()
+	v, err := Open(f.paths[i], f.Fleet, f.Fleet.Voters[i].Name, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	v.sync = func() error {
+		if f.broken[i].Load() {
+			return errors.New("no space left on device")
+		}
+		return nil
+	}
+	l, err := net.Listen("tcp", f.Fleet.Voters[i].Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var task sync.WaitGroup
+	task.Go(func() { v.Run(ctx, l) })
+	f.ends[i] = func() { cancel(); task.Wait() }
+}
+
+func (f *fleet) stop(i int) {
+	if f.ends[i] != nil {
+		f.ends[i]()
+		f.ends[i] = nil
+	}
+}
+
+func (f *fleet) client() *Client {
+	f.t.Helper()
+	c, err := NewClient(f.Fleet)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func (f *fleet) hold(task, name string, wait bool) *Holder {
+	f.t.Helper()
+	h, err := f.client().Hold(context.Background(), task, name, 2*time.Second, wait)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(h.Close)
+	return h
+}
+
+func (f *fleet) await(h *Holder) uint64 {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	n, err := h.Await(ctx)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
+
+func (f *fleet) leader() int {
+	f.t.Helper()
+	at := -1
+	c := f.client()
+	testwait.Until(f.t, "a leader", func() bool {
+		s, err := c.State(context.Background())
+		at = int(f.Fleet.number(s.Leader)) - 1
+		return err == nil && s.Leads
+	})
+	return at
+}
+
+// TestOneHoldsAtATime takes, waits, gives back, and loses the leader: numbers rise, and nobody is left waiting.
+func TestOneHoldsAtATime(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.hold("x", "a", true), (*Holder)(nil)
+	first := f.await(a)
+	if err := f.hold("x", "late", false).wantTaken(); err != nil {
+		t.Error(err)
+	}
+	b = f.hold("x", "b", true)
+	c := f.client()
+	testwait.Until(t, "b to wait", func() bool {
+		s, err := c.State(context.Background())
+		return err == nil && s.Book.Tasks["x"] != nil && len(s.Book.Tasks["x"].Waiting) == 1
+	})
+	f.stop(f.leader())
+	if err := a.Do(context.Background(), func(_ context.Context, n uint64) error {
+		if n != first {
+			t.Errorf("acts under %d, holds %d", n, first)
+		}
+		return nil
+	}); err != nil {
+		t.Errorf("an act while the leader changes: %v", err)
+	}
+	a.Close()
+	second := f.await(b)
+	if second <= first {
+		t.Errorf("number %d after %d", second, first)
+	}
+	if err := a.Do(context.Background(), func(context.Context, uint64) error { return nil }); !errors.Is(err, ErrLost) {
+		t.Errorf("acts after it gave the task back: %v", err)
+	}
+}
+
+// wantTaken awaits the refusal of one that does not wait.
+func (h *Holder) wantTaken() error {
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	if _, err := h.Await(ctx); !errors.Is(err, lease.ErrTaken) {
+		return fmt.Errorf("want the task taken, got %v", err)
+	}
+	return nil
+}
+
+// TestNumbersRiseOverTheDeathOfAll ends all voters at once and starts them anew: who held is waited out, and
+// the next number is higher.
+func TestNumbersRiseOverTheDeathOfAll(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	first := f.await(a)
+	for i := range 3 {
+		f.stop(i)
+	}
+	b := f.hold("x", "b", true)
+	<-a.Lost(context.Background()) // by its own clock, with nobody to ask
+	for _, i := range []int{2, 0, 1} {
+		f.start(i)
+	}
+	if second := f.await(b); second <= first {
+		t.Errorf("number %d after %d", second, first)
+	}
+}
+
+// TestVoterWithoutItsDiskStandsDown breaks the leader's disk: it says nothing more, and the others go on.
+func TestVoterWithoutItsDiskStandsDown(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	first := f.await(a)
+	f.broken[f.leader()].Store(true)
+	a.Close()
+	if second := f.await(f.hold("x", "b", true)); second <= first {
+		t.Errorf("number %d after %d", second, first)
+	}
+}
+
+// TestWhoLostItsMemoryDoesNotVote guards guarantee 2 of package lease: memory is made once, by hand.
+func TestWhoLostItsMemoryDoesNotVote(t *testing.T) {
+	f := newFleet(t)
+	if _, err := Open(filepath.Join(t.TempDir(), "lost"), f.Fleet, "v0", slog.New(slog.DiscardHandler)); !errors.Is(err, store.ErrNone) {
+		t.Errorf("without a memory: %v", err)
+	}
+	if err := Init(f.paths[0], &f.Fleet); err == nil {
+		t.Error("memory made twice")
+	}
+	f.stop(0)
+	other := f.Fleet
+	other.Name = "other"
+	if _, err := Open(f.paths[0], other, "v0", slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("opened by another fleet")
+	}
+}
+
+// TestRevokedIsWaitedOut guards guarantee 4: a revoked holder goes on until its time is over, and nobody before.
+func TestRevokedIsWaitedOut(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	n := f.await(a)
+	b := f.hold("x", "b", true)
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	lost := a.Lost(ctx)
+	if _, err := f.client().Do(ctx, lease.Command{Kind: lease.Revoke, Task: "x", Number: n}); err != nil {
+		t.Fatal(err)
+	}
+	f.await(b)
+	select {
+	case <-lost:
+	default:
+		t.Error("b holds while a may act")
+	}
+}
+
+// TestStrangersAreTurnedAway guards links against another fleet and another version.
+func TestStrangersAreTurnedAway(t *testing.T) {
+	f := newFleet(t)
+	other := f.Fleet
+	other.Name = "other"
+	c, err := NewClient(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.ask(context.Background(), lease.Command{Kind: lease.Take, Task: "x", Holder: "a", Nonce: 1, Length: time.Second}, 0); err == nil {
+		t.Error("another fleet is answered")
+	}
+	for _, body := range []string{"", "\xff\xff", "\xa1\x01\x09"} {
+		if _, err := post(context.Background(), c.http, f.Fleet.Voters[0].Address, "/v1/raft", []byte(body)); err == nil {
+			t.Errorf("%q is taken", body)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/agent/holder.go
@@ -0,0 +1,288 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinpier/internal/lease"
+)
+
+// Errors of holders.
+var (
+	ErrLost     = errors.New("lease: lost")
+	ErrOutlived = errors.New("lease: the act outlived the lease")
+)
+
+// Client asks the voters of a fleet. It is safe for concurrent use.
+type Client struct {
+	fleet Fleet
+	http  *http.Client
+
+	mu     sync.Mutex
+	leader int // that answered last
+}
+
+// NewClient returns a client of a fleet.
+func NewClient(f Fleet) (*Client, error) {
+	if err := f.Check(); err != nil {
+		return nil, err
+	}
+	return &Client{fleet: f, http: &http.Client{Timeout: linkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTime}}}, nil
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// ask asks the voter that is taken for the leader, once. Who does not lead says who does; who does not answer
+// makes the next one be taken for it.
+func (c *Client) ask(ctx context.Context, command lease.Command, number uint64) (Reply, error) {
+	c.mu.Lock()
+	at := c.leader
+	c.mu.Unlock()
+	body, err := cbor.Marshal(Request{Version: Version, Fleet: c.fleet.Name, Command: command, Number: number})
+	if err != nil {
+		return Reply{}, err
+	}
+	var reply Reply
+	text, err := post(ctx, c.http, c.fleet.Voters[at].Address, "/v1/lease", body)
+	if err == nil {
+		err = cbor.Unmarshal(text, &reply)
+	}
+	if err != nil || reply.Outcome == lease.Unheard {
+		next := (at + 1) % len(c.fleet.Voters)
+		if n := c.fleet.number(reply.Leader); n > 0 && int(n)-1 != at {
+			next = int(n) - 1
+		}
+		c.mu.Lock()
+		c.leader = next
+		c.mu.Unlock()
+	}
+	return reply, err
+}
+
+// Do carries out a command, asking until a voter that can has answered or ctx ends.
+func (c *Client) Do(ctx context.Context, command lease.Command) (Reply, error) {
+	for {
+		reply, err := c.ask(ctx, command, 0)
+		if err == nil && reply.Outcome != lease.Unheard {
+			if reply.Error != "" {
+				err = errors.New(reply.Error)
+			}
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return Reply{}, errors.Join(errors.New("lease: no voter that can decide has answered"), err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// State returns what the leader says of all tasks, or what some voter does that knows of no leader.
+func (c *Client) State(ctx context.Context) (best State, err error) {
+	for _, p := range c.fleet.Voters {
+		var s State
+		request, e := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+"/v1/book", nil)
+		if e != nil {
+			return best, e
+		}
+		response, e := c.http.Do(request)
+		if e == nil {
+			e = json.NewDecoder(io.LimitReader(response.Body, mostBody)).Decode(&s)
+			response.Body.Close()
+		}
+		if e != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", p.Name, e))
+			continue
+		}
+		if s.Leads {
+			return s, nil
+		}
+		if best.Voter == "" {
+			best = s
+		}
+	}
+	if best.Voter == "" {
+		return best, errors.Join(errors.New("lease: no voter answers"), err)
+	}
+	return best, nil
+}
+
+// Holder is this process's part in one task. It is safe for concurrent use.
+type Holder struct {
+	client *Client
+
+	mu      sync.Mutex
+	session *lease.Session
+	changed chan struct{}
+	why     lease.Outcome // once it is over
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// Hold begins to ask for a task, and waits in its queue if wait is set. Close ends it.
+func (c *Client) Hold(ctx context.Context, task, name string, length time.Duration, wait bool) (*Holder, error) {
+	nonce := uint64(time.Now().UnixNano())
+	holder := fmt.Sprintf("%s/%d/%x", name, os.Getpid(), nonce)
+	command := lease.Command{Kind: lease.Take, Task: task, Holder: holder, Nonce: nonce, Length: length}
+	if err := lease.Usual.Check(&command); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	h := &Holder{client: c, session: lease.NewSession(lease.Usual, task, holder, nonce, length, wait), changed: make(chan struct{}), stop: stop}
+	h.tasks.Go(func() { h.run(ctx) })
+	return h, nil
+}
+
+// run lets time pass for the session.
+func (h *Holder) run(ctx context.Context) {
+	for {
+		h.mu.Lock()
+		h.do(ctx, h.session.Handle(now(), lease.Pass{}, nil))
+		over := h.session.State(now()) == lease.Over
+		wait := max(h.session.Next()-now(), time.Millisecond)
+		changed := h.changed
+		h.mu.Unlock()
+		if over {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// do carries out what the session wants. h.mu is held.
+func (h *Holder) do(ctx context.Context, actions []lease.SessionAction) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case lease.Ask:
+			h.tasks.Go(func() {
+				reply, err := h.client.ask(ctx, a.Command, a.Number)
+				if err != nil {
+					reply = Reply{}
+				}
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.do(ctx, h.session.Handle(now(), lease.Answer{Serial: a.Serial, Outcome: reply.Outcome, Number: reply.Number}, nil))
+				h.tell()
+			})
+		case lease.Tell:
+			h.tasks.Go(func() {
+				last, cancel := context.WithTimeout(context.WithoutCancel(ctx), linkTime)
+				defer cancel()
+				h.client.Do(last, a.Command) // else it ends by itself
+			})
+		case lease.Ended:
+			h.why = a.Outcome
+		}
+	}
+	if len(actions) > 0 {
+		h.tell()
+	}
+}
+
+// tell wakes those who wait for a change. h.mu is held.
+func (h *Holder) tell() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Await waits until the task is held, and returns its number.
+func (h *Holder) Await(ctx context.Context) (uint64, error) {
+	for {
+		h.mu.Lock()
+		number, ok := h.session.Valid(now())
+		state, why, changed := h.session.State(now()), h.why, h.changed
+		h.mu.Unlock()
+		switch {
+		case ok:
+			return number, nil
+		case state == lease.Over && why == lease.Refused:
+			return 0, lease.ErrTaken
+		case state == lease.Over:
+			return 0, ErrLost
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// Do is the one guard: it acts under the task's number if that holds, and looks again behind. Its context ends when
+// the lease does. An act that has outlived it is told so: what it did, it did without leave, and a resource that
+// compares numbers has refused it.
+func (h *Holder) Do(ctx context.Context, act func(ctx context.Context, number uint64) error) error {
+	h.mu.Lock()
+	t := now()
+	number, ok := h.session.Valid(t)
+	h.mu.Unlock()
+	if !ok {
+		return ErrLost
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lost := h.Lost(ctx)
+	h.tasks.Go(func() {
+		<-lost // closed with ctx at the latest
+		cancel()
+	})
+	err := act(ctx, number)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if again, ok := h.session.Valid(now()); !ok || again != number {
+		return errors.Join(err, ErrOutlived)
+	}
+	return err
+}
+
+// Lost is closed when the task is not held any more, by this process's own clock.
+func (h *Holder) Lost(ctx context.Context) <-chan struct{} { return h.LostBefore(ctx, 0) }
+
+// LostBefore is Lost for who needs a time to stop in: it is closed so long before the end, unless a renewal comes.
+func (h *Holder) LostBefore(ctx context.Context, early time.Duration) <-chan struct{} {
+	lost := make(chan struct{})
+	h.tasks.Go(func() {
+		defer close(lost)
+		for {
+			h.mu.Lock()
+			t := now()
+			_, ok := h.session.Valid(t)
+			left, changed := h.session.Until()-early-t, h.changed
+			h.mu.Unlock()
+			if !ok || left <= 0 {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			case <-time.After(left):
+			}
+		}
+	})
+	return lost
+}
+
+// Close gives the task back and ends.
+func (h *Holder) Close() {
+	h.mu.Lock()
+	h.do(context.Background(), h.session.Handle(now(), lease.GiveUp{}, nil))
+	h.mu.Unlock()
+	h.stop()
+	h.tasks.Wait()
+}
--- /dev/null
+++ b/internal/lease/quorum/lives_test.go
@@ -0,0 +1,469 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"mulleinpier/internal/lease"
+)
+
+// This file plays random lives: three voters with the real library in virtual time, contenders of one task,
+// links that lose, delay, double and part, crashes with and without what was being saved, stops, and clocks
+// that differ up to the bound.
+
+const ms = time.Millisecond
+
+// flaw is a defect put in, to see it found.
+type flaw struct {
+	margin, forgets, sendsFirst, drift bool
+}
+
+type happening struct {
+	at   time.Duration
+	turn int
+	do   func()
+}
+
+type voter struct {
+	id      uint64
+	replica *Replica
+	disk    Saved
+	saving  *Saved // what a crash may lose
+	run     uint64
+	rate    float64 // of its clock
+	down    bool
+	stopped bool
+	waiting []func() // what comes while it is stopped
+}
+
+type contender struct {
+	name    string
+	run     int
+	session *lease.Session
+	rate    float64
+	stopped bool
+	waiting []func()
+}
+
+type life struct {
+	rng    *rand.Rand
+	now    time.Duration
+	due    []happening
+	turn   int
+	voters []*voter
+	who    []*contender
+	cut    map[[2]int]bool // ways from a voter to a voter
+	tags   map[uint64]func(Answer)
+	tag    uint64
+	flaw   flaw
+	terms  lease.Terms
+	nonces uint64
+
+	downs  string // of a voter that stood down
+	top    uint64
+	acts   int
+	broken string
+}
+
+const length = 400 * ms
+
+func newLife(seed uint64, f flaw) *life {
+	l := &life{rng: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]int]bool), tags: make(map[uint64]func(Answer)), flaw: f, terms: lease.Usual}
+	if f.margin {
+		l.terms.Margin, l.terms.Drift = -60*ms, 0
+	}
+	rate := func() float64 {
+		switch l.rng.IntN(3) {
+		case 0:
+			return 1 - lease.Usual.Drift
+		case 1:
+			return 1 + lease.Usual.Drift
+		}
+		return 1
+	}
+	first, err := First([]uint64{1, 2, 3})
+	if err != nil {
+		panic(err)
+	}
+	for i := range 3 {
+		v := &voter{id: uint64(i + 1), disk: first, rate: rate()}
+		l.voters = append(l.voters, v)
+		l.boot(v)
+	}
+	for i := range 3 {
+		c := &contender{name: fmt.Sprint("c", i), rate: rate()}
+		if f.drift {
+			c.rate = 0.5
+		}
+		l.who = append(l.who, c)
+		l.begin(c)
+	}
+	l.elect()
+	for _, v := range l.voters {
+		l.beat(v)
+	}
+	return l
+}
+
+func (l *life) after(d time.Duration, do func()) {
+	l.turn++
+	h := happening{l.now + max(d, 0), l.turn, do}
+	at, _ := slices.BinarySearchFunc(l.due, h, func(a, b happening) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.turn - b.turn
+	})
+	l.due = slices.Insert(l.due, at, h)
+}
+
+func (l *life) clock(rate float64) time.Duration { return time.Duration(float64(l.now) * rate) }
+
+// boot starts a voter from its disk.
+func (l *life) boot(v *voter) {
+	v.run = l.rng.Uint64() | 1
+	if l.flaw.forgets && v.replica != nil {
+		first, _ := First([]uint64{1, 2, 3})
+		first.Hard.Term = proto.Uint64(v.disk.Hard.GetTerm()) // all but the log
+		v.disk = first
+	}
+	r, err := New(v.id, v.run, v.disk, l.terms, false)
+	if err != nil {
+		l.downs, v.down = err.Error(), true
+		return
+	}
+	v.replica, v.saving, v.down = r, nil, false
+}
+
+// elect has some voter ask for votes, now and then.
+func (l *life) elect() {
+	v := l.voters[l.rng.IntN(3)]
+	if !slices.ContainsFunc(l.voters, func(v *voter) bool { return v.replica.Leads() && !v.down && !v.stopped }) || l.rng.IntN(8) == 0 {
+		l.at(v, func() { l.act(v, v.replica.Campaign(l.clock(v.rate))) })
+	}
+	l.after(time.Duration(50+l.rng.IntN(150))*ms, l.elect)
+}
+
+func (l *life) beat(v *voter) {
+	l.at(v, func() { l.act(v, v.replica.Handle(l.clock(v.rate), Pass{})) })
+	l.after(Tick, func() { l.beat(v) })
+}
+
+// at has a voter do something, when it goes on if it is stopped.
+func (l *life) at(v *voter, do func()) {
+	switch {
+	case v.down:
+	case v.stopped && len(v.waiting) < 100:
+		v.waiting = append(v.waiting, do)
+	case v.stopped:
+	default:
+		do()
+	}
+}
+
+func (l *life) act(v *voter, actions []Action) {
+	run := v.run
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Save:
+			s := a.Saved
+			v.saving = &s
+			if l.flaw.sendsFirst { // what is not saved yet is promised
+				l.after(0, func() { l.at(v, func() { l.act(v, v.replica.Handle(l.clock(v.rate), Done{})) }) })
+				continue
+			}
+			l.after(time.Duration(l.rng.IntN(8))*ms, func() {
+				l.at(v, func() {
+					if v.run != run {
+						return
+					}
+					v.store(s)
+					v.saving = nil
+					l.act(v, v.replica.Handle(l.clock(v.rate), Done{}))
+				})
+			})
+		case Down:
+			l.downs = a.Err.Error()
+		case Cut:
+			v.disk.Snapshot = a.Snapshot
+		case Send:
+			for _, m := range a.Messages {
+				l.send(v, m)
+			}
+		case Answer:
+			if do := l.tags[a.Tag]; do != nil {
+				delete(l.tags, a.Tag)
+				do(a)
+			}
+		}
+	}
+}
+
+// store makes something last.
+func (v *voter) store(s Saved) {
+	if s.Hard != nil {
+		v.disk.Hard = s.Hard
+	}
+	if s.Snapshot != nil {
+		v.disk.Snapshot, v.disk.Entries = s.Snapshot, nil
+	}
+	for _, e := range s.Entries {
+		keep := slices.IndexFunc(v.disk.Entries, func(x *raftpb.Entry) bool { return x.GetIndex() >= e.GetIndex() })
+		if keep >= 0 {
+			v.disk.Entries = v.disk.Entries[:keep:keep]
+		}
+		v.disk.Entries = append(v.disk.Entries, e)
+	}
+}
+
+func (l *life) send(from *voter, m *raftpb.Message) {
+	text, err := Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	to := l.voters[m.GetTo()-1]
+	times := 1
+	switch l.rng.IntN(20) {
+	case 0:
+		times = 0
+	case 1:
+		times = 2
+	}
+	for range times {
+		wait := time.Duration(l.rng.IntN(10)) * ms
+		if l.rng.IntN(50) == 0 {
+			wait = time.Duration(l.rng.IntN(800)) * ms
+		}
+		l.after(wait, func() {
+			if l.cut[[2]int{int(from.id), int(to.id)}] {
+				return
+			}
+			l.at(to, func() {
+				again, err := Decode(text)
+				if err != nil {
+					panic(err)
+				}
+				l.act(to, to.replica.Handle(l.clock(to.rate), Heard{again}))
+			})
+		})
+	}
+}
+
+// begin has a contender want the task anew.
+func (l *life) begin(c *contender) {
+	l.nonces++
+	c.run++
+	c.session = lease.NewSession(l.terms, "a", fmt.Sprint(c.name, ".", c.run), l.nonces, length, true)
+	run := c.run
+	var pass func()
+	pass = func() {
+		if c.run != run {
+			return
+		}
+		l.later(c, func() {
+			if c.run == run {
+				l.tell(c, lease.Pass{})
+			}
+		})
+		l.after(20*ms, pass)
+	}
+	pass()
+}
+
+func (l *life) later(c *contender, do func()) {
+	if c.stopped {
+		if len(c.waiting) < 100 {
+			c.waiting = append(c.waiting, do)
+		}
+		return
+	}
+	do()
+}
+
+func (l *life) tell(c *contender, e lease.SessionEvent) {
+	run, session := c.run, c.session
+	now := l.clock(c.rate)
+	for _, a := range session.Handle(now, e, nil) {
+		switch a := a.(type) {
+		case lease.Ask:
+			l.request(c, run, a)
+		case lease.Tell:
+			l.request(c, run, lease.Ask{Command: a.Command})
+		case lease.Ended:
+			l.after(time.Duration(l.rng.IntN(100))*ms, func() {
+				if c.run == run {
+					l.begin(c)
+				}
+			})
+		}
+	}
+}
+
+// request takes a contender's wish to a voter and the answer back, each late, lost or doubled.
+func (l *life) request(c *contender, run int, a lease.Ask) {
+	for range 1 + l.rng.IntN(20)/19 {
+		if l.rng.IntN(20) == 0 {
+			continue
+		}
+		v := l.voters[l.rng.IntN(3)]
+		for _, x := range l.voters { // it mostly knows who leads
+			if x.replica.Leads() && l.rng.IntN(4) > 0 {
+				v = x
+			}
+		}
+		wait := func() time.Duration {
+			if l.rng.IntN(30) == 0 {
+				return time.Duration(l.rng.IntN(600)) * ms
+			}
+			return time.Duration(l.rng.IntN(8)) * ms
+		}
+		l.after(wait(), func() {
+			l.at(v, func() {
+				l.tag++
+				l.tags[l.tag] = func(answer Answer) {
+					l.after(wait(), func() {
+						l.later(c, func() {
+							if c.run == run {
+								l.tell(c, lease.Answer{Serial: a.Serial, Outcome: answer.Outcome, Number: answer.Number})
+							}
+						})
+					})
+				}
+				l.act(v, v.replica.Handle(l.clock(v.rate), Asked{l.tag, a.Command, a.Number}))
+			})
+		})
+	}
+}
+
+// trouble befalls something, time and again.
+func (l *life) trouble() {
+	v, c := l.voters[l.rng.IntN(3)], l.who[l.rng.IntN(3)]
+	span := time.Duration(l.rng.IntN(1500)) * ms
+	switch l.rng.IntN(6) {
+	case 0: // kill -9, some or none of what was being saved lasts
+		if !v.down {
+			v.down = true
+			if v.saving != nil && l.rng.IntN(2) == 0 {
+				v.store(*v.saving)
+			}
+			v.waiting, v.stopped = nil, false
+			l.after(span/2, func() { l.boot(v) })
+		}
+	case 1:
+		if !v.stopped && !v.down {
+			v.stopped = true
+			l.after(span, func() {
+				if v.stopped {
+					v.stopped = false
+					do := v.waiting
+					v.waiting = nil
+					for _, f := range do {
+						l.at(v, f)
+					}
+				}
+			})
+		}
+	case 2:
+		if !c.stopped {
+			c.stopped = true
+			l.after(span, func() {
+				c.stopped = false
+				do := c.waiting
+				c.waiting = nil
+				for _, f := range do {
+					l.later(c, f)
+				}
+			})
+		}
+	case 3: // it is gone, and its next run wants the task again
+		l.begin(c)
+	case 4:
+		w := l.voters[l.rng.IntN(3)]
+		way := [2]int{int(v.id), int(w.id)}
+		back := [2]int{int(w.id), int(v.id)}
+		l.cut[way] = true
+		if l.rng.IntN(2) == 0 {
+			l.cut[back] = true
+		}
+		l.after(span, func() { delete(l.cut, way); delete(l.cut, back) })
+	case 5:
+		if c.session.State(l.clock(c.rate)) == lease.Holding {
+			l.later(c, func() { l.tell(c, lease.GiveUp{}) })
+		}
+	}
+	l.after(time.Duration(100+l.rng.IntN(500))*ms, l.trouble)
+}
+
+// judge looks at all contenders as they are in truth.
+func (l *life) judge() {
+	valid := 0
+	for _, c := range l.who {
+		if n, ok := c.session.Valid(l.clock(c.rate)); ok {
+			valid++
+			l.acts++
+			if n < l.top && l.broken == "" {
+				l.broken = fmt.Sprintf("%v: number %d after %d", l.now, n, l.top)
+			}
+			l.top = max(l.top, n)
+		}
+	}
+	if valid > 1 && l.broken == "" {
+		l.broken = fmt.Sprintf("%v: %d holders", l.now, valid)
+	}
+}
+
+func (l *life) play(until time.Duration) {
+	l.after(100*ms, l.trouble)
+	for l.now <= until && l.broken == "" {
+		h := l.due[0]
+		l.due = l.due[1:]
+		l.now = h.at
+		h.do()
+		l.judge()
+	}
+}
+
+// TestRandomLives guards guarantees 1 to 3 of package lease with the real library under it.
+func TestRandomLives(t *testing.T) {
+	lives, acts := 400, 0
+	if testing.Short() {
+		lives = 50
+	}
+	granted := uint64(0)
+	for seed := range uint64(lives) {
+		l := newLife(seed, flaw{})
+		l.play(6 * time.Second)
+		if l.broken != "" || l.downs != "" {
+			t.Fatalf("seed %d: %s %s", seed, l.broken, l.downs)
+		}
+		acts += l.acts
+		granted += l.top
+	}
+	t.Logf("%d lives of 6 s, %d grants, %d looks at a holder", lives, granted, acts)
+	if granted < uint64(lives) {
+		t.Errorf("only %d grants in %d lives", granted, lives)
+	}
+}
+
+// TestFlawsAreFound plants one defect after the other.
+func TestFlawsAreFound(t *testing.T) {
+	for name, f := range map[string]flaw{"margin under zero, no drift allowed for": {margin: true}, "a voter that forgets its log": {forgets: true},
+		"promises before they are saved": {sendsFirst: true}, "drift past the bound": {drift: true}} {
+		found, lives := "", 0
+		for seed := uint64(0); seed < 3000 && found == ""; seed++ {
+			l := newLife(seed, f)
+			l.play(8 * time.Second)
+			found, lives = l.broken+l.downs, lives+1
+		}
+		t.Logf("%s: %s, in life %d", name, found, lives)
+		if found == "" {
+			t.Errorf("%s: not found in %d lives", name, lives)
+		}
+	}
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/rehearse/rig"
 	"mulleinpier/internal/standin/list"
 	"mulleinpier/internal/standin/node"
 )
@@ -80,17 +81,7 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+func sleep(ctx context.Context, d time.Duration) { rig.Wait(ctx, d) }
 
 func (f *fleet) footprints(into *[]Footprint) {
 	for _, d := range f.proxies {
--- a/internal/rehearse/rig/stop.go
+++ b/internal/rehearse/rig/stop.go
@@ -29,7 +29,7 @@
 			return err
 		}
 		if i+1 < s.Times {
-			wait(ctx, s.Every-time.Since(from))
+			Wait(ctx, s.Every-time.Since(from))
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -52,7 +52,7 @@
 			return fmt.Errorf("stop of %d: it goes on", pid)
 		}
 	}
-	wait(ctx, d-time.Since(from))
+	Wait(ctx, d-time.Since(from))
 	return nil
 }
 
@@ -66,7 +66,8 @@
 	return strings.HasPrefix(rest, "T")
 }
 
-func wait(ctx context.Context, d time.Duration) {
+// Wait lets a time go by, or returns when ctx ends.
+func Wait(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- /dev/null
+++ b/internal/store/voter_test.go
@@ -0,0 +1,73 @@
+package store
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+)
+
+func TestLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a")
+	if _, err := Open(path); !errors.Is(err, ErrNone) {
+		t.Fatalf("opened before it was made: %v", err)
+	}
+	if err := Create(path, Change{Heads: map[string][]byte{"x": []byte("1")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := Create(path, Change{}); err == nil {
+		t.Fatal("made over another")
+	}
+	l, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	save := func(c Change) {
+		t.Helper()
+		if err := l.Save(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	records := func(numbers ...uint64) (list []Record) {
+		for _, n := range numbers {
+			list = append(list, Record{n, []byte{byte(n)}})
+		}
+		return list
+	}
+	save(Change{Records: records(1, 2, 3, 300, 400)})
+	save(Change{From: 300, Records: records(300), Heads: map[string][]byte{"y": nil}})
+	save(Change{Through: 2})
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = Open(path); err != nil { // as after a restart
+		t.Fatal(err)
+	}
+	defer l.Close()
+	named, got, err := l.Load()
+	if err != nil || !reflect.DeepEqual(got, records(3, 300)) || string(named["x"]) != "1" || len(named) != 2 {
+		t.Errorf("%v, %v, %v", named, got, err)
+	}
+}
+
+// TestTornFileIsNotOpened guards against memory that is half there: it is an error, never an empty one.
+func TestTornFileIsNotOpened(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a")
+	if err := Create(path, Change{Heads: map[string][]byte{"x": make([]byte, 20000)}}); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []int{0, 100, 4096} {
+		if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if l, err := Open(path); err == nil {
+			l.Close()
+			t.Errorf("opened with %d of %d bytes", n, len(whole))
+		}
+	}
+}
