--- a/cmd/yarrowspan/still_test.go
+++ b/cmd/yarrowspan/still_test.go
@@ -191,7 +191,7 @@
 	replace(t, r.path, fmt.Appendf(nil, "listen = %q\nnodes.discovery = %q\n", r.address, link.Address()))
 	r.start()
 	r.hear("READY=1")
-	waiting := r.callers(100) // more than are let go at a time
+	waiting := r.callers(40) // as many as may idle
 	for i, c := range waiting {
 		for j := range 10 { // so that the gates know how much comes back in time
 			c.send("mg k%d v Owarm%d.%d Pc=read\r\n", i, i, j)
@@ -203,15 +203,19 @@
 	}
 	r.stop()
 	time.Sleep(long)
-	for i, c := range waiting {
-		c.send("mg k%d v Oa%d Pc=read,d=20000\r\n", i, i)
+	for i, c := range waiting { // together more than are let go at a time
+		for j := range 3 {
+			c.send("mg k%d v Oa%d.%d Pc=read,d=20000\r\n", i, i, j)
+		}
 	}
 	r.signal(syscall.SIGCONT)
 	for _, c := range waiting {
-		if got := c.line(); strings.HasPrefix(got, "VA ") {
-			c.line()
-		} else if !strings.HasPrefix(got, "SERVER_ERROR busy") {
-			t.Errorf("answered %q", got)
+		for range 3 {
+			if got := c.line(); strings.HasPrefix(got, "VA ") {
+				c.line()
+			} else if !strings.HasPrefix(got, "SERVER_ERROR busy") {
+				t.Errorf("answered %q", got)
+			}
 		}
 	}
 	waitLine(t, r.lines, "at work again")
