Tell that the service manager is deaf also if it was so before there was a log

The watchdog's ping may fail before the configuration has said how to log; daemon.tell set `muted` all the same, so it was never said (internal/daemon/daemon.go, tell). The longer a start takes, the likelier. Change: muted is set once it could be said.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,7 +213,7 @@
 // tell tells the service manager. That it does not listen is logged, once.
 func (d *daemon) tell(text string) {
 	if err := d.manager.Tell(text); err != nil && !d.muted {
-		d.muted = true
+		d.muted = d.log != nil // else it is told once there is a log
 		d.warn("the service manager does not listen", err)
 	}
 }
