--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -6,19 +6,18 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/notify"
@@ -27,39 +26,120 @@
 	"mulleinpier/internal/standin/relay"
 )
 
-const usage = `Usage:
-  rehearse --list               the built-in scenarios
-  rehearse wave [--short]       twenty proxies in rolling waves (six, under a minute)
-  rehearse play NAME|FILE       any scenario
-  rehearse up [--scenario NAME] hold a small fleet until interrupted
-  rehearse cost [--runs N] [--requests N]
-                                CPU of a proxy beside a byte relay
-  rehearse times [--runs N]     from exec to ready, from SIGTERM to exit
-  rehearse consul               a fleet whose list comes from Consul agents, which fail in every way
-  rehearse degrade [--short]    overloads without and with levels of reduced service, same seeds (one, 25 s)
-  rehearse clients [--short]    tills that use the client library beside such as the operators describe, in five
-                                troubles (two, 30 s); --tills N of each kind, 1,000 if left out;
-                                --trouble restart|only|kill|gone|outage for one
-  rehearse still [--short] [--at 1,3,6] [--trouble WORDS] [--seed N]
-                                processes that stand still, links that are cut: each trouble at three of twelve
-                                proxies, or at so many (one scenario, 45 s)
-  rehearse lease [--short] [--seed N] [--careless]
-                                one task among eight processes, with faults between them, two minutes (25 s);
-                                --careless: at a resource that compares no numbers
-  rehearse members              what following 2,000 nodes with 50 changes a second costs
-  rehearse conform              the conformance suite: both dialects of clients by both of nodes
-  rehearse sight --fault none|lose|double|drain [--every N]
-                                play a proxy with a fault put in, one in N
-Everywhere:
-  --program FILE   the proxy, yarrowspan beside this program if left out
-  --json FILE      write the report there too
-  --keep FOLDER    keep configurations and logs there
-  --quiet          tell no progress
-  --consul         proxies follow stand-in Consul agents, one a zone
-  --binary         one client and one node in four speak the binary protocol
-  --library        one client in four uses the client library
-Exit: 0 the rules held, 1 one broke or the rehearsal failed, 2 bad usage.
-`
+// everywhere are the flags of all commands.
+type everywhere struct {
+	Program string `help:"The proxy; yarrowspan beside this program if left out."`
+	JSON    string `help:"Write the report there too."`
+	Keep    string `help:"Keep configurations and logs in that folder."`
+	Quiet   bool   `help:"Tell no progress."`
+	Consul  bool   `help:"Proxies follow stand-in Consul agents, one a zone."`
+	Binary  bool   `help:"One client and one node in four speak the binary protocol."`
+	Library bool   `help:"One client in four uses the client library."`
+}
+
+type waveCommand struct {
+	Short bool `help:"Six proxies, under a minute."`
+}
+
+type playCommand struct {
+	Name string `arg:"" help:"A built-in scenario, or a file."`
+}
+
+type upCommand struct {
+	Scenario string `default:"up" help:"What fleet to hold."`
+}
+
+type costCommand struct {
+	Runs     int `default:"5" help:"1 to 1000."`
+	Requests int `default:"20000" help:"1 to 10000000."`
+}
+
+type timesCommand struct {
+	Runs int `default:"5" help:"1 to 1000."`
+}
+
+type degradeCommand struct {
+	Short    bool   `help:"One scenario, 25 s."`
+	Scenario string `help:"One scenario alone."`
+}
+
+type clientsCommand struct {
+	Short   bool   `help:"Two troubles, 30 s."`
+	Tills   int    `default:"1000" help:"Tills of each kind."`
+	Trouble string `help:"One alone: restart, only, kill, gone or outage."`
+}
+
+type stillCommand struct {
+	Short   bool   `help:"One scenario, 45 s."`
+	At      []int  `default:"3" help:"At how many of the twelve proxies, by commas."`
+	Trouble string `help:"Troubles whose names hold it."`
+	Seed    uint64 `default:"1"`
+	Pairs   bool   `help:"All pairs of faults in place of the usual troubles."`
+	Beside  int    `default:"1" help:"How many plays run at a time."`
+}
+
+type leaseCommand struct {
+	Short    bool   `help:"25 s in place of two minutes."`
+	Seed     uint64 `default:"1"`
+	Careless bool   `help:"At a resource that compares no numbers."`
+}
+
+type sightCommand struct {
+	Fault string `required:"" enum:"none,lose,double,drain" help:"What is put in: none, lose, double or drain."`
+	Every int    `help:"In one request of so many."`
+}
+
+type doubleCommand struct {
+	Fault  string `arg:"" enum:"none,lose,double,drain"`
+	Every  int    `arg:""`
+	Config string `arg:""`
+}
+
+type relayCommand struct {
+	Address string `arg:""`
+	To      string `arg:""`
+}
+
+type holderCommand struct {
+	Judge  string   `arg:""`
+	Seed   uint64   `arg:""`
+	Fleet  string   `arg:""`
+	Voters []string `arg:""`
+}
+
+// listFlag prints the built-in scenarios in place of a command.
+type listFlag bool
+
+// BeforeReset implements kong's hook, which comes before a missing command is told.
+func (listFlag) BeforeReset(app *kong.Kong) error {
+	for _, s := range rehearse.List() {
+		fmt.Fprintf(app.Stdout, "%-12s %s\n", s[0], s[1])
+	}
+	app.Exit(0)
+	return nil
+}
+
+type commands struct {
+	everywhere
+	List listFlag `help:"List the built-in scenarios."`
+
+	Wave     waveCommand    `cmd:"" help:"Twenty proxies in rolling waves."`
+	Play     playCommand    `cmd:"" help:"Any scenario."`
+	Up       upCommand      `cmd:"" help:"Hold a small fleet until interrupted."`
+	Cost     costCommand    `cmd:"" help:"CPU of a proxy beside a byte relay."`
+	Times    timesCommand   `cmd:"" help:"From exec to ready, from SIGTERM to exit."`
+	Agents   struct{}       `cmd:"" name:"consul" help:"A fleet whose list comes from Consul agents, which fail in every way."`
+	Degrade  degradeCommand `cmd:"" help:"Overloads without and with levels of reduced service, same seeds."`
+	Clients  clientsCommand `cmd:"" help:"Tills that use the library beside such as the operators describe, in five troubles."`
+	Still    stillCommand   `cmd:"" help:"Processes that stand still, links that are cut: each trouble at some of twelve proxies."`
+	Lease    leaseCommand   `cmd:"" help:"One task among eight processes, with faults between them, two minutes."`
+	Members  struct{}       `cmd:"" help:"What following 2,000 nodes with 50 changes a second costs."`
+	Conform  struct{}       `cmd:"" help:"The conformance suite: both dialects of clients by both of nodes."`
+	Sight    sightCommand   `cmd:"" help:"Play a proxy with a fault put in."`
+	AsDouble doubleCommand  `cmd:"" name:"double" hidden:"" help:"Be a proxy with a fault put in."`
+	AsRelay  relayCommand   `cmd:"" name:"relay" hidden:"" help:"Be a byte relay."`
+	AsHolder holderCommand  `cmd:"" name:"holder" hidden:"" help:"Hold a task over and over."`
+}
 
 var (
 	errUsage  = errors.New("bad usage")
@@ -72,7 +152,7 @@
 	err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	switch {
 	case errors.Is(err, errUsage):
-		fmt.Fprintf(os.Stderr, "rehearse: %v\n%s", err, usage)
+		fmt.Fprintf(os.Stderr, "rehearse: %v; see rehearse --help\n", err)
 		os.Exit(2)
 	case errors.Is(err, errBroken):
 		os.Exit(1)
@@ -82,207 +162,153 @@
 	}
 }
 
-// settings are the flags of all commands.
-type settings struct {
-	program, json, keep, scenario, fault, trouble, at string
-	seed                                              uint64
-	short, quiet, binary, consul, library, careless   bool
-	runs, requests, every, tills                      int
-}
-
 // printer is a report of any command.
 type printer interface{ Print(io.Writer) }
 
-func run(ctx context.Context, args []string, out, progress io.Writer) error {
-	if len(args) == 0 {
-		return fmt.Errorf("%w: no command", errUsage)
+// ended is what the parser panics with after it has printed what was asked for.
+type ended struct{}
+
+func run(ctx context.Context, args []string, out, progress io.Writer) (err error) {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("rehearse"), kong.Writers(out, progress), kong.Exit(func(int) { panic(ended{}) }),
+		kong.Description("Plays a fleet of real proxy processes between stand-ins on loopback, and tells whether the rules held. "+
+			"Exit: 0 they did, 1 one broke or the rehearsal failed, 2 bad usage."))
+	if err != nil {
+		return err
 	}
-	if args[0] == "--list" || args[0] == "-list" {
-		for _, s := range rehearse.List() {
-			fmt.Fprintf(out, "%-12s %s\n", s[0], s[1])
+	defer func() {
+		if p := recover(); p == (ended{}) {
+			err = nil
+		} else if p != nil {
+			panic(p)
 		}
-		return nil
+	}()
+	chosen, err := parser.Parse(args)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	command := args[0]
-	switch command { // these two play a part in a rehearsal
+	command, _, _ := strings.Cut(chosen.Command(), " ")
+	switch command { // these play a part in a rehearsal
 	case "double":
-		return playDouble(ctx, args[1:], progress)
+		return c.AsDouble.run(ctx, progress)
 	case "relay":
-		return playRelay(ctx, args[1:])
+		return c.AsRelay.run(ctx)
 	case "holder":
-		return playHolder(ctx, args[1:])
-	}
-	var s settings
-	flags := flag.NewFlagSet(command, flag.ContinueOnError)
-	flags.SetOutput(io.Discard)
-	flags.StringVar(&s.program, "program", "", "")
-	flags.StringVar(&s.json, "json", "", "")
-	flags.StringVar(&s.keep, "keep", "", "")
-	flags.StringVar(&s.scenario, "scenario", "up", "")
-	flags.StringVar(&s.fault, "fault", "", "")
-	flags.StringVar(&s.trouble, "trouble", "", "")
-	flags.StringVar(&s.at, "at", "3", "")
-	flags.Uint64Var(&s.seed, "seed", 1, "")
-	flags.BoolVar(&s.careless, "careless", false, "")
-	flags.BoolVar(&s.short, "short", false, "")
-	flags.BoolVar(&s.consul, "consul", false, "")
-	flags.BoolVar(&s.binary, "binary", false, "")
-	flags.BoolVar(&s.library, "library", false, "")
-	flags.BoolVar(&s.quiet, "quiet", false, "")
-	flags.IntVar(&s.runs, "runs", 5, "")
-	flags.IntVar(&s.requests, "requests", 20000, "")
-	flags.IntVar(&s.every, "every", 0, "")
-	flags.IntVar(&s.tills, "tills", 1000, "")
-	rest, err := interleaved(flags, args[1:])
-	if err != nil {
-		return fmt.Errorf("%w: %s: %w", errUsage, command, err)
+		return c.AsHolder.run(ctx)
 	}
-	names := 0
-	if command == "play" {
-		names = 1
+	o, done, err := c.options(progress)
+	if err != nil {
+		return err
 	}
-	if len(rest) != names {
-		return fmt.Errorf("%w: %s takes %d names, not %d", errUsage, command, names, len(rest))
+	defer done()
+	self, err := os.Executable()
+	if err != nil {
+		return err
 	}
-	if s.runs < 1 || s.runs > 1000 || s.requests < 1 || s.requests > 1e7 || s.every < 0 {
-		return fmt.Errorf("%w: runs want 1 to 1000, requests 1 to 10000000, every no less than 0", errUsage)
+	report, err := c.play(ctx, command, self, o, out, progress)
+	if err != nil || report == nil {
+		return err
 	}
-	o, done, err := s.options(progress)
-	if err != nil {
+	if err := c.print(report, out); err != nil {
 		return err
 	}
-	defer done()
+	if judged, ok := report.(interface{ OK() bool }); ok && !judged.OK() {
+		return errBroken
+	}
+	return nil
+}
+
+// play carries out a command, and returns its report.
+func (c *commands) play(ctx context.Context, command, self string, o rehearse.Options, out, progress io.Writer) (printer, error) {
+	within := func(what string, n, least, most int) error {
+		if n < least || n > most {
+			return fmt.Errorf("%w: --%s cannot be %d: want %d to %d", errUsage, what, n, least, most)
+		}
+		return nil
+	}
 	switch command {
 	case "wave":
-		name := "wave"
-		if s.short {
-			name = "wave-short"
+		if c.Wave.Short {
+			return c.scenario(ctx, "wave-short", o)
 		}
-		return s.play(ctx, name, o, out)
+		return c.scenario(ctx, "wave", o)
 	case "play":
-		return s.play(ctx, rest[0], o, out)
+		return c.scenario(ctx, c.Play.Name, o)
 	case "consul":
-		return s.play(ctx, "consul", o, out)
+		return c.scenario(ctx, "consul", o)
 	case "sight":
-		if !slices.Contains(double.Faults, s.fault) {
-			return fmt.Errorf("%w: sight --fault cannot be %q: want one of %s", errUsage, s.fault, strings.Join(double.Faults, ", "))
-		}
-		self, err := os.Executable()
-		if err != nil {
-			return err
+		every := c.Sight.Every
+		if every == 0 { // so that some are put in, whatever the fault
+			every = usualEvery[c.Sight.Fault]
 		}
-		if s.every == 0 { // so that some are put in, whatever the fault
-			s.every = usualEvery[s.fault]
+		if err := within("every", every, 1, 1e6); err != nil {
+			return nil, err
 		}
-		o.Program = []string{self, "double", s.fault, fmt.Sprint(s.every)}
-		err = s.play(ctx, "sight", o, out)
+		o.Program = []string{self, "double", c.Sight.Fault, fmt.Sprint(every)}
+		report, err := c.scenario(ctx, "sight", o)
 		if put, counted := injected(o.Folder); counted {
 			fmt.Fprintf(progress, "put in: %d\n", put)
 		}
-		return err
+		return report, err
 	case "up":
-		scenario, err := rehearse.Load(s.scenario)
+		scenario, err := rehearse.Load(c.Up.Scenario)
 		if err != nil {
-			return fmt.Errorf("%w: %w", errUsage, err)
+			return nil, fmt.Errorf("%w: %w", errUsage, err)
 		}
-		s.adapt(scenario)
-		return rehearse.Up(ctx, scenario, o, func(line string) { fmt.Fprintln(out, line) })
+		c.adapt(scenario)
+		return nil, rehearse.Up(ctx, scenario, o, func(line string) { fmt.Fprintln(out, line) })
 	case "cost":
-		self, err := os.Executable()
-		if err != nil {
-			return err
+		if err := errors.Join(within("runs", c.Cost.Runs, 1, 1000), within("requests", c.Cost.Requests, 1, 1e7)); err != nil {
+			return nil, err
 		}
-		report, err := rehearse.Cost(ctx, rehearse.CostOptions{Proxy: o.Program, Relay: []string{self, "relay"}, Folder: o.Folder,
+		return rehearse.Cost(ctx, rehearse.CostOptions{Proxy: o.Program, Relay: []string{self, "relay"}, Folder: o.Folder,
 			Profiled: func(path string) []string { return []string{o.Program[0], "serve", "--cpuprofile", path, "--config"} },
-			Runs:     s.runs, Requests: s.requests, Conns: []int{1, 8, 64}, Progress: o.Progress})
-		if err != nil {
-			return err
-		}
-		return s.print(report, out)
+			Runs:     c.Cost.Runs, Requests: c.Cost.Requests, Conns: []int{1, 8, 64}, Progress: o.Progress})
 	case "members":
-		report, err := rehearse.Members(ctx, rehearse.MembersOptions{Options: o, Nodes: 2000, Changes: 50, For: 20 * time.Second})
-		if err != nil {
-			return err
-		}
-		return s.print(report, out)
+		return rehearse.Members(ctx, rehearse.MembersOptions{Options: o, Nodes: 2000, Changes: 50, For: 20 * time.Second})
 	case "degrade":
 		names := rehearse.DegradeScenarios
-		if s.short {
+		if c.Degrade.Short {
 			names = []string{"degrade-short"}
 		}
-		if s.scenario != "up" {
-			names = []string{s.scenario}
+		if c.Degrade.Scenario != "" {
+			names = []string{c.Degrade.Scenario}
 		}
-		report, err := rehearse.Degrade(ctx, names, o)
-		if err != nil {
-			return err
-		}
-		return s.judge(report, out)
+		return rehearse.Degrade(ctx, names, o)
 	case "clients":
-		report, err := rehearse.Clients(ctx, rehearse.ClientsOptions{Options: o, Clients: s.tills, Only: s.trouble, Short: s.short})
-		if err != nil {
-			return err
-		}
-		return s.judge(report, out)
+		return rehearse.Clients(ctx, rehearse.ClientsOptions{Options: o, Clients: c.Clients.Tills, Only: c.Clients.Trouble, Short: c.Clients.Short})
 	case "still":
-		if s.short {
-			return s.play(ctx, "still-short", o, out)
+		if c.Still.Short {
+			return c.scenario(ctx, "still-short", o)
 		}
-		at, err := proxyCounts(s.at)
-		if err != nil {
-			return err
+		errs := []error{within("beside", c.Still.Beside, 1, 16)}
+		for _, at := range c.Still.At {
+			errs = append(errs, within("at", at, 1, 12))
 		}
-		report, err := rehearse.Still(ctx, rehearse.StillOptions{Options: o, At: at, Only: s.trouble, Seed: s.seed})
-		if err != nil {
-			return err
+		if err := errors.Join(errs...); err != nil {
+			return nil, err
 		}
-		return s.judge(report, out)
+		return rehearse.Still(ctx, rehearse.StillOptions{Options: o, At: c.Still.At, Only: c.Still.Trouble, Seed: c.Still.Seed,
+			Pairs: c.Still.Pairs, Beside: c.Still.Beside})
 	case "lease":
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
 		length := 2 * time.Minute
-		if s.short {
+		if c.Lease.Short {
 			length = 25 * time.Second
 		}
-		report, err := rehearse.Lease(ctx, rehearse.LeaseOptions{Options: o, Holder: []string{self, "holder"}, For: length, Seed: s.seed, Careless: s.careless})
-		if err != nil {
-			return err
-		}
-		return s.judge(report, out)
+		return rehearse.Lease(ctx, rehearse.LeaseOptions{Options: o, Holder: []string{self, "holder"}, For: length, Seed: c.Lease.Seed, Careless: c.Lease.Careless})
 	case "conform":
-		report, err := rehearse.Conform(ctx, o)
-		if err != nil {
-			return err
-		}
-		return s.judge(report, out)
-	case "times":
-		report, err := rehearse.Times(o.Program, o.Folder, s.runs)
-		if err != nil {
-			return err
-		}
-		return s.print(report, out)
+		return rehearse.Conform(ctx, o)
+	}
+	if err := within("runs", c.Times.Runs, 1, 1000); err != nil {
+		return nil, err
 	}
-	return fmt.Errorf("%w: there is no command %q", errUsage, command)
+	return rehearse.Times(o.Program, o.Folder, c.Times.Runs)
 }
 
 // usualEvery is how often a fault is put in by default: lose and drain befall any
 // request, double handovers only.
 var usualEvery = map[string]int{double.None: 1, double.Lose: 500, double.Twice: 100, double.Drains: 500}
 
-// proxyCounts reads a list of numbers of proxies.
-func proxyCounts(text string) (list []int, err error) {
-	for part := range strings.SplitSeq(text, ",") {
-		n, err := strconv.Atoi(part)
-		if err != nil || n < 1 || n > 12 {
-			return nil, fmt.Errorf("%w: --at cannot be %q: want numbers of 1 to 12, by commas", errUsage, text)
-		}
-		list = append(list, n)
-	}
-	return list, nil
-}
-
 // injected sums up what doubles have logged at their ends.
 func injected(folder string) (put int, counted bool) {
 	logs, err := filepath.Glob(filepath.Join(folder, "p*.log"))
@@ -304,107 +330,69 @@
 	return put, counted
 }
 
-// interleaved parses flags that may stand before and behind names.
-func interleaved(flags *flag.FlagSet, args []string) (names []string, err error) {
-	for {
-		if err := flags.Parse(args); err != nil {
-			return nil, err
-		}
-		if flags.NArg() == 0 {
-			return names, nil
-		}
-		names, args = append(names, flags.Arg(0)), flags.Args()[1:]
-	}
-}
-
-func (s *settings) options(progress io.Writer) (o rehearse.Options, done func(), err error) {
+func (s *everywhere) options(progress io.Writer) (o rehearse.Options, done func(), err error) {
 	done = func() {}
-	if s.program == "" {
+	if s.Program == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return o, done, err
 		}
-		s.program = filepath.Join(filepath.Dir(self), "yarrowspan")
+		s.Program = filepath.Join(filepath.Dir(self), "yarrowspan")
 	}
-	if _, err := os.Stat(s.program); err != nil {
+	if _, err := os.Stat(s.Program); err != nil {
 		return o, done, fmt.Errorf("%w: the proxy: %w (build it, or name it with --program)", errUsage, err)
 	}
-	o.Program = []string{s.program, "serve", "--config"}
+	o.Program = []string{s.Program, "serve", "--config"}
 	o.Progress = func(string, ...any) {}
-	if !s.quiet {
+	if !s.Quiet {
 		o.Progress = func(format string, a ...any) {
 			fmt.Fprintf(progress, "%s %s\n", time.Now().Format("15:04:05"), fmt.Sprintf(format, a...))
 		}
 	}
-	if o.Folder = s.keep; s.keep != "" {
-		return o, done, os.MkdirAll(s.keep, 0o755)
+	if o.Folder = s.Keep; s.Keep != "" {
+		return o, done, os.MkdirAll(s.Keep, 0o755)
 	}
 	o.Folder, done, err = rehearse.TempFolder()
 	return o, done, err
 }
 
 // adapt has a scenario be played as the flags say.
-func (s *settings) adapt(scenario *rehearse.Scenario) {
-	if s.binary {
+func (s *everywhere) adapt(scenario *rehearse.Scenario) {
+	if s.Binary {
 		scenario.WithBinary()
 	}
-	if s.consul {
+	if s.Consul {
 		scenario.Fleet.Consul = true
 	}
-	if s.library {
+	if s.Library {
 		scenario.WithLibrary()
 	}
 }
 
-func (s *settings) play(ctx context.Context, name string, o rehearse.Options, out io.Writer) error {
+// scenario plays one scenario.
+func (s *everywhere) scenario(ctx context.Context, name string, o rehearse.Options) (printer, error) {
 	scenario, err := rehearse.Load(name)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
 	}
 	s.adapt(scenario)
-	report, err := rehearse.Play(ctx, scenario, o)
-	if err != nil {
-		return err
-	}
-	return s.judge(report, out)
-}
-
-// judge prints a report, and fails where it tells of a breach.
-func (s *settings) judge(report interface {
-	printer
-	OK() bool
-}, out io.Writer) error {
-	if err := s.print(report, out); err != nil {
-		return err
-	}
-	if !report.OK() {
-		return errBroken
-	}
-	return nil
+	return rehearse.Play(ctx, scenario, o)
 }
 
-func (s *settings) print(report printer, out io.Writer) error {
+func (s *everywhere) print(report printer, out io.Writer) error {
 	report.Print(out)
-	if s.json == "" {
+	if s.JSON == "" {
 		return nil
 	}
 	text, err := json.MarshalIndent(report, "", " ")
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(s.json, append(text, '\n'), 0o644)
+	return os.WriteFile(s.JSON, append(text, '\n'), 0o644)
 }
 
-// playDouble is a proxy with a fault put in: double FAULT EVERY CONFIG.
-func playDouble(ctx context.Context, args []string, log io.Writer) error {
-	var every int
-	if len(args) != 3 || !slices.Contains(double.Faults, args[0]) {
-		return fmt.Errorf("%w: double FAULT EVERY CONFIG", errUsage)
-	}
-	if _, err := fmt.Sscan(args[1], &every); err != nil {
-		return fmt.Errorf("%w: double: every %q", errUsage, args[1])
-	}
-	c, err := config.Read(args[2])
+func (c *doubleCommand) run(ctx context.Context, log io.Writer) error {
+	read, err := config.Read(c.Config)
 	if err != nil {
 		return err
 	}
@@ -412,27 +400,19 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", c.Proxy.Listen)
+	listener, err := net.Listen("tcp", read.Proxy.Listen)
 	if err != nil {
 		return err
 	}
-	d := double.Serve(ctx, double.Config{Listener: listener, List: c.Proxy.Places[0].Address, Fault: args[0], Every: every,
+	d := double.Serve(ctx, double.Config{Listener: listener, List: read.Proxy.Places[0].Address, Fault: c.Fault, Every: c.Every,
 		Window: 1500 * time.Millisecond}, func() { manager.Tell(notify.Ready) })
 	fmt.Fprintf(log, "injected=%d\n", d.Injected())
 	return nil
 }
 
-// playHolder holds a task over and over: holder JUDGE SEED FLEET VOTER=ADDRESS...
-func playHolder(ctx context.Context, args []string) error {
-	if len(args) < 4 {
-		return fmt.Errorf("%w: holder takes a judge, a number, a fleet and its voters", errUsage)
-	}
-	seed, err := strconv.ParseUint(args[1], 10, 64)
-	if err != nil {
-		return fmt.Errorf("%w: holder: seed %q", errUsage, args[1])
-	}
-	f := agent.Fleet{Name: args[2]}
-	for _, v := range args[3:] {
+func (c *holderCommand) run(ctx context.Context) error {
+	f := agent.Fleet{Name: c.Fleet}
+	for _, v := range c.Voters {
 		name, address, _ := strings.Cut(v, "=")
 		f.Voters = append(f.Voters, agent.Peer{Name: name, Address: address})
 	}
@@ -441,25 +421,21 @@
 		return err
 	}
 	manager.Tell(notify.Ready)
-	return rehearse.ActAsHolder(ctx, args[0], seed, f)
+	return rehearse.ActAsHolder(ctx, c.Judge, c.Seed, f)
 }
 
-// playRelay is a byte relay: relay ADDRESS TO.
-func playRelay(ctx context.Context, args []string) error {
-	if len(args) != 2 {
-		return fmt.Errorf("%w: relay ADDRESS TO", errUsage)
-	}
+func (c *relayCommand) run(ctx context.Context) error {
 	manager, err := notify.FromEnvironment(os.Getenv)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", args[0])
+	listener, err := net.Listen("tcp", c.Address)
 	if err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	manager.Tell(notify.Ready)
-	relay.Serve(listener, args[1])
+	relay.Serve(listener, c.To)
 	return nil
 }
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -340,15 +340,17 @@
 		t.Fatal(err)
 	}
 	for _, args := range [][]string{{}, {"dance"}, {"play"}, {"play", "none"}, {"play", bad}, {"wave", "more"}, {"sight", "--fault", "odd"},
-		{"cost", "--runs", "0"}, {"wave", "--colour"}, {"wave", "--program", "/none"}, {"up", "--scenario", "none"}} {
+		{"cost", "--runs", "0"}, {"wave", "--colour"}, {"wave", "--program", "/none"}, {"up", "--scenario", "none"}, {"still", "--at", "13"}, {"still", "--beside", "0"}} {
 		cmd := exec.Command(filepath.Join(bin, "rehearse"), args...)
 		out, _ := cmd.CombinedOutput()
 		if code := cmd.ProcessState.ExitCode(); code != 2 || !strings.HasPrefix(string(out), "rehearse: bad usage: ") {
 			t.Errorf("%q: exit %d: %s", args, code, out)
 		}
 	}
-	out, err := exec.Command(filepath.Join(bin, "rehearse"), "--list").Output()
-	if err != nil || !strings.Contains(string(out), "wave-short ") {
-		t.Errorf("--list: %v: %s", err, out)
+	for _, flag := range []string{"--list", "--help"} {
+		out, err := exec.Command(filepath.Join(bin, "rehearse"), flag).Output()
+		if err != nil || !strings.Contains(string(out), map[string]string{"--list": "wave-short ", "--help": "Processes that stand still"}[flag]) {
+			t.Errorf("%s: %v: %s", flag, err, out)
+		}
 	}
 }
--- a/cmd/yarrowspan/daemon_test.go
+++ b/cmd/yarrowspan/daemon_test.go
@@ -692,8 +692,8 @@
 			"address already in use"},
 		{"two sockets passed", []string{"serve", "--config", r.path}, "LISTEN_FDS=2", "LISTEN_FDS cannot be \"2\""},
 		{"manager's address", []string{"serve", "--config", r.path}, "NOTIFY_SOCKET=here", "NOTIFY_SOCKET cannot be \"here\""},
-		{"no configuration", []string{"serve"}, "", "serve needs --config FILE"},
-		{"no such command", []string{"dance"}, "", "there is no command \"dance\""},
+		{"no configuration", []string{"serve"}, "", "missing flags: --config=STRING"},
+		{"no such command", []string{"dance"}, "", "unexpected argument dance"},
 		{"no command", nil, "", "no command, and GW_CONFIG is not set"},
 	} {
 		cmd := exec.Command("/bin/sh", append([]string{"-c", `LISTEN_PID=$$ exec "$0" "$@"`, os.Args[0]}, c.args...)...)
--- a/cmd/yarrowspan/deploy_test.go
+++ b/cmd/yarrowspan/deploy_test.go
@@ -83,3 +83,14 @@
 		t.Errorf("error %v, want one of usage", err)
 	}
 }
+
+// TestHelpIsNoError guards the words that operators try first.
+func TestHelpIsNoError(t *testing.T) {
+	for _, args := range [][]string{{"--help"}, {"serve", "--help"}} {
+		var out strings.Builder
+		err := run(args, &out, daemon.Options{Log: io.Discard, Getenv: func(string) string { return "" }})
+		if err != nil || !strings.Contains(out.String(), "Usage: yarrowspan") {
+			t.Errorf("%q: %v: %s", args, err, out.String())
+		}
+	}
+}
--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"crypto/rand"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -17,21 +16,32 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/daemon"
 	"mulleinpier/internal/proxy"
 	"mulleinpier/internal/sasl"
 )
 
-const usage = `Usage:
-  yarrowspan serve --config FILE   serve clients until SIGTERM
-  yarrowspan check --config FILE   tell all that is wrong with a configuration
-  yarrowspan secret --user NAME    read a secret and print its line for a file of users
-  yarrowspan version               tell the version
-  yarrowspan platform              as without a command; --reduce with levels of reduced service,
-                                   --counts with a line a second of what went through
-With GW_CONFIG set and no command, yarrowspan serves as the platform has it.
-`
+// configured is a command that reads a configuration.
+type configured struct {
+	Config     string `required:"" help:"The configuration's file."`
+	CPUProfile string `name:"cpuprofile" hidden:"" help:"Write a profile there; for measurements."`
+}
+
+type commands struct {
+	Serve    configured `cmd:"" help:"Serve clients until SIGTERM."`
+	Check    configured `cmd:"" help:"Tell all that is wrong with a configuration."`
+	Platform struct {
+		Reduce bool `xor:"taken" help:"With levels of reduced service."`
+		Counts bool `xor:"taken" help:"With a line a second of what went through."`
+	} `cmd:"" help:"Serve as the platform has it, as without a command."`
+	Secret struct {
+		User string `required:"" help:"Whose secret it is."`
+	} `cmd:"" help:"Read a secret and print its line for a file of users."`
+	Version struct{} `cmd:"" help:"Tell the version."`
+}
 
 // settleTime is how long a configuration must have stood still to be reloaded.
 const settleTime = 50 * time.Millisecond
@@ -50,7 +60,7 @@
 		Terminations: terminations})
 	switch {
 	case errors.Is(err, errUsage):
-		fmt.Fprintf(os.Stderr, "yarrowspan: %v\n%s", err, usage)
+		fmt.Fprintf(os.Stderr, "yarrowspan: %v; see yarrowspan --help\n", err)
 		os.Exit(2)
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "yarrowspan:", oneLine(err))
@@ -81,55 +91,50 @@
 	return fmt.Errorf("%s: %d wrong", file, len(defects))
 }
 
-func run(args []string, out io.Writer, o daemon.Options) error {
-	if len(args) == 0 {
+// ended is what the parser panics with after it has printed help.
+type ended struct{}
+
+func run(args []string, out io.Writer, o daemon.Options) (err error) {
+	if len(args) == 0 { // the platform's start, which needs no parser
 		if o.Getenv("GW_CONFIG") == "" {
 			return fmt.Errorf("%w: no command, and GW_CONFIG is not set", errUsage)
 		}
 		o.Platform, o.Load = true, platform(o.Getenv)
 		return daemon.Run(o)
 	}
-	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
-	flags.SetOutput(io.Discard)
-	file := flags.String("config", "", "")
-	user := flags.String("user", "", "")
-	profile := flags.String("cpuprofile", "", "") // for measurements
-	reduce := flags.Bool("reduce", false, "")
-	counts := flags.Bool("counts", false, "")
-	if err := flags.Parse(args[1:]); err != nil {
-		return fmt.Errorf("%w: %s: %w", errUsage, args[0], err)
+	var c commands
+	parser, err := kong.New(&c, kong.Name("yarrowspan"), kong.Writers(out, o.Log), kong.Exit(func(int) { panic(ended{}) }),
+		kong.Description("A memcache proxy. With GW_CONFIG set and no command it serves as the platform has it."))
+	if err != nil {
+		return err
 	}
-	if flags.NArg() > 0 {
-		return fmt.Errorf("%w: %s takes no %q", errUsage, args[0], flags.Arg(0))
+	chosen, err := parse(parser, args)
+	if err != nil || chosen == "" {
+		return err
 	}
-	switch {
-	case args[0] == "version":
+	switch chosen {
+	case "version":
 		fmt.Fprintln(out, "yarrowspan", version())
 		return nil
-	case *reduce && *counts: // both take what the decision module has counted
-		return fmt.Errorf("%w: --reduce and --counts exclude each other", errUsage)
-	case args[0] == "platform":
+	case "platform":
 		load := platform(o.Getenv)
 		o.Platform, o.Load = true, func() (*config.Config, error) {
-			c, err := load()
+			read, err := load()
 			if err == nil {
-				c.Proxy.Service.On = *reduce
-				c.Proxy.Counts = *counts
+				read.Proxy.Service.On = c.Platform.Reduce
+				read.Proxy.Counts = c.Platform.Counts
 			}
-			return c, err
+			return read, err
 		}
 		return daemon.Run(o)
-	case args[0] == "secret":
-		return secret(*user, os.Stdin, out)
-	case args[0] != "serve" && args[0] != "check":
-		return fmt.Errorf("%w: there is no command %q", errUsage, args[0])
-	case *file == "":
-		return fmt.Errorf("%w: %s needs --config FILE", errUsage, args[0])
-	case args[0] == "check":
-		return check(*file, out)
-	}
-	if *profile != "" {
-		f, err := os.Create(*profile)
+	case "secret":
+		return secret(c.Secret.User, os.Stdin, out)
+	case "check":
+		return check(c.Check.Config, out)
+	}
+	file := c.Serve.Config
+	if c.Serve.CPUProfile != "" {
+		f, err := os.Create(c.Serve.CPUProfile)
 		if err != nil {
 			return err
 		}
@@ -142,14 +147,30 @@
 	begun := false
 	o.Load = func() (*config.Config, error) {
 		if begun { // a start is late enough without the wait
-			return config.ReadSettled(*file, func() { time.Sleep(settleTime) })
+			return config.ReadSettled(file, func() { time.Sleep(settleTime) })
 		}
 		begun = true
-		return config.Read(*file)
+		return config.Read(file)
 	}
 	return daemon.Run(o)
 }
 
+// parse tells the command that is meant, "" where help has been printed.
+func parse(parser *kong.Kong, args []string) (chosen string, err error) {
+	defer func() {
+		if p := recover(); p == (ended{}) {
+			chosen, err = "", nil
+		} else if p != nil {
+			panic(p)
+		}
+	}()
+	c, err := parser.Parse(args)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return c.Command(), nil
+}
+
 // secret prints the line of a user whose secret is the first line of in.
 func secret(user string, in io.Reader, out io.Writer) error {
 	text, err := bufio.NewReader(io.LimitReader(in, sasl.MaxSecret+2)).ReadString('\n')
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -19,14 +19,17 @@
 	return time.Duration(boot.Nano() - mono.Nano())
 }
 
-// Sleeping is Ahead of a machine that seems to sleep for a time once, so long after now. It is for
-// rehearsals: the monotonic clock of a real one stands meanwhile, and so do all timers.
-func Sleeping(at, d time.Duration) func() time.Duration {
+// Sleeping is Ahead of a machine that seems to sleep for a time once, so long after now, and whose clock that counts
+// sleep runs off the monotonic one by a part of it, drift. It is for rehearsals: the monotonic clock of a real one
+// stands meanwhile, and so do all timers.
+func Sleeping(at, d time.Duration, drift float64) func() time.Duration {
 	begun := time.Now()
 	return func() time.Duration {
-		if time.Since(begun) < at {
-			return Ahead()
+		since := time.Since(begun)
+		off := time.Duration(drift * float64(since))
+		if since < at || d == 0 {
+			return Ahead() + off
 		}
-		return Ahead() + d
+		return Ahead() + off + d
 	}
 }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -18,10 +18,15 @@
 }
 
 func TestSleeping(t *testing.T) {
-	if by := Sleeping(time.Hour, time.Minute)() - Ahead(); by > time.Second {
+	if by := Sleeping(time.Hour, time.Minute, 0)() - Ahead(); by > time.Second {
 		t.Errorf("asleep by %v an hour early", by)
 	}
-	if by := Sleeping(0, time.Minute)() - Ahead(); by < 59*time.Second {
+	if by := Sleeping(0, time.Minute, 0)() - Ahead(); by < 59*time.Second {
 		t.Errorf("asleep by %v, want a minute", by)
 	}
+	slow := Sleeping(0, 0, -0.5)
+	time.Sleep(100 * time.Millisecond)
+	if by := slow() - Ahead(); by > -50*time.Millisecond || by < -time.Minute {
+		t.Errorf("ahead by %v, want 50 ms back and more", by)
+	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -184,7 +184,7 @@
 	if top.has("test") { // for rehearsals
 		t := top.table("test")
 		at, d := t.duration("sleep_at", 0, 0, longest), t.duration("sleep_for", 0, 0, longest)
-		p.Ahead = clock.Sleeping(at, d)
+		p.Ahead = clock.Sleeping(at, d, t.number("drift", 0, -0.5, 0.5))
 		t.end()
 	}
 	top.end()
--- a/internal/rehearse/disturb.go
+++ b/internal/rehearse/disturb.go
@@ -241,12 +241,16 @@
 		}
 		return
 	}
-	set := func(fault rig.Fault) {
+	set := func(fault rig.Fault) { // at all at once: to fill a backlog takes 50 ms each
+		var tasks sync.WaitGroup
 		for _, l := range chosen {
-			if err := l.Set(fault); err != nil {
-				f.problem("link: %v", err)
-			}
+			tasks.Go(func() {
+				if err := l.Set(fault); err != nil {
+					f.problem("link: %v", err)
+				}
+			})
 		}
+		tasks.Wait()
 	}
 	set(rig.Faults[e.Kind](time.Duration(e.By)))
 	sleep(ctx, time.Duration(e.For))
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -189,8 +189,12 @@
 	if p.Unreduced {
 		fmt.Fprintln(&b, "[service]\nreduce = false")
 	}
-	if p.SleepFor > 0 {
-		fmt.Fprintf(&b, "[test]\nsleep_at = %q\nsleep_for = %q\n", time.Duration(p.SleepAt), time.Duration(p.SleepFor))
+	if p.SleepFor > 0 || p.Drift > 0 {
+		drift := p.Drift
+		if d.index%2 == 1 {
+			drift = -drift
+		}
+		fmt.Fprintf(&b, "[test]\nsleep_at = %q\nsleep_for = %q\ndrift = %v\n", time.Duration(p.SleepAt), time.Duration(p.SleepFor), drift)
 	}
 	for _, t := range s.Load.Tenants {
 		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -121,7 +121,7 @@
 		return text + " all proxies"
 	case "stop", "link", "starve", "crowd":
 		return text + fmt.Sprintf(" proxies %v", e.proxies())
-	case "drain", "undrain", "cold", "remove", "fault", "flap", "die", "reborn":
+	case "drain", "undrain", "cold", "remove", "fault", "flap", "die", "reborn", "rename":
 		return text + fmt.Sprintf(" node %d", e.Node)
 	}
 	return text
@@ -197,6 +197,13 @@
 		if err := n.SetFault(node.Fault{Kind: node.Refuse}); err != nil {
 			f.problem("node %d: %v", e.Node, err)
 		}
+	case "rename":
+		old := f.nodes[e.Node].Name()
+		if err := n.RestartAs(old + "x"); err != nil {
+			f.problem("node %d: %v", e.Node, err)
+		}
+		f.tellNode(e.Node, func(x *list.Entry) { x.Status = "removed" })
+		f.tellNode(e.Node, func(x *list.Entry) { x.Name, x.Status, x.Since = old+"x", "up", n.Started().UnixMilli() })
 	case "reborn":
 		if err := n.Restart(); err != nil {
 			f.problem("node %d: %v", e.Node, err)
--- a/internal/rehearse/rig/link.go
+++ b/internal/rehearse/rig/link.go
@@ -220,17 +220,19 @@
 // pass takes what comes from one end to the other, as its way's fault wants it.
 func (l *Link) pass(to, from net.Conn, way func(*Fault) *Way) {
 	piece := make([]byte, pieceMost)
+	var last time.Time // of a read; before the first it may have waited in the backlog, for as long as a cut
 	for {
 		n, err := from.Read(piece)
 		held, open := l.await(way)
 		switch {
 		case !open:
 			return
-		case held && broken(from): // a sender that gave up with a reset sends nothing again
+		case (held || l.TroubledSince(last)) && broken(from): // a sender that gave up with a reset sends nothing again
 			to.(*net.TCPConn).SetLinger(0)
 			to.Close()
 			return
 		}
+		last = time.Now()
 		if n > 0 {
 			if held { // a kernel that sends again what waited sends the end that follows with it
 				cork(to, true)
--- a/internal/rehearse/rig/rig_test.go
+++ b/internal/rehearse/rig/rig_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
@@ -176,3 +177,85 @@
 		t.Errorf("%d connections, want 5", up)
 	}
 }
+
+// TestWhatComesUpAsALinkIsCutIsNotDelivered guards rehearsals against a fault of the rig's own: a connection
+// that comes up in the moment before the backlog is full waits there with all that its sender wrote, and the
+// sender has long given it up with a reset when the link takes connections again.
+func TestWhatComesUpAsALinkIsCutIsNotDelivered(t *testing.T) {
+	heard := make(chan string, 1000)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewScanner(c); in.Scan(); {
+					heard <- in.Text()
+				}
+			}()
+		}
+	}()
+	up := 0
+	for range 10 {
+		l, err := NewLink("127.0.0.1", target.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var tasks sync.WaitGroup
+		var mu sync.Mutex
+		var waiting []*net.TCPConn
+		cut := make(chan struct{})
+		for range 4 { // who wants to connect, over and over
+			tasks.Go(func() {
+				for {
+					select {
+					case <-cut:
+						return
+					default:
+					}
+					if c, err := net.DialTimeout("tcp", l.Address(), 20*time.Millisecond); err == nil {
+						mu.Lock()
+						waiting = append(waiting, c.(*net.TCPConn))
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(2 * time.Millisecond)
+		if err := l.Set(Faults["cut"](0)); err != nil {
+			t.Fatal(err)
+		}
+		close(cut)
+		tasks.Wait()
+		for _, c := range waiting { // the latest of them may wait in the backlog
+			if _, err := io.WriteString(c, "given up\n"); err == nil {
+				up++
+			}
+			c.SetLinger(0)
+			c.Close()
+		}
+		if err := l.Set(Fault{}); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", l.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		say(t, c, "fresh\n")
+		if got := testwait.Receive(t, "what was written after the cut", heard); got != "fresh" {
+			t.Errorf("%q came through", got)
+		}
+		c.Close()
+		l.Close()
+	}
+	if up == 0 {
+		t.Error("nothing was written by those given up")
+	}
+}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -48,26 +48,28 @@
 	Proxies      int
 	Nodes        int
 	Zones        []string
-	Slots        int    // of a node
-	Queue        int    // of a node
-	Work         span   // of a node for a request
-	Capacity     int    // keys that a node keeps
-	Connections  int    // that a node holds
-	Window       span   // in which nodes drop repeats
-	OriginSlots  int    `toml:"origin_slots"`
-	OriginQueue  int    `toml:"origin_queue"`
-	OriginWork   span   `toml:"origin_work"`
-	MemoryMB     int    `toml:"memory_mb"` // of a proxy
-	Sockets      int    // of a proxy
-	PerNode      int    `toml:"connections_per_node"` // of a proxy
-	PassedSocket int    `toml:"passed_socket"`        // every so many-th proxy is passed its listener; 0 for none
-	Binary       bool   // proxies take binary clients too
-	BinaryNodes  int    `toml:"binary_nodes"` // every so many-th node speaks binary; 0 for none
-	Consul       bool   // proxies follow Consul agents, one a zone
-	Unreduced    bool   // proxies don't reduce service
-	SleepAt      span   `toml:"sleep_at"`  // the proxies' machine seems to sleep, so long after a proxy's start
-	SleepFor     span   `toml:"sleep_for"` // and for so long; 0 for no sleep
-	Lacks        string // the origin has no key that begins so
+	Slots        int  // of a node
+	Queue        int  // of a node
+	Work         span // of a node for a request
+	Capacity     int  // keys that a node keeps
+	Connections  int  // that a node holds
+	Window       span // in which nodes drop repeats
+	OriginSlots  int  `toml:"origin_slots"`
+	OriginQueue  int  `toml:"origin_queue"`
+	OriginWork   span `toml:"origin_work"`
+	MemoryMB     int  `toml:"memory_mb"` // of a proxy
+	Sockets      int  // of a proxy
+	PerNode      int  `toml:"connections_per_node"` // of a proxy
+	PassedSocket int  `toml:"passed_socket"`        // every so many-th proxy is passed its listener; 0 for none
+	Binary       bool // proxies take binary clients too
+	BinaryNodes  int  `toml:"binary_nodes"` // every so many-th node speaks binary; 0 for none
+	Consul       bool // proxies follow Consul agents, one a zone
+	Unreduced    bool // proxies don't reduce service
+	SleepAt      span `toml:"sleep_at"`  // the proxies' machine seems to sleep, so long after a proxy's start
+	SleepFor     span `toml:"sleep_for"` // and for so long; 0 for no sleep
+	// Drift is by how much of itself the clock that counts sleep runs off the other; every other proxy's lags.
+	Drift float64
+	Lacks string // the origin has no key that begins so
 }
 
 // LoadPart says what clients do.
@@ -156,6 +158,7 @@
 	"list-down": "takes the list service down; with Kind, has Consul agents fail so (quiet, empty, part, leaderless, rewind and others)",
 	"flap":      "takes a node out of the list and enters it again, Times times, each for Every",
 	"die":       "ends a node's process; nobody tells the list",
+	"rename":    "ends a node's process, and starts another's, cold, of another name at its address; the list tells both",
 	"reborn":    "starts a node's process anew, cold, at its address; nobody tells the list",
 	"leave":     "takes the first Times nodes out of the list at once, their processes run on",
 	"return":    "enters them again",
@@ -233,6 +236,8 @@
 		return errors.New("load: want skew above 1, keys from 1, depth 1 to 100, pipelines 0 to 100")
 	case l.Quota < 0:
 		return fmt.Errorf("load.quota cannot be %d: want no less than 0", l.Quota)
+	case f.Drift < 0 || f.Drift > 0.5:
+		return fmt.Errorf("fleet.drift cannot be %v: want 0 to 0.5", f.Drift)
 	case len(f.Zones) == 0:
 		return errors.New("fleet.zones cannot be empty")
 	case len(s.Phases) == 0:
--- a/internal/rehearse/still.go
+++ b/internal/rehearse/still.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 )
@@ -20,6 +22,7 @@
 	lasts time.Duration
 	// events are what happens, with times that count from the trouble's beginning.
 	events func(proxies []int) []Event
+	drift  float64 // of the proxies' clocks
 }
 
 // second is a scenario's span.
@@ -27,21 +30,21 @@
 
 // stopped is a trouble of proxies that stand still, and of what else happens meanwhile.
 func stopped(name string, seconds float64, more ...Event) stillTrouble {
-	return stillTrouble{name, time.Duration(second(seconds)), func(proxies []int) []Event {
+	return stillTrouble{name: name, lasts: time.Duration(second(seconds)), events: func(proxies []int) []Event {
 		return append([]Event{{Do: "stop", Proxies: proxies, For: second(seconds)}}, more...)
 	}}
 }
 
 // linked is a trouble of the proxies' links.
 func linked(name, between, kind string, seconds float64, by time.Duration) stillTrouble {
-	return stillTrouble{name, time.Duration(second(seconds)), func(proxies []int) []Event {
+	return stillTrouble{name: name, lasts: time.Duration(second(seconds)), events: func(proxies []int) []Event {
 		return []Event{{Do: "link", Proxies: proxies, Between: between, Kind: kind, For: second(seconds), By: span(by)}}
 	}}
 }
 
 // and is two troubles together.
 func (t stillTrouble) and(u stillTrouble) stillTrouble {
-	return stillTrouble{t.name + " + " + u.name, max(t.lasts, u.lasts), func(proxies []int) []Event {
+	return stillTrouble{name: t.name + " + " + u.name, lasts: max(t.lasts, u.lasts), drift: max(t.drift, u.drift), events: func(proxies []int) []Event {
 		return append(t.events(proxies), u.events(proxies)...)
 	}}
 }
@@ -60,36 +63,80 @@
 	return t
 }
 
-// stillTroubles are what `rehearse still` plays.
-func stillTroubles() []stillTrouble {
-	bursts := stillTrouble{"bursts of 50 ms in 60", 10 * time.Second, func(proxies []int) []Event {
+// The faults that are neither a stop nor a link's.
+var (
+	bursts = stillTrouble{name: "bursts of 50 ms in 60", lasts: 10 * time.Second, events: func(proxies []int) []Event {
 		return []Event{{Do: "stop", Proxies: proxies, For: second(0.05), Every: second(0.06), Times: 166}}
 	}}
-	starved := stillTrouble{"core withheld", 4 * time.Second, func(proxies []int) []Event {
+	starved = stillTrouble{name: "core withheld", lasts: 4 * time.Second, events: func(proxies []int) []Event {
 		return []Event{{Do: "starve", Proxies: proxies, For: second(4), Times: 3}}
 	}}
-	crowded := stillTrouble{"backlog full", 3 * time.Second, func(proxies []int) []Event {
+	crowded = stillTrouble{name: "backlog full", lasts: 3 * time.Second, events: func(proxies []int) []Event {
 		return []Event{{Do: "crowd", Proxies: proxies, For: second(3), Times: 600}}
 	}}
-	stalled := stillTrouble{"nodes stopped 3 s", 3 * time.Second, func([]int) []Event {
+	stalled = stillTrouble{name: "nodes stopped 3 s", lasts: 3 * time.Second, events: func([]int) []Event {
 		return []Event{{Do: "fault", Node: 1, Kind: "stall"}, {Do: "fault", Node: 2, Kind: "stall"}, {At: second(3), Do: "fault", Node: 1}, {At: second(3), Do: "fault", Node: 2}}
 	}}
-	return []stillTrouble{
+	killed = stillTrouble{name: "killed", lasts: time.Second, events: func(proxies []int) (list []Event) {
+		for _, p := range proxies {
+			list = append(list, Event{Do: "kill", Proxy: p})
+		}
+		return list
+	}}
+)
+
+// linkTroubles are the faults of links, one a kind.
+func linkTroubles() []stillTrouble {
+	return []stillTrouble{linked("clients cut 3 s", "clients", "cut", 3, 0), linked("clients' requests held 3 s", "clients", "forth", 3, 0),
+		linked("answers to clients held 3 s", "clients", "back", 3, 0), linked("clients reset", "clients", "reset", 1, 0),
+		linked("nodes cut 3 s", "nodes", "cut", 3, 0), linked("nodes' answers held 3 s", "nodes", "back", 3, 0),
+		linked("nodes 100 ms away", "nodes", "delay", 4, 100*time.Millisecond)}
+}
+
+// stillTroubles are what `rehearse still` plays.
+func stillTroubles() []stillTrouble {
+	drifting := stopped("stop 1.6 s, clocks 5% off", 1.6)
+	drifting.drift = 0.05
+	list := []stillTrouble{
 		stopped("stop 0.2 s", 0.2), stopped("stop 1 s", 1), stopped("stop 1.6 s", 1.6), stopped("stop 3 s", 3), stopped("stop 6 s", 6),
-		stopped("stop 30 s", 30), bursts, starved, crowded, stalled,
+		stopped("stop 30 s", 30), bursts, starved, crowded, stalled, killed, drifting,
 		stopped("stop 3 s, drain meanwhile", 3, Event{At: second(1), Do: "drain", Node: 3}),
 		stopped("stop 3 s, node replaced", 3, Event{At: second(1), Do: "cold", Node: 4}),
 		stopped("stop 3 s, node gone", 3, Event{At: second(1), Do: "remove", Node: 5}),
+		stopped("stop 3 s, another at a node's address", 3, Event{At: second(1), Do: "rename", Node: 6}),
 		eachProxy(stopped("stop 3 s, SIGTERM waiting", 3), Event{At: second(1), Do: "restart", Mode: "gap"}),
 		eachProxy(stopped("stop 3 s, SIGHUP waiting", 3), Event{At: second(1), Do: "hangup", With: "same", Times: 3, Every: second(0.2)}),
-		linked("clients cut 3 s", "clients", "cut", 3, 0), linked("clients' requests held 3 s", "clients", "forth", 3, 0),
-		linked("answers to clients held 3 s", "clients", "back", 3, 0), linked("clients reset", "clients", "reset", 1, 0),
-		linked("nodes cut 3 s", "nodes", "cut", 3, 0), linked("nodes' answers held 3 s", "nodes", "back", 3, 0),
-		linked("nodes 100 ms away", "nodes", "delay", 4, 100*time.Millisecond),
+		eachProxy(linked("clients stopped 3 s, SIGTERM meanwhile", "clients", "cut", 3, 0), Event{At: second(1), Do: "restart", Mode: "gap"}),
+	}
+	list = append(list, linkTroubles()...)
+	return append(list,
 		linked("list answers held 6 s", "list", "back", 6, 0).and(stopped("stop 1 s, drain meanwhile", 1, Event{At: second(0.5), Do: "drain", Node: 3})),
 		stopped("stop 3 s", 3).and(crowded), stopped("stop 3 s", 3).and(stalled), stopped("stop 1.6 s", 1.6).and(linked("nodes cut 3 s", "nodes", "cut", 3, 0)),
-		stopped("stop 3 s", 3).and(linked("list answers held 6 s", "list", "back", 6, 0)),
+		stopped("stop 3 s", 3).and(linked("list answers held 6 s", "list", "back", 6, 0)))
+}
+
+// stillPairs are all pairs of faults, each at the same proxies at the same time.
+func stillPairs() (list []stillTrouble) {
+	alone := append([]stillTrouble{stopped("stop 1.6 s", 1.6), starved, crowded, stalled, killed}, linkTroubles()...)
+	alone = append(alone, linked("list answers held 3 s", "list", "back", 3, 0))
+	for i, t := range alone {
+		for _, u := range alone[i+1:] {
+			switch {
+			case t.name == killed.name && u.name != stalled.name: // who is dead has no links
+			case u.name == killed.name && t.name != stalled.name:
+			case linkOf(t) != "" && linkOf(t) == linkOf(u): // a link has one fault at a time
+			default:
+				list = append(list, t.and(u))
+			}
+		}
 	}
+	return list
+}
+
+// linkOf tells which links a trouble is about, "" for none.
+func linkOf(t stillTrouble) string {
+	e := t.events([]int{0})
+	return e[0].Between
 }
 
 // StillOptions say what to play.
@@ -98,6 +145,9 @@
 	At   []int  // at how many proxies each trouble is played; three if left out
 	Only string // troubles whose names hold it
 	Seed uint64
+	// Pairs has all pairs of faults be played in place of the usual troubles; Beside, how many plays run at a time.
+	Pairs  bool
+	Beside int
 }
 
 // stillProxies is how many proxies there are.
@@ -117,7 +167,7 @@
 	}
 	s.Name, s.About, s.Seed = t.name, fmt.Sprintf("%s at %d of %d proxies", t.name, at, stillProxies), seed
 	s.Load.Rate, s.Load.Handovers = 600, 0.3
-	s.Fleet.Proxies = stillProxies
+	s.Fleet.Proxies, s.Fleet.Drift = stillProxies, t.drift
 	s.Phases = []Phase{{Name: "calm", For: span(calmBefore)}, {Name: "trouble", For: span(t.lasts)}, {Name: "after", For: span(calmAfter)}}
 	proxies := make([]int, at)
 	for i := range proxies {
@@ -151,8 +201,17 @@
 	if len(o.At) == 0 {
 		o.At = []int{3}
 	}
+	troubles := stillTroubles()
+	if o.Pairs {
+		troubles = stillPairs()
+	}
 	r := &StillReport{}
-	for _, t := range stillTroubles() {
+	type play struct {
+		scenario *Scenario
+		end      time.Duration // of the trouble
+	}
+	var todo []play
+	for _, t := range troubles {
 		if !strings.Contains(t.name, o.Only) {
 			continue
 		}
@@ -161,25 +220,49 @@
 			if err != nil {
 				return nil, err
 			}
-			options := o.Options
-			options.Folder = filepath.Join(o.Folder, fmt.Sprintf("still-%d", len(r.Rows)))
-			if err := os.MkdirAll(options.Folder, 0o755); err != nil {
-				return nil, err
-			}
-			report, err := Play(ctx, s, options)
-			if err != nil {
-				return nil, fmt.Errorf("%s: %w", t.name, err)
-			}
-			r.Rows = append(r.Rows, StillRow{Trouble: t.name, At: at, Share: shareFrom(report.Phases[1:]), Back: report.backAfter(calmBefore + t.lasts), Report: report})
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
+			todo, r.Rows = append(todo, play{s, calmBefore + t.lasts}), append(r.Rows, StillRow{Trouble: t.name, At: at})
 		}
 	}
+	errs := make([]error, len(todo))
+	next := make(chan int)
+	var tasks sync.WaitGroup
+	for range max(o.Beside, 1) {
+		tasks.Go(func() {
+			for i := range next {
+				o := o.Options
+				o.Folder = filepath.Join(o.Folder, fmt.Sprint("still-", i))
+				errs[i] = r.Rows[i].play(ctx, todo[i].scenario, todo[i].end, o)
+			}
+		})
+	}
+	for i := range todo {
+		next <- i
+	}
+	close(next)
+	tasks.Wait()
+	if err := errors.Join(append(errs, ctx.Err())...); err != nil {
+		return nil, err
+	}
 	r.Closing = r.Verdict()
 	return r, nil
 }
 
+// play plays one trouble, which is over after a time, and fills its row.
+func (row *StillRow) play(ctx context.Context, s *Scenario, end time.Duration, o Options) error {
+	if ctx.Err() != nil {
+		return nil // told once
+	}
+	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
+		return err
+	}
+	report, err := Play(ctx, s, o)
+	if err != nil {
+		return fmt.Errorf("%s: %w", row.Trouble, err)
+	}
+	row.Share, row.Back, row.Report = shareFrom(report.Phases[1:]), report.backAfter(end), report
+	return nil
+}
+
 func shareFrom(phases []PhaseReport) float64 {
 	all := PhaseReport{}
 	for _, p := range phases {
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -185,7 +185,11 @@
 }
 
 // Name returns the node's name.
-func (n *Node) Name() string { return n.config.Name }
+func (n *Node) Name() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Name
+}
 
 // Address returns where it listens, the same after a restart.
 func (n *Node) Address() string { return n.address }
@@ -279,9 +283,15 @@
 
 // Restart makes the node one that was just started: cold and empty, at its
 // address.
-func (n *Node) Restart() error {
+func (n *Node) Restart() error { return n.RestartAs("") }
+
+// RestartAs is Restart with another node's name, unless it is "": its address has been taken over.
+func (n *Node) RestartAs(name string) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if name != "" {
+		n.config.Name = name
+	}
 	n.down()
 	n.cache = newCache(n.config.Capacity)
 	n.started, n.draining, n.fault, n.arrivals = time.Now(), false, Fault{}, nil
