--- a/internal/lease/agent/agent_test.go
+++ b/internal/lease/agent/agent_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -228,10 +231,171 @@
 		t.Fatal(err)
 	}
 	f.await(b)
-	select {
-	case <-lost:
-	default:
-		t.Error("b holds while a may act")
+	if err := a.Do(ctx, func(context.Context, uint64) error { return nil }); !errors.Is(err, ErrLost) {
+		t.Errorf("b holds while a may act: %v", err)
+	}
+	<-lost
+}
+
+// TestRevokedInMidAct guards guarantee 4 where it hurts: a holder that acts as its grant is revoked gives it back no
+// sooner than its act has ended.
+func TestRevokedInMidAct(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	n := f.await(a)
+	b := f.hold("x", "b", true)
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	var acting atomic.Bool
+	go func() {
+		ended <- a.Do(context.Background(), func(ctx context.Context, _ uint64) error {
+			acting.Store(true)
+			close(begun)
+			<-ctx.Done() // told that its time is over, it takes a while yet
+			time.Sleep(200 * time.Millisecond)
+			acting.Store(false)
+			return nil
+		})
+	}()
+	<-begun
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	if _, err := f.client().Do(ctx, lease.Command{Kind: lease.Revoke, Task: "x", Number: n}); err != nil {
+		t.Fatal(err)
+	}
+	f.await(b)
+	if acting.Load() {
+		t.Error("b holds while a acts")
+	}
+	if err := testwait.Receive(t, "the act to end", ended); err != nil {
+		t.Errorf("an act that ended while its grant was waited for: %v", err)
+	}
+}
+
+// TestHandedOver has an operator hand a task to one of three who wait: it goes there first, and soon.
+func TestHandedOver(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	n := f.await(a)
+	c := f.client()
+	var waiting []*Holder
+	for i := range 3 {
+		waiting = append(waiting, f.hold("x", fmt.Sprint("w", i), true))
+		testwait.Until(t, "it to wait", func() bool {
+			s, err := c.State(context.Background())
+			return err == nil && len(s.Book.Tasks["x"].Waiting) == i+1
+		})
+	}
+	s, err := c.State(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	if _, err := c.Do(ctx, lease.Command{Kind: lease.Hand, Task: "x", Number: n, To: s.Book.Tasks["x"].Waiting[2].Holder}); err != nil {
+		t.Fatal(err)
+	}
+	if second := f.await(waiting[2]); second <= n {
+		t.Errorf("number %d after %d", second, n)
+	}
+	for _, w := range waiting[:2] {
+		if err := w.Do(ctx, func(context.Context, uint64) error { return nil }); !errors.Is(err, ErrLost) {
+			t.Errorf("one that was passed over acts: %v", err)
+		}
+	}
+}
+
+// TestVoterThatLostItsMemoryComesBack replaces a voter whose disk is lost: under its old seat it never votes again,
+// under a new one it does, and the fleet bears the loss of another then. A grant goes on through all of it.
+func TestVoterThatLostItsMemoryComesBack(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	first := f.await(a)
+	lost := (f.leader() + 1) % 3
+	f.stop(lost)
+	name := f.Fleet.Voters[lost].Name
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	c := f.client()
+	if _, err := c.Do(ctx, lease.Command{Kind: lease.Enrol, To: name}); err == nil {
+		t.Error("enrolled twice")
+	}
+	for _, kind := range []lease.Kind{lease.Dismiss, lease.Enrol} {
+		if _, err := c.Do(ctx, lease.Command{Kind: kind, To: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := c.State(ctx)
+	if err != nil || s.Book.Seat(name) != 4 {
+		t.Fatalf("seats %v, %v", s.Book.Seats, err)
+	}
+	f.paths[lost] = filepath.Join(t.TempDir(), "anew")
+	if err := Join(f.paths[lost], &f.Fleet, s.Book.Seat(name)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(lost)
+	testwait.Until(t, "the new seat to know the book", func() bool {
+		var s State
+		answer, err := http.Get("http://" + f.Fleet.Voters[lost].Address + "/v1/book")
+		if err != nil {
+			return false
+		}
+		defer answer.Body.Close()
+		return json.NewDecoder(answer.Body).Decode(&s) == nil && s.Book.Last >= first
+	})
+	f.stop((lost + 1) % 3) // now the new one is needed
+	if err := a.Do(ctx, func(_ context.Context, n uint64) error {
+		if n != first {
+			t.Errorf("acts under %d, held %d", n, first)
+		}
+		return nil
+	}); err != nil {
+		t.Errorf("an act while voters change: %v", err)
+	}
+	a.Close()
+	if second := f.await(f.hold("x", "b", true)); second <= first {
+		t.Errorf("number %d after %d", second, first)
+	}
+}
+
+// TestManyContenders has a thousand ask for one task at three voters: each has it once, one at a time.
+func TestManyContenders(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a thousand contenders")
+	}
+	f := newFleet(t)
+	const contenders = 1000
+	var acting, most, acts atomic.Int32
+	var tasks sync.WaitGroup
+	for i := range contenders {
+		c := f.client()
+		tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*testwait.Patience)
+			defer cancel()
+			h, err := c.Hold(ctx, "x", fmt.Sprint("c", i), 5*time.Second, true)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer h.Close()
+			if _, err := h.Await(ctx); err != nil {
+				t.Errorf("contender %d: %v", i, err)
+				return
+			}
+			if err := h.Do(ctx, func(context.Context, uint64) error {
+				if n := acting.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				acts.Add(1)
+				acting.Add(-1)
+				return nil
+			}); err != nil {
+				t.Errorf("contender %d: %v", i, err)
+			}
+		})
+	}
+	tasks.Wait()
+	if acts.Load() != contenders || most.Load() != 1 {
+		t.Errorf("%d acts, %d at a time", acts.Load(), most.Load())
 	}
 }
 
@@ -249,7 +413,11 @@
 		t.Error("another fleet is answered")
 	}
 	for _, body := range []string{"", "\xff\xff", "\xa1\x01\x09"} {
-		if _, err := post(context.Background(), c.http, f.Fleet.Voters[0].Address, "/v1/raft", []byte(body)); err == nil {
+		answer, err := http.Post("http://"+f.Fleet.Voters[0].Address+"/v1/raft", "", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Body.Close(); answer.StatusCode == http.StatusOK {
 			t.Errorf("%q is taken", body)
 		}
 	}
--- a/internal/lease/agent/holder.go
+++ b/internal/lease/agent/holder.go
@@ -11,9 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"mulleinpier/internal/lease"
+	"mulleinpier/internal/peer/talk"
 )
 
 // Errors of holders.
@@ -36,7 +35,7 @@
 	if err := f.Check(); err != nil {
 		return nil, err
 	}
-	return &Client{fleet: f, http: &http.Client{Timeout: linkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTime}}}, nil
+	return &Client{fleet: f, http: &http.Client{Timeout: talk.LinkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: talk.IdleTime}}}, nil
 }
 
 // Close ends idle connections.
@@ -48,15 +47,8 @@
 	c.mu.Lock()
 	at := c.leader
 	c.mu.Unlock()
-	body, err := cbor.Marshal(Request{Version: Version, Fleet: c.fleet.Name, Command: command, Number: number})
-	if err != nil {
-		return Reply{}, err
-	}
 	var reply Reply
-	text, err := post(ctx, c.http, c.fleet.Voters[at].Address, "/v1/lease", body)
-	if err == nil {
-		err = cbor.Unmarshal(text, &reply)
-	}
+	err := talk.Post(ctx, c.http, c.fleet.Voters[at].Address, "/v1/lease", Request{Head: talk.In(c.fleet.Name), Command: command, Number: number}, &reply)
 	if err != nil || reply.Outcome == lease.Unheard {
 		next := (at + 1) % len(c.fleet.Voters)
 		if n := c.fleet.number(reply.Leader); n > 0 && int(n)-1 != at {
@@ -97,7 +89,7 @@
 		}
 		response, e := c.http.Do(request)
 		if e == nil {
-			e = json.NewDecoder(io.LimitReader(response.Body, mostBody)).Decode(&s)
+			e = json.NewDecoder(io.LimitReader(response.Body, talk.MostBody)).Decode(&s)
 			response.Body.Close()
 		}
 		if e != nil {
@@ -124,7 +116,9 @@
 	mu      sync.Mutex
 	session *lease.Session
 	changed chan struct{}
-	why     lease.Outcome // once it is over
+	why     lease.Outcome  // once it is over
+	acting  int            // acts under way
+	owed    *lease.Command // the grant's end, told once nothing acts under it any more
 	stop    context.CancelFunc
 	tasks   sync.WaitGroup
 }
@@ -180,20 +174,32 @@
 				h.tell()
 			})
 		case lease.Tell:
-			h.tasks.Go(func() {
-				last, cancel := context.WithTimeout(context.WithoutCancel(ctx), linkTime)
-				defer cancel()
-				h.client.Do(last, a.Command) // else it ends by itself
-			})
+			h.owed = &a.Command
 		case lease.Ended:
 			h.why = a.Outcome
 		}
 	}
+	h.settle(ctx)
 	if len(actions) > 0 {
 		h.tell()
 	}
 }
 
+// settle tells the voters that the grant is over, once no act is under way: whoever waits need not wait for its time
+// to run out. h.mu is held.
+func (h *Holder) settle(ctx context.Context) {
+	if h.owed == nil || h.acting > 0 {
+		return
+	}
+	command := *h.owed
+	h.owed = nil
+	h.tasks.Go(func() {
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), talk.LinkTime)
+		defer cancel()
+		h.client.Do(last, command) // else it ends by itself
+	})
+}
+
 // tell wakes those who wait for a change. h.mu is held.
 func (h *Holder) tell() {
 	close(h.changed)
@@ -230,6 +236,9 @@
 	h.mu.Lock()
 	t := now()
 	number, ok := h.session.Valid(t)
+	if ok {
+		h.acting++
+	}
 	h.mu.Unlock()
 	if !ok {
 		return ErrLost
@@ -244,7 +253,9 @@
 	err := act(ctx, number)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if again, ok := h.session.Valid(now()); !ok || again != number {
+	h.acting--
+	h.settle(ctx)
+	if now() >= h.session.Until() { // a grant that was revoked meanwhile is waited for until then
 		return errors.Join(err, ErrOutlived)
 	}
 	return err
--- a/internal/lease/agent/state.go
+++ b/internal/lease/agent/state.go
@@ -3,21 +3,14 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
-
-	"mulleinpier/internal/lease"
 )
 
 // state copies what the loop knows.
 func (v *Voter) state() State {
-	s := State{Voter: v.name, Leads: v.replica.Leads(), Book: lease.NewBook(), Left: make(map[uint64]float64)}
-	if at := v.replica.Leader(); at > 0 && int(at) <= len(v.fleet.Voters) {
-		s.Leader = v.fleet.Voters[at-1].Name
-	}
 	book, t := v.replica.Book(), now()
-	s.Book.Last = book.Last
-	for name, task := range book.Tasks {
-		s.Book.Tasks[name] = &lease.Task{Most: task.Most, Held: slices.Clone(task.Held), Waiting: slices.Clone(task.Waiting)}
+	s := State{Voter: v.name, Seat: v.seat, Leads: v.replica.Leads(), Leader: book.Seats[v.replica.Leader()], Book: book.Clone(), Left: make(map[uint64]float64),
+		Members: v.station.Opinion()}
+	for _, task := range book.Tasks {
 		for _, g := range task.Held {
 			if left, ok := v.replica.Left(g.Number, t); ok {
 				s.Left[g.Number] = left.Seconds()
--- a/internal/lease/agent/voter.go
+++ b/internal/lease/agent/voter.go
@@ -3,41 +3,40 @@
 package agent
 
 import (
-	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
 	"mulleinpier/internal/clock"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/quorum"
+	"mulleinpier/internal/peer"
+	"mulleinpier/internal/peer/link"
+	"mulleinpier/internal/peer/talk"
 	"mulleinpier/internal/store"
 )
 
-// Version of what processes say to one another. One that says another is told so and not understood.
-const Version = 1
-
 // Bounds of links.
 const (
-	mostBody    = 1 << 20
 	mostQueued  = 256 // messages to another voter; any more are lost, which the library makes up for
 	mostAsking  = 1024
-	linkTime    = 500 * time.Millisecond
-	idleTime    = 30 * time.Second
+	mostParked  = 4096
+	longestPark = 250 * time.Millisecond // that one who waits is kept without an answer
 	mostVoters  = 7
 	leastVoters = 1
+	mostSeated  = 64
 )
 
 // Fleet names the voters, in an order that all have in common.
@@ -70,36 +69,70 @@
 }
 
 // now is the leases' clock: it counts the machine's sleep.
-func now() time.Duration { return time.Since(begun) + clock.Ahead() }
+func now() time.Duration {
+	if c := rehearsed.Load(); c != nil {
+		return time.Since(begun) + (*c)()
+	}
+	return time.Since(begun) + clock.Ahead()
+}
+
+// Now is the leases' clock, for those who count beside them.
+func Now() time.Duration { return now() }
 
-var begun = time.Now()
+// RehearseClock has the clock that counts sleep be another, for rehearsals. It is for the start of a process.
+func RehearseClock(ahead func() time.Duration) { rehearsed.Store(&ahead) }
+
+var (
+	begun     = time.Now()
+	rehearsed atomic.Pointer[func() time.Duration]
+)
 
 // The names of what a voter remembers.
 const (
 	headHard     = "hard"
 	headSnapshot = "snapshot"
 	headFleet    = "fleet"
+	headSeat     = "seat" // of one that joined later; the first ones find theirs in the book
 )
 
-// Init makes a voter's memory, once in its life: who loses it may not vote again under the same name, as it may have
-// promised what it has forgotten.
+// Init makes the memory of one of a fleet's first voters, once in its life: who loses it may not vote again under the
+// same seat, as it may have promised what it has forgotten.
 func Init(path string, f *Fleet) error {
 	if err := f.Check(); err != nil {
 		return err
 	}
-	var ids []uint64
-	for i := range f.Voters {
-		ids = append(ids, uint64(i+1))
+	var names []string
+	for _, v := range f.Voters {
+		names = append(names, v.Name)
+	}
+	first, err := quorum.First(names...)
+	if err != nil {
+		return err
+	}
+	return create(path, f, first, 0)
+}
+
+// Join makes the memory of a voter that has been enrolled under a new seat.
+func Join(path string, f *Fleet, seat uint64) error {
+	if err := f.Check(); err != nil {
+		return err
 	}
-	first, err := quorum.First(ids)
+	first, err := quorum.Joining()
 	if err != nil {
 		return err
 	}
+	return create(path, f, first, seat)
+}
+
+func create(path string, f *Fleet, first quorum.Saved, seat uint64) error {
 	c, err := change(first)
 	if err != nil {
 		return err
 	}
 	c.Heads[headFleet] = []byte(f.Name)
+	if seat > 0 {
+		c.Heads[headSeat] = binary.BigEndian.AppendUint64(nil, seat)
+	}
 	return store.Create(path, c)
 }
 
@@ -130,29 +163,32 @@
 	return c, nil
 }
 
-// remember reads what a voter has saved.
-func remember(l *store.Log, fleet string) (s quorum.Saved, err error) {
+// remember reads what a voter has saved, and its seat if it joined later.
+func remember(l *store.Log, fleet string) (s quorum.Saved, seat uint64, err error) {
 	heads, records, err := l.Load()
 	if err != nil {
-		return s, err
+		return s, 0, err
+	}
+	if text := heads[headSeat]; len(text) == 8 {
+		seat = binary.BigEndian.Uint64(text)
 	}
 	if got := string(heads[headFleet]); got != fleet {
-		return s, fmt.Errorf("leases: it is the memory of fleet %q, not of %q", got, fleet)
+		return s, 0, fmt.Errorf("leases: it is the memory of fleet %q, not of %q", got, fleet)
 	}
 	s.Hard, s.Snapshot = new(raftpb.HardState), new(raftpb.Snapshot)
 	if err := errors.Join(proto.Unmarshal(heads[headHard], s.Hard), proto.Unmarshal(heads[headSnapshot], s.Snapshot)); err != nil {
-		return s, err
+		return s, 0, err
 	}
 	for _, r := range records {
 		e := new(raftpb.Entry)
 		if err := proto.Unmarshal(r.Data, e); err != nil {
-			return s, err
+			return s, 0, err
 		}
 		if e.GetIndex() > s.Snapshot.GetMetadata().GetIndex() {
 			s.Entries = append(s.Entries, e)
 		}
 	}
-	return s, nil
+	return s, seat, nil
 }
 
 // Voter is a voter at work.
@@ -165,10 +201,16 @@
 	events  chan quorum.Event
 	asks    chan asked
 	looks   chan chan State
-	links   map[uint64]chan []byte
-	waiting map[uint64]chan<- quorum.Answer // by tag; of Run's goroutine
+	links   map[string]chan []byte // by name
+	waiting map[uint64]asked       // by tag; of Run's goroutine
+	parked  map[waiter]parked      // those who wait for their turn; of Run's goroutine
 	tag     uint64
+	seat    uint64
 	client  *http.Client
+	station *link.Station
+
+	mu     sync.Mutex
+	seated map[uint64]string // who has said to sit where
 	// sync, if set, stands before each save; it is for tests of disks that fail.
 	sync func() error
 }
@@ -179,13 +221,27 @@
 	answer  chan<- quorum.Answer
 }
 
+// waiter is one who waits for a task, by its own name for that.
+type waiter struct {
+	task, holder string
+	nonce        uint64
+}
+
+// parked is the answer that one who waits has not been given yet: it hears at once when its turn comes.
+type parked struct {
+	answer chan<- quorum.Answer
+	until  time.Duration
+}
+
 // State is what a voter tells those who look.
 type State struct {
-	Voter  string             `json:"voter"`
-	Leader string             `json:"leader"` // "" for none that it knows
-	Leads  bool               `json:"leads"`
-	Book   *lease.Book        `json:"book"`
-	Left   map[uint64]float64 `json:"left_s"` // by number, known to the leader
+	Voter   string             `json:"voter"`
+	Seat    uint64             `json:"seat"`
+	Leader  string             `json:"leader"` // "" for none that it knows
+	Leads   bool               `json:"leads"`
+	Book    *lease.Book        `json:"book"`
+	Left    map[uint64]float64 `json:"left_s"`  // by number, known to the leader
+	Members []peer.Seen        `json:"members"` // as this voter sees them
 }
 
 // Open opens a voter's memory. Without one there is no voter, and the error is [store.ErrNone].
@@ -193,20 +249,25 @@
 	if err := f.Check(); err != nil {
 		return nil, err
 	}
-	id := f.number(name)
-	if id == 0 {
+	if f.number(name) == 0 {
 		return nil, fmt.Errorf("leases: %q is none of the voters", name)
 	}
 	l, err := store.Open(path)
 	if err != nil {
 		return nil, err
 	}
-	saved, err := remember(l, f.Name)
+	saved, seat, err := remember(l, f.Name)
+	if err == nil && seat == 0 {
+		if seat, err = quorum.SeatOf(saved, name); err == nil && seat == 0 {
+			err = fmt.Errorf("leases: it is the memory of voters of whom %q was none", name)
+		}
+	}
 	if err == nil {
 		v := &Voter{fleet: f, name: name, log: log, store: l, events: make(chan quorum.Event, 256), asks: make(chan asked, mostAsking), looks: make(chan chan State, 16),
-			links: make(map[uint64]chan []byte), waiting: make(map[uint64]chan<- quorum.Answer)}
-		v.client = &http.Client{Timeout: linkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: idleTime}}
-		if v.replica, err = quorum.New(id, rand.Uint64()|1, saved, lease.Usual, true); err == nil {
+			links: make(map[string]chan []byte), waiting: make(map[uint64]asked), parked: make(map[waiter]parked), seat: seat, seated: make(map[uint64]string),
+			station: link.NewStation(f.Name, now)}
+		v.client = &http.Client{Timeout: talk.LinkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: talk.IdleTime}}
+		if v.replica, err = quorum.New(seat, rand.Uint64()|1, saved, lease.Usual, true); err == nil {
 			return v, nil
 		}
 	}
@@ -220,16 +281,18 @@
 	mux.HandleFunc("POST /v1/raft", v.takeMessages)
 	mux.HandleFunc("POST /v1/lease", v.takeRequest)
 	mux.HandleFunc("GET /v1/book", v.showBook)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 2 * time.Second, WriteTimeout: 3 * time.Second, IdleTimeout: idleTime,
-		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
-	tasks.Go(func() { server.Serve(listener) })
-	for i, p := range v.fleet.Voters {
+	mux.Handle("POST "+link.Path, v.station)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 2 * time.Second, WriteTimeout: 3 * time.Second, IdleTimeout: talk.IdleTime,
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError), ConnContext: v.station.ConnContext, ConnState: v.station.ConnState}
+	for _, p := range v.fleet.Voters {
 		if p.Name != v.name {
 			queue := make(chan []byte, mostQueued)
-			v.links[uint64(i+1)] = queue
+			v.links[p.Name] = queue
 			tasks.Go(func() { v.carry(ctx, p, queue) })
 		}
 	}
+	tasks.Go(func() { server.Serve(listener) })
+	tasks.Go(func() { v.station.Run(ctx) })
 	v.loop(ctx)
 	server.Close()
 	tasks.Wait()
@@ -247,11 +310,12 @@
 			return
 		case <-tick.C:
 			v.handle(quorum.Pass{})
+			v.unpark()
 		case e := <-v.events:
 			v.handle(e)
 		case a := <-v.asks:
 			v.tag++
-			v.waiting[v.tag] = a.answer
+			v.waiting[v.tag] = a
 			v.handle(quorum.Asked{Tag: v.tag, Command: a.command, Number: a.number})
 		case look := <-v.looks:
 			look <- v.state()
@@ -285,11 +349,25 @@
 					v.post(m)
 				}
 			case quorum.Answer:
-				if answer := v.waiting[a.Tag]; answer != nil {
+				if w, ok := v.waiting[a.Tag]; ok {
 					delete(v.waiting, a.Tag)
-					answer <- a
+					v.answer(w, a)
+				}
+			case quorum.Gave:
+				for _, g := range a.Grants {
+					w := waiter{a.Task, g.Holder, g.Nonce}
+					if p, ok := v.parked[w]; ok {
+						delete(v.parked, w)
+						p.answer <- quorum.Answer{Outcome: lease.Granted, Number: g.Number}
+					}
 				}
 			case quorum.Leading:
+				if !a.Now {
+					for w, p := range v.parked {
+						delete(v.parked, w)
+						p.answer <- quorum.Answer{}
+					}
+				}
 				v.log.Info("leases: this voter leads", "now", a.Now)
 			case quorum.Down:
 				v.log.Error("leases: this voter stands down; serving goes on", "error", a.Err)
@@ -298,6 +376,32 @@
 	}
 }
 
+// answer ends a request, or parks it: who waits for its turn hears of it as it comes. It counts its time from when it
+// asked, which is before.
+func (v *Voter) answer(a asked, answer quorum.Answer) {
+	c := &a.command
+	if answer.Outcome != lease.Queued || c.Kind != lease.Take || len(v.parked) >= mostParked {
+		a.answer <- answer
+		return
+	}
+	w := waiter{c.Task, c.Holder, c.Nonce}
+	if p, ok := v.parked[w]; ok { // it has asked again
+		p.answer <- answer
+	}
+	v.parked[w] = parked{a.answer, now() + min(c.Length/4, longestPark)}
+}
+
+// unpark tells those who have waited for long that they wait still.
+func (v *Voter) unpark() {
+	t := now()
+	for w, p := range v.parked {
+		if t >= p.until {
+			delete(v.parked, w)
+			p.answer <- quorum.Answer{Outcome: lease.Queued}
+		}
+	}
+}
+
 func (v *Voter) save(s quorum.Saved) error {
 	if v.sync != nil {
 		if err := v.sync(); err != nil {
@@ -316,83 +420,57 @@
 	if err != nil {
 		return
 	}
+	name := v.replica.Book().Seats[m.GetTo()]
+	if name == "" { // who has just joined knows of the others by what they say
+		v.mu.Lock()
+		name = v.seated[m.GetTo()]
+		v.mu.Unlock()
+	}
 	select {
-	case v.links[m.GetTo()] <- text:
-	default: // none of that number, or it takes too little
+	case v.links[name] <- text:
+	default: // none of that name, or it takes too little
 	}
 }
 
 // letter is what voters send one another.
 type letter struct {
-	Version  int      `cbor:"1,keyasint"`
-	Fleet    string   `cbor:"2,keyasint"`
+	talk.Head
 	Messages [][]byte `cbor:"3,keyasint"`
+	From     string   `cbor:"4,keyasint"`
+	Seat     uint64   `cbor:"5,keyasint"`
 }
 
 // carry takes what is queued for another voter to it, as much as there is at a time.
 func (v *Voter) carry(ctx context.Context, to Peer, queue <-chan []byte) {
 	for {
-		l := letter{Version: Version, Fleet: v.fleet.Name}
+		l := letter{Head: talk.In(v.fleet.Name), From: v.name, Seat: v.seat}
 		select {
 		case <-ctx.Done():
 			return
 		case text := <-queue:
 			l.Messages = append(l.Messages, text)
 		}
-		for size := len(l.Messages[0]); len(queue) > 0 && size < mostBody/4; {
+		for size := len(l.Messages[0]); len(queue) > 0 && size < talk.MostBody/4; {
 			text := <-queue
 			l.Messages, size = append(l.Messages, text), size+len(text)
 		}
-		body, err := cbor.Marshal(l)
-		if err != nil {
-			continue
-		}
-		post(ctx, v.client, to.Address, "/v1/raft", body) // what is lost is sent again by the library
+		talk.Post(ctx, v.client, to.Address, "/v1/raft", l, nil) // what is lost is sent again by the library
 	}
 }
 
-// post sends a body and returns what comes.
-func post(ctx context.Context, client *http.Client, address, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, mostBody))
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = fmt.Errorf("leases: %s: %s", response.Status, bytes.TrimSpace(text))
-	}
-	return text, err
-}
-
-// read takes a body of ours, or says why it is none.
-func read(w http.ResponseWriter, r *http.Request, into any, version *int, fleet *string, want string) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
-	if err == nil {
-		err = cbor.Unmarshal(body, into)
-	}
-	switch {
-	case err != nil:
-		http.Error(w, "bad body", http.StatusBadRequest)
-	case *version != Version:
-		http.Error(w, fmt.Sprintf("version %d, this one speaks %d", *version, Version), http.StatusConflict)
-	case *fleet != want:
-		http.Error(w, fmt.Sprintf("fleet %q, this one is %q", *fleet, want), http.StatusForbidden)
-	default:
-		return true
-	}
-	return false
-}
-
 func (v *Voter) takeMessages(w http.ResponseWriter, r *http.Request) {
 	var l letter
-	if !read(w, r, &l, &l.Version, &l.Fleet, v.fleet.Name) {
+	if !talk.Read(w, r, v.fleet.Name, &l) {
 		return
 	}
+	if v.fleet.number(l.From) > 0 { // so they are bounded
+		v.mu.Lock()
+		if len(v.seated) >= mostSeated {
+			clear(v.seated)
+		}
+		v.seated[l.Seat] = l.From
+		v.mu.Unlock()
+	}
 	for _, text := range l.Messages {
 		m, err := quorum.Decode(text)
 		if err != nil {
@@ -409,8 +487,7 @@
 
 // Request and Reply are what holders and voters say to each other.
 type Request struct {
-	Version int           `cbor:"1,keyasint"`
-	Fleet   string        `cbor:"2,keyasint"`
+	talk.Head
 	Command lease.Command `cbor:"3,keyasint"`
 	Number  uint64        `cbor:"4,keyasint,omitempty"`
 }
@@ -425,7 +502,7 @@
 
 func (v *Voter) takeRequest(w http.ResponseWriter, r *http.Request) {
 	var in Request
-	if !read(w, r, &in, &in.Version, &in.Fleet, v.fleet.Name) {
+	if !talk.Read(w, r, v.fleet.Name, &in) {
 		return
 	}
 	answer := make(chan quorum.Answer, 1)
@@ -448,10 +525,7 @@
 			out.Leader = s.Leader
 		}
 	}
-	text, err := cbor.Marshal(out)
-	if err == nil {
-		w.Write(text)
-	}
+	talk.Write(w, out)
 }
 
 // look asks the loop for its state.
--- a/internal/lease/book.go
+++ b/internal/lease/book.go
@@ -21,6 +21,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 )
@@ -42,6 +43,7 @@
 	mostWaiting = 2048 // for one task
 	mostHeld    = 1024 // of one task
 	MostName    = 128  // bytes of a task's or a holder's name
+	mostSeats   = 7
 )
 
 // Kind is what a command asks.
@@ -55,6 +57,9 @@
 	Revoke                   // Number is not renewed any more
 	Expire                   // Number's time is over: by the leader alone
 	Limit                    // at most Most hold Task from now on
+	Hand                     // Number is revoked, and goes to To, which waits, once it has ended
+	Enrol                    // To votes from now on, under a seat that nobody has had
+	Dismiss                  // To votes no more, nor does its seat ever again
 )
 
 // Command is one entry of the voters' log.
@@ -68,6 +73,7 @@
 	Number uint64        `cbor:"7,keyasint,omitempty"`
 	To     string        `cbor:"8,keyasint,omitempty"`
 	Most   int           `cbor:"9,keyasint,omitempty"`
+	Seat   uint64        `cbor:"10,keyasint,omitempty"` // of an Enrol or Dismiss, as the leader proposed it
 }
 
 // Grant is a task's holder.
@@ -97,10 +103,40 @@
 type Book struct {
 	Tasks map[string]*Task `cbor:"1,keyasint" json:"tasks"`
 	Last  uint64           `cbor:"2,keyasint" json:"last_number"`
+	// Seats are the voters' names by seat. A voter that has lost its memory comes back under a new seat alone: what
+	// the old one has promised it can't remember, so the old one never votes again.
+	Seats    map[uint64]string `cbor:"3,keyasint" json:"seats"`
+	LastSeat uint64            `cbor:"4,keyasint" json:"last_seat"`
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{Tasks: make(map[string]*Task)} }
+// NewBook returns a book in which nothing is held, with voters in seats from 1.
+func NewBook(voters ...string) *Book {
+	b := &Book{Tasks: make(map[string]*Task), Seats: make(map[uint64]string)}
+	for _, name := range voters {
+		b.LastSeat++
+		b.Seats[b.LastSeat] = name
+	}
+	return b
+}
+
+// Clone copies a book.
+func (b *Book) Clone() *Book {
+	c := &Book{Tasks: make(map[string]*Task, len(b.Tasks)), Last: b.Last, Seats: maps.Clone(b.Seats), LastSeat: b.LastSeat}
+	for name, t := range b.Tasks {
+		c.Tasks[name] = &Task{Most: t.Most, Held: slices.Clone(t.Held), Waiting: slices.Clone(t.Waiting)}
+	}
+	return c
+}
+
+// Seat is that of a voter, 0 for none.
+func (b *Book) Seat(name string) uint64 {
+	for seat, n := range b.Seats {
+		if n == name {
+			return seat
+		}
+	}
+	return 0
+}
 
 // Errors of commands.
 var (
@@ -108,6 +144,7 @@
 	ErrUnknown = errors.New("lease: there is no such grant")
 	ErrFull    = errors.New("lease: too many tasks, holders or waiters")
 	ErrBad     = errors.New("lease: bad command")
+	ErrSeats   = errors.New("lease: the voters can't be changed so")
 )
 
 // Result is what a command came to. Given are grants that it made, of the task itself or of one who
@@ -137,14 +174,16 @@
 // Check tells what is wrong with a command from outside.
 func (t Terms) Check(c *Command) error {
 	named := func(s string) bool { return s != "" && len(s) <= MostName }
-	ok := named(c.Task)
+	ok := named(c.Task) || c.Kind == Enrol || c.Kind == Dismiss
 	switch c.Kind {
 	case Take:
 		ok = ok && named(c.Holder) && c.Nonce > 0 && c.Length >= t.Least && c.Length <= t.Most
 	case Release:
 		ok = ok && (c.Number > 0 || named(c.Holder) && c.Nonce > 0)
-	case Transfer:
+	case Transfer, Hand:
 		ok = ok && c.Number > 0 && named(c.To)
+	case Enrol, Dismiss:
+		ok = named(c.To)
 	case Revoke:
 		ok = ok && c.Number > 0
 	case Limit:
@@ -160,6 +199,9 @@
 
 // Apply carries out the next command.
 func (b *Book) Apply(c *Command) Result {
+	if c.Kind == Enrol || c.Kind == Dismiss {
+		return Result{Err: b.seat(c)}
+	}
 	t := b.Tasks[c.Task]
 	if t == nil {
 		if c.Kind != Take && c.Kind != Limit {
@@ -185,6 +227,16 @@
 		}
 		t.Held[i].Revoked = true
 		return Result{}
+	case Hand:
+		i := t.find(c.Number)
+		w := slices.IndexFunc(t.Waiting, func(w Waiter) bool { return w.Holder == c.To })
+		if i < 0 || w < 0 {
+			return Result{Err: ErrUnknown}
+		}
+		t.Held[i].Revoked = true
+		first := t.Waiting[w]
+		t.Waiting = slices.Insert(slices.Delete(t.Waiting, w, w+1), 0, first)
+		return Result{}
 	case Limit:
 		t.Most = c.Most
 		return b.serve(t, Result{})
@@ -192,6 +244,34 @@
 	return Result{Err: ErrBad}
 }
 
+// CheckSeat tells whether the voters can be changed so, and the seat that it is about.
+func (b *Book) CheckSeat(c *Command) (seat uint64, err error) {
+	seat = b.Seat(c.To)
+	switch {
+	case c.Kind == Enrol && (seat != 0 || len(b.Seats) >= mostSeats), c.Kind == Dismiss && (seat == 0 || len(b.Seats) == 1):
+		return 0, ErrSeats
+	case c.Kind == Enrol:
+		seat = b.LastSeat + 1
+	}
+	return seat, nil
+}
+
+func (b *Book) seat(c *Command) error {
+	seat, err := b.CheckSeat(c)
+	switch {
+	case err != nil:
+		return err
+	case seat != c.Seat: // another change came before it
+		return ErrSeats
+	case c.Kind == Enrol:
+		b.LastSeat = seat
+		b.Seats[seat] = c.To
+	default:
+		delete(b.Seats, seat)
+	}
+	return nil
+}
+
 func (b *Book) take(t *Task, c *Command) Result {
 	for _, g := range t.Held {
 		if g.Holder == c.Holder && g.Nonce == c.Nonce { // it has been granted before
--- a/internal/lease/quorum/lives_test.go
+++ b/internal/lease/quorum/lives_test.go
@@ -87,7 +87,7 @@
 		}
 		return 1
 	}
-	first, err := First([]uint64{1, 2, 3})
+	first, err := First("1", "2", "3")
 	if err != nil {
 		panic(err)
 	}
@@ -129,7 +129,7 @@
 func (l *life) boot(v *voter) {
 	v.run = l.rng.Uint64() | 1
 	if l.flaw.forgets && v.replica != nil {
-		first, _ := First([]uint64{1, 2, 3})
+		first, _ := First("1", "2", "3")
 		first.Hard.Term = proto.Uint64(v.disk.Hard.GetTerm()) // all but the log
 		v.disk = first
 	}
--- a/internal/lease/quorum/replica.go
+++ b/internal/lease/quorum/replica.go
@@ -44,17 +44,29 @@
 	Entries  []*raftpb.Entry  // behind it
 }
 
-// First is what every voter of a new fleet begins with.
-func First(voters []uint64) (Saved, error) {
-	book, err := cbor.Marshal(lease.NewBook())
+// First is what every voter of a new fleet begins with, whose voters have the seats from 1 on.
+func First(names ...string) (Saved, error) {
+	b := lease.NewBook(names...)
+	book, err := cbor.Marshal(b)
 	if err != nil {
 		return Saved{}, err
 	}
+	var voters []uint64
+	for seat := range b.LastSeat {
+		voters = append(voters, seat+1)
+	}
 	return Saved{Hard: &raftpb.HardState{Term: ptr(uint64(firstTerm)), Vote: ptr(uint64(0)), Commit: ptr(uint64(firstIndex))},
 		Snapshot: &raftpb.Snapshot{Data: book, Metadata: &raftpb.SnapshotMetadata{ConfState: &raftpb.ConfState{Voters: voters},
 			Index: ptr(uint64(firstIndex)), Term: ptr(uint64(firstTerm))}}}, nil
 }
 
+// Joining is what a voter begins with that has been given a new seat: nothing, until a leader tells it.
+func Joining() (Saved, error) {
+	book, err := cbor.Marshal(lease.NewBook())
+	return Saved{Hard: &raftpb.HardState{Term: ptr(uint64(0)), Vote: ptr(uint64(0)), Commit: ptr(uint64(0))},
+		Snapshot: &raftpb.Snapshot{Data: book, Metadata: &raftpb.SnapshotMetadata{ConfState: &raftpb.ConfState{}, Index: ptr(uint64(0)), Term: ptr(uint64(0))}}}, err
+}
+
 func ptr[T any](v T) *T { return &v }
 
 // Event is what a Replica is told.
@@ -100,6 +112,11 @@
 		Number  uint64
 		Err     error
 	}
+	// Gave tells of grants to those who waited, while this voter leads.
+	Gave struct {
+		Task   string
+		Grants []lease.Grant
+	}
 	// Leading tells that this voter leads now, or not any more.
 	Leading struct{ Now bool }
 	// Down tells that this voter says nothing any more: its disk has failed, or what it remembers can't be.
@@ -111,6 +128,7 @@
 func (Send) action()    {}
 func (Answer) action()  {}
 func (Leading) action() {}
+func (Gave) action()    {}
 func (Down) action()    {}
 
 // entry is what the log holds.
@@ -136,6 +154,7 @@
 	cut     uint64
 	led     bool
 	dead    bool
+	seated  bool // the voters have changed since the last snapshot
 	pending map[uint64]lease.Command // proposals of this run, by tag
 	last    uint64                   // own tags
 	renewed map[uint64]renewal       // renewals under way, by the keeper's tag
@@ -166,7 +185,7 @@
 			return nil, fmt.Errorf("quorum: the log has a gap before entry %d", e.GetIndex())
 		}
 	}
-	if err := errors.Join(r.storage.ApplySnapshot(saved.Snapshot), r.storage.SetHardState(saved.Hard), r.storage.Append(saved.Entries)); err != nil {
+	if err := errors.Join(r.begin(saved.Snapshot), r.storage.SetHardState(saved.Hard), r.storage.Append(saved.Entries)); err != nil {
 		return nil, fmt.Errorf("quorum: %w", err)
 	}
 	ticks := electionTicks
@@ -175,13 +194,21 @@
 	}
 	r.node, err = raft.NewRawNode(&raft.Config{ID: id, ElectionTick: ticks, HeartbeatTick: 1, Storage: r.storage, Applied: r.applied,
 		MaxSizePerMsg: mostMessage, MaxInflightMsgs: mostInFlight, MaxUncommittedEntriesSize: mostUnsent, CheckQuorum: elections, PreVote: elections,
-		DisableProposalForwarding: true, Logger: silent{}})
+		DisableProposalForwarding: true, StepDownOnRemoval: true, Logger: silent{}})
 	if err != nil {
 		return nil, fmt.Errorf("quorum: %w", err)
 	}
 	return r, nil
 }
 
+// begin has the storage begin with a snapshot; one without an index is of a voter that has heard nothing yet.
+func (r *Replica) begin(s *raftpb.Snapshot) error {
+	if s.GetMetadata().GetIndex() == 0 {
+		return nil
+	}
+	return r.storage.ApplySnapshot(s)
+}
+
 // restore puts a snapshot's book in place.
 func (r *Replica) restore(s *raftpb.Snapshot) error {
 	book := lease.NewBook()
@@ -191,12 +218,24 @@
 	if book.Tasks == nil {
 		book.Tasks = make(map[string]*lease.Task)
 	}
+	if book.Seats == nil {
+		book.Seats = make(map[uint64]string)
+	}
 	r.book, r.keeper = book, lease.NewKeeper(r.terms, book)
 	r.conf, r.applied, r.cut = s.GetMetadata().GetConfState(), s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
 	r.led = false
 	return nil
 }
 
+// SeatOf finds a voter's seat in what it remembers, 0 for none.
+func SeatOf(saved Saved, name string) (uint64, error) {
+	book := lease.NewBook()
+	if err := cbor.Unmarshal(saved.Snapshot.GetData(), book); err != nil {
+		return 0, fmt.Errorf("quorum: snapshot: %w", err)
+	}
+	return book.Seat(name), nil
+}
+
 // Leads tells whether this voter leads, for those who ask.
 func (r *Replica) Leads() bool { return r.led && !r.dead }
 
@@ -267,7 +306,11 @@
 	case e.Number > 0:
 		r.renew(e.Tag, e.Command.Task, e.Number)
 	default:
-		if err := r.terms.Check(&e.Command); err != nil {
+		err := r.terms.Check(&e.Command)
+		if err == nil && (e.Command.Kind == lease.Enrol || e.Command.Kind == lease.Dismiss) {
+			e.Command.Seat, err = r.book.CheckSeat(&e.Command)
+		}
+		if err != nil {
 			r.out = append(r.out, Answer{Tag: e.Tag, Outcome: lease.Refused, Err: err})
 			return
 		}
@@ -311,7 +354,13 @@
 // propose puts a command before the voters; tag 0 for one of the keeper's own.
 func (r *Replica) propose(tag uint64, c lease.Command) {
 	data, err := cbor.Marshal(entry{Tag: tag, By: r.run, Command: c})
-	if err == nil {
+	switch {
+	case err != nil:
+	case c.Kind == lease.Enrol:
+		err = r.node.ProposeConfChange(&raftpb.ConfChange{Type: raftpb.ConfChangeType_ConfChangeAddNode.Enum(), NodeId: &c.Seat, Context: data})
+	case c.Kind == lease.Dismiss:
+		err = r.node.ProposeConfChange(&raftpb.ConfChange{Type: raftpb.ConfChangeType_ConfChangeRemoveNode.Enum(), NodeId: &c.Seat, Context: data})
+	default:
 		err = r.node.Propose(data)
 	}
 	switch {
@@ -407,15 +456,34 @@
 		r.keep(lease.Led{})
 		r.out = append(r.out, Leading{true})
 	}
-	if e.GetType() != raftpb.EntryType_EntryNormal || len(e.GetData()) == 0 {
-		return
+	data := e.GetData()
+	var seats *raftpb.ConfChange
+	if e.GetType() == raftpb.EntryType_EntryConfChange {
+		seats = new(raftpb.ConfChange)
+		if err := proto.Unmarshal(data, seats); err != nil {
+			panic(err)
+		}
+		data = seats.GetContext()
 	}
 	var x entry
-	if err := cbor.Unmarshal(e.GetData(), &x); err != nil {
+	if len(data) == 0 || cbor.Unmarshal(data, &x) != nil {
+		if seats != nil {
+			r.node.ApplyConfChange(&raftpb.ConfChange{}) // it is over, and changes nothing
+		}
 		return // every voter passes over it alike
 	}
 	result := r.book.Apply(&x.Command)
+	switch {
+	case seats == nil:
+	case result.Err != nil: // refused: the library is told so by a change of nobody
+		r.node.ApplyConfChange(&raftpb.ConfChange{})
+	default:
+		r.conf, r.seated = r.node.ApplyConfChange(seats), true
+	}
 	r.keep(lease.Applied{Command: x.Command, Result: result})
+	if len(result.Given) > 0 && r.led {
+		r.out = append(r.out, Gave{x.Command.Task, result.Given})
+	}
 	if _, mine := r.pending[x.Tag]; !mine || x.By != r.run {
 		return
 	}
@@ -451,7 +519,7 @@
 
 // compact cuts the log at a snapshot now and then.
 func (r *Replica) compact() {
-	if r.applied < r.cut+snapshotEvery {
+	if r.applied < r.cut+snapshotEvery && !r.seated { // a new voter is told by a snapshot in which it sits
 		return
 	}
 	data, err := cbor.Marshal(r.book)
@@ -462,8 +530,10 @@
 	if err != nil {
 		return
 	}
-	r.cut = r.applied
-	r.storage.Compact(r.applied - keptBehind)
+	r.cut, r.seated = r.applied, false
+	if r.applied > keptBehind {
+		r.storage.Compact(r.applied - keptBehind)
+	}
 	r.out = append(r.out, Cut{snapshot})
 }
 
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -73,7 +73,7 @@
 		Command Command
 		Number  uint64 // that it holds: a renewal; 0 for a Take
 	}
-	// Tell sends a last word that needs no answer: a Release.
+	// Tell sends a last word that needs no answer, a Release, once nothing is done under the grant any more.
 	Tell struct{ Command Command }
 	// Began tells that the session holds.
 	Began struct{ Number uint64 }
@@ -178,6 +178,9 @@
 			out = append(out, Began{e.Number})
 		}
 	default:
+		if s.state == Holding { // revoked, or taken back: it stops now, and need not be waited out
+			out = append(out, Tell{Command{Kind: Release, Task: s.Task, Holder: s.Holder, Nonce: s.Nonce, Number: s.number}})
+		}
 		s.state = Over
 		out = append(out, Ended{e.Outcome})
 	}
--- /dev/null
+++ b/internal/peer/link/station.go
@@ -0,0 +1,150 @@
+// Package link carries out what package peer decides, in real processes: instances that beat at the fleet's watchers,
+// and watchers that tell them what they hold of all. A beat is a request that is answered when something has changed,
+// or a beat's time later: so changes are told at once, and one exchange is under way at a time on each link.
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"mulleinpier/internal/peer"
+	"mulleinpier/internal/peer/talk"
+)
+
+// Path is where watchers take beats.
+const Path = "/v1/beat"
+
+// beat is what an instance says, and report what a watcher answers.
+type beat struct {
+	talk.Head
+	Member peer.Member `cbor:"3,keyasint"`
+	Boot   uint64      `cbor:"4,keyasint,omitempty"` // of the watcher, whose opinion is known
+	Known  uint64      `cbor:"5,keyasint,omitempty"` // its version
+}
+
+type report struct {
+	Answer  peer.Answer `cbor:"1,keyasint"`
+	Boot    uint64      `cbor:"2,keyasint"`
+	Version uint64      `cbor:"3,keyasint"`
+	Whole   bool        `cbor:"4,keyasint,omitempty"` // List is of all; else of those that have changed since what is known
+	List    []peer.Seen `cbor:"5,keyasint,omitempty"`
+}
+
+// Station is a watcher at work. It is safe for concurrent use.
+type Station struct {
+	fleet string
+	boot  uint64
+	clock func() time.Duration
+
+	mu      sync.Mutex
+	watch   *peer.Watch
+	version uint64 // that changed was closed for last
+	changed chan struct{}
+	conns   map[net.Conn]uint64
+	last    uint64 // of them
+}
+
+// connKey finds a connection's number in a request's context.
+type connKey struct{}
+
+// NewStation returns a watcher. Its server is to have its ConnContext and ConnState.
+func NewStation(fleet string, clock func() time.Duration) *Station {
+	return &Station{fleet: fleet, boot: rand.Uint64() | 1, clock: clock, watch: peer.NewWatch(peer.Usual, clock()), changed: make(chan struct{}),
+		conns: make(map[net.Conn]uint64)}
+}
+
+// ConnContext numbers a connection.
+func (s *Station) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	s.conns[c] = s.last
+	return context.WithValue(ctx, connKey{}, s.last)
+}
+
+// ConnState hears of a connection's end.
+func (s *Station) ConnState(c net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		s.handle(peer.Lost{Conn: n})
+	}
+}
+
+// handle tells the watch something, and those who wait what came of it. s.mu is held.
+func (s *Station) handle(e peer.Event) peer.Answer {
+	answer := s.watch.Handle(s.clock(), e)
+	if v := s.watch.Version(); v != s.version {
+		s.version = v
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return answer
+}
+
+// Run lets time pass until ctx ends.
+func (s *Station) Run(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		s.handle(peer.Tick{})
+		now := s.clock()
+		wait, changed := s.watch.Next(now)-now, s.changed
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed: // it may have to look sooner
+		case <-time.After(max(wait, time.Millisecond)):
+		}
+	}
+}
+
+// ServeHTTP takes a beat.
+func (s *Station) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var in beat
+	if !talk.Read(w, r, s.fleet, &in) {
+		return
+	}
+	conn, _ := r.Context().Value(connKey{}).(uint64)
+	s.mu.Lock()
+	out := report{Answer: s.handle(peer.Beat{Member: in.Member, Conn: conn}), Boot: s.boot}
+	late := time.NewTimer(peer.Usual.Beat)
+	defer late.Stop()
+	for waits := true; waits && out.Answer == peer.Heard && in.Boot == s.boot && in.Known == s.version; {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-late.C:
+			waits = false
+		case <-r.Context().Done(): // the connection has ended, or this server does
+			s.mu.Lock()
+			s.handle(peer.Lost{Conn: conn})
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Lock()
+	}
+	out.Version = s.version
+	if in.Boot != s.boot {
+		in.Known = 0
+	}
+	out.List, out.Whole = s.watch.Since(in.Known)
+	s.mu.Unlock()
+	talk.Write(w, out)
+}
+
+// Opinion is what this watcher holds of all.
+func (s *Station) Opinion() []peer.Seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.Opinion()
+}
--- /dev/null
+++ b/internal/peer/talk/talk.go
@@ -0,0 +1,111 @@
+// Package talk is how instances of one fleet say something to one another: a body of CBOR over HTTP, under a head that
+// names the fleet and what the sender speaks. It understands no subject.
+//
+// Bounds: a body holds at most [MostBody]; a stranger is told what is wrong in one line and is not understood.
+package talk
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// What this program speaks, and the oldest that it understands.
+const (
+	Version = 1
+	Oldest  = 1
+)
+
+// Bounds of links.
+const (
+	MostBody = 1 << 20
+	LinkTime = 500 * time.Millisecond // for an exchange that is answered at once
+	IdleTime = 30 * time.Second
+)
+
+// Head stands in every message, embedded.
+type Head struct {
+	Version int    `cbor:"1,keyasint"`
+	Fleet   string `cbor:"2,keyasint"`
+	// Least is the oldest version that understands the message: fleets are mixed while they are being replaced.
+	Least int `cbor:"30,keyasint,omitempty"`
+}
+
+// In is the head of this program's messages in a fleet.
+func In(fleet string) Head { return Head{Version: Version, Fleet: fleet, Least: Oldest} }
+
+// Understood tells whether a program that speaks version, and understands nothing under oldest, understands a message.
+func Understood(h Head, version, oldest int) bool {
+	return h.Version >= oldest && (h.Version <= version || h.Least > 0 && h.Least <= version)
+}
+
+// Read takes the body of a request of a fleet's, or answers what is wrong with it and returns false.
+func Read(w http.ResponseWriter, r *http.Request, fleet string, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MostBody))
+	if err != nil {
+		http.Error(w, "bad body", http.StatusBadRequest)
+		return false
+	}
+	status, wrong := Parse(body, fleet, into)
+	if wrong != "" {
+		http.Error(w, wrong, status)
+		return false
+	}
+	return true
+}
+
+// Parse reads a message of a fleet's, or says what is wrong with it, and as which HTTP status.
+func Parse(body []byte, fleet string, into any) (status int, wrong string) {
+	var h Head
+	switch err := cbor.Unmarshal(body, &h); {
+	case err != nil:
+		return http.StatusBadRequest, "bad body"
+	case !Understood(h, Version, Oldest):
+		return http.StatusConflict, fmt.Sprintf("version %d, this one speaks %d", h.Version, Version)
+	case h.Fleet != fleet:
+		return http.StatusForbidden, fmt.Sprintf("fleet %q, this one is %q", h.Fleet, fleet)
+	}
+	if cbor.Unmarshal(body, into) != nil {
+		return http.StatusBadRequest, "bad body"
+	}
+	return http.StatusOK, ""
+}
+
+// Write answers a request.
+func Write(w http.ResponseWriter, answer any) {
+	if text, err := cbor.Marshal(answer); err == nil {
+		w.Write(text)
+	}
+}
+
+// Post sends a message and reads the answer to it, unless into is nil.
+func Post(ctx context.Context, client *http.Client, address, path string, message, into any) error {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, MostBody))
+	switch {
+	case err != nil:
+		return err
+	case response.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s: %s", response.Status, bytes.TrimSpace(text))
+	case into == nil:
+		return nil
+	}
+	return cbor.Unmarshal(text, into)
+}
