Restart permits: a fleet told to end at once goes down two at a time, by its leave

Need: 'at most k restart at once' was kept by an operator's eye. [peers] permit = none, go or wait: a daemon that is told to end serves on (state Asking of lifecycle) until it holds one of k grants of the task restart; the grant is left to its successor, which gives it back once it is ready. A reload asks too. Off unless configured; on the platform Ask is answered at once.

First try: at its end the rehearsal told all to end with nobody to follow, who then wait for permits that run out two by two; told twice a daemon waits no more. mullein fleet list, lease hand, enrol, dismiss.

--- a/cmd/mullein/lease.go
+++ b/cmd/mullein/lease.go
@@ -55,7 +55,63 @@
 	Release numberCommand `cmd:"" help:"Give a grant back whose holder is known to have stopped for good."`
 	Revoke  numberCommand `cmd:"" help:"Have a grant not renewed any more: it ends when its time is over."`
 	Limit   limitCommand  `cmd:"" help:"Set how many may hold a task at once."`
+	Hand    handCommand   `cmd:"" help:"Hand a grant to one that waits: it is revoked, and goes there first."`
 	Init    initVoterCmd  `cmd:"" help:"Make a voter's memory, once in its life."`
+	Enrol   voterCommand  `cmd:"" help:"Have a voter vote, under a new seat."`
+	Dismiss voterCommand  `cmd:"" help:"Have a voter vote no more: its seat is never used again."`
+}
+
+type handCommand struct {
+	numberCommand
+	To string `arg:"" help:"The waiting holder's name, as list shows it."`
+}
+
+type voterCommand struct {
+	quorumOf
+	Name string `arg:"" help:"The voter, one of --voters."`
+}
+
+// fleetCommand tells who is in the fleet.
+type fleetCommand struct {
+	List fleetListCommand `cmd:"" help:"List all instances, and who of them lives."`
+}
+
+type fleetListCommand struct {
+	quorumOf
+	JSON bool `help:"As JSON."`
+}
+
+// mostLook bounds how long it takes until the opinions of all watchers have come.
+const mostLook = 500 * time.Millisecond
+
+func (c *fleetListCommand) run(ctx context.Context, out io.Writer) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, min(c.Within, mostLook))
+	defer cancel()
+	view, heard := client.Members(ctx)
+	if heard == 0 {
+		return errors.New("no voter answers")
+	}
+	if c.JSON {
+		return json.NewEncoder(out).Encode(view)
+	}
+	if heard <= len(c.Voters)/2 {
+		fmt.Fprintf(out, "only %d of %d voters answer; what follows may be old\n", heard, len(c.Voters))
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "instance\tzone\tstate\taddress\t")
+	for _, m := range view {
+		note := ""
+		if m.Leaving {
+			note = "drains"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\n", m.Name, m.Zone, m.State, m.Address, note)
+	}
+	return w.Flush()
 }
 
 type holdCommand struct {
@@ -93,6 +149,7 @@
 type initVoterCmd struct {
 	quorumOf
 	Memory string `required:"" help:"Path of the file, which must not be there."`
+	Seat   uint64 `help:"The seat that enrol has told; left out for the first voters of a new fleet."`
 }
 
 // run carries out one of the verbs, named as the parser names it.
@@ -108,13 +165,42 @@
 		return decide(ctx, &c.Release.quorumOf, lease.Command{Kind: lease.Release, Task: c.Release.Task, Number: c.Release.Number})
 	case "revoke":
 		return decide(ctx, &c.Revoke.quorumOf, lease.Command{Kind: lease.Revoke, Task: c.Revoke.Task, Number: c.Revoke.Number})
+	case "hand":
+		return decide(ctx, &c.Hand.quorumOf, lease.Command{Kind: lease.Hand, Task: c.Hand.Task, Number: c.Hand.Number, To: c.Hand.To})
+	case "enrol":
+		return c.Enrol.enrol(ctx, out)
+	case "dismiss":
+		return decide(ctx, &c.Dismiss.quorumOf, lease.Command{Kind: lease.Dismiss, To: c.Dismiss.Name})
 	case "limit":
 		return decide(ctx, &c.Limit.quorumOf, lease.Command{Kind: lease.Limit, Task: c.Limit.Task, Most: c.Limit.Most})
 	}
 	f := c.Init.fleet()
+	if c.Init.Seat > 0 {
+		return agent.Join(c.Init.Memory, &f, c.Init.Seat)
+	}
 	return agent.Init(c.Init.Memory, &f)
 }
 
+// enrol gives a voter a seat, and tells how its memory is made.
+func (c *voterCommand) enrol(ctx context.Context, out io.Writer) error {
+	if err := decide(ctx, &c.quorumOf, lease.Command{Kind: lease.Enrol, To: c.Name}); err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.Within)
+	defer cancel()
+	s, err := client.State(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s has seat %d: make its memory with mullein lease init --seat %d, then start it\n", c.Name, s.Book.Seat(c.Name), s.Book.Seat(c.Name))
+	return nil
+}
+
 // decide has the voters carry out a command.
 func decide(ctx context.Context, q *quorumOf, command lease.Command) error {
 	c, err := q.client()
@@ -207,13 +293,18 @@
 	defer h.Close()
 	patience, cancel := context.WithTimeout(ctx, max(c.Wait, c.Within))
 	defer cancel()
-	number, err := h.Await(patience)
+	_, err = h.Await(patience)
 	if errors.Is(err, context.DeadlineExceeded) && c.Wait > 0 {
 		err = lease.ErrTaken
 	}
 	if err != nil {
 		return err
 	}
+	return h.Do(context.WithoutCancel(ctx), func(_ context.Context, number uint64) error { return c.act(ctx, h, argv, number, out, log) })
+}
+
+// act runs the command under a grant.
+func (c *holdCommand) act(ctx context.Context, h *agent.Holder, argv []string, number uint64, out, log io.Writer) (err error) {
 	// The command is ended before the lease is: a renewal that does not come in time is noticed while
 	// there is still the grace left.
 	lost := h.LostBefore(ctx, c.Grace+50*time.Millisecond)
--- a/cmd/mullein/main.go
+++ b/cmd/mullein/main.go
@@ -104,6 +104,7 @@
 	Set  setCommand  `cmd:"" help:"Write a key."`
 	Load loadCommand `cmd:"" help:"Put a load on proxies, and tell what became of it."`
 
+	Fleet fleetCommand `cmd:"" help:"Instances that know each other."`
 	Lease leaseCommand `cmd:"" help:"Leases for tasks that one process does for the whole fleet."`
 }
 
@@ -172,6 +173,9 @@
 		verb, _, _ = strings.Cut(verb, " ")
 		return c.Lease.run(ctx, verb, out, log)
 	}
+	if chosen.Command() == "fleet list" {
+		return c.Fleet.List.run(ctx, out)
+	}
 	return c.Load.run(ctx, out)
 }
 
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -38,7 +38,8 @@
 }
 
 type waveCommand struct {
-	Short bool `help:"Six proxies, under a minute."`
+	Short   bool `help:"Six proxies, under a minute."`
+	Permits bool `help:"Restarts by leave of the fleet, two at a time, while voters die; under a minute."`
 }
 
 type playCommand struct {
@@ -228,6 +229,9 @@
 	}
 	switch command {
 	case "wave":
+		if c.Wave.Permits {
+			return c.scenario(ctx, "wave-permits", o)
+		}
 		if c.Wave.Short {
 			return c.scenario(ctx, "wave-short", o)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,15 @@
 	Fleet  agent.Fleet
 	Name   string // of this voter, "" for none
 	Memory string // path of what it must remember
+	Permit Permit
+	Ahead  func() time.Duration // how far the clock that counts sleep is ahead, in rehearsals; nil for the machine's
+}
+
+// Permit says whether this process asks the fleet before it drains or reloads.
+type Permit struct {
+	Asked  bool
+	Wait   time.Duration // for a permit
+	Insist bool          // on one after that too; else it goes on without
 }
 
 // Log says what is logged and how.
@@ -185,6 +194,9 @@
 		t := top.table("test")
 		at, d := t.duration("sleep_at", 0, 0, longest), t.duration("sleep_for", 0, 0, longest)
 		p.Ahead = clock.Sleeping(at, d, t.number("drift", 0, -0.5, 0.5))
+		if c.Peers != nil {
+			c.Peers.Ahead = p.Ahead
+		}
 		t.end()
 	}
 	top.end()
@@ -356,6 +368,8 @@
 	if p.Memory != "" && !filepath.IsAbs(p.Memory) {
 		p.Memory = filepath.Join(folder, p.Memory)
 	}
+	permit := t.text("permit", "none", oneOf("none", "go", "wait"))
+	p.Permit = Permit{Asked: permit != "none", Insist: permit == "wait", Wait: t.duration("permit_wait", 30*time.Second, 0, time.Hour)}
 	t.end()
 	c.Peers = p
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 	read    *config.Config
 	exit    error
 	muted   bool // the manager's deafness has been told
+	peers   peers
 }
 
 // news is what a task has to tell.
@@ -156,6 +157,8 @@
 		d.tell(notify.Alive + "\n" + d.status())
 	case lifecycle.Read:
 		d.tasks.Go(func() {
+			permit := d.peers.ask("reload")
+			defer permit.giveBack()
 			c, err := d.Load()
 			n := news{event: lifecycle.ReadGood, config: c, err: err}
 			if err != nil {
@@ -169,7 +172,17 @@
 		d.read = nil
 	case lifecycle.LogIgnored:
 		d.warn("reload ignored: the daemon is ending", nil)
+	case lifecycle.Ask:
+		if !d.peers.asks() {
+			d.handle(lifecycle.Permitted)
+			return
+		}
+		d.tasks.Go(func() {
+			d.peers.keep(d.peers.ask("drain"))
+			d.news <- news{event: lifecycle.Permitted}
+		})
 	case lifecycle.Drain:
+		d.peers.leave()
 		d.drain()
 	case lifecycle.Hurry:
 		if d.server != nil {
@@ -196,6 +209,7 @@
 		return
 	}
 	d.level.Set(c.Log.Level)
+	d.peers.follow(c)
 	d.log.Info("reloaded", "nodes", c.Proxy.Sources())
 }
 
@@ -258,10 +272,10 @@
 	var ready sync.WaitGroup
 	ready.Go(func() { d.awaitNodes(ctx, server, c, log) })
 	leave := d.register(ctx, server, c, log)
-	endVoting := vote(c.Peers, log)
+	d.peers.begin(c, log)
 	server.Serve(ctx)
-	endVoting()
 	ready.Wait()
+	d.peers.end()
 	leave()
 	log.Info("all answered")
 	d.news <- news{event: lifecycle.Answered}
@@ -320,5 +334,6 @@
 	}
 	if ctx.Err() == nil {
 		d.news <- news{event: lifecycle.Started}
+		d.peers.succeed(ctx)
 	}
 }
--- a/internal/lease/agent/holder.go
+++ b/internal/lease/agent/holder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulleinpier/internal/lease"
+	"mulleinpier/internal/peer"
 	"mulleinpier/internal/peer/talk"
 )
 
@@ -79,19 +80,47 @@
 	}
 }
 
+// look asks one voter what it knows.
+func (c *Client) look(ctx context.Context, p Peer) (s State, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+"/v1/book", nil)
+	if err != nil {
+		return s, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return s, err
+	}
+	defer response.Body.Close()
+	return s, json.NewDecoder(io.LimitReader(response.Body, talk.MostBody)).Decode(&s)
+}
+
+// Members are the fleet's instances by the majority of the voters that answer until ctx ends, and how many do.
+func (c *Client) Members(ctx context.Context) (list []peer.Seen, heard int) {
+	states := make([]State, len(c.fleet.Voters))
+	errs := make([]error, len(c.fleet.Voters))
+	var tasks sync.WaitGroup
+	for i, p := range c.fleet.Voters {
+		tasks.Go(func() { states[i], errs[i] = c.look(ctx, p) })
+	}
+	tasks.Wait()
+	for _, err := range errs {
+		if err == nil {
+			heard++
+		}
+	}
+	view := peer.NewView(peer.Usual, heard, 0) // of those that answer
+	for i, s := range states {
+		if errs[i] == nil {
+			view.Told(0, c.fleet.Voters[i].Name, true, s.Members)
+		}
+	}
+	return view.Members(), heard
+}
+
 // State returns what the leader says of all tasks, or what some voter does that knows of no leader.
 func (c *Client) State(ctx context.Context) (best State, err error) {
 	for _, p := range c.fleet.Voters {
-		var s State
-		request, e := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+"/v1/book", nil)
-		if e != nil {
-			return best, e
-		}
-		response, e := c.http.Do(request)
-		if e == nil {
-			e = json.NewDecoder(io.LimitReader(response.Body, talk.MostBody)).Decode(&s)
-			response.Body.Close()
-		}
+		s, e := c.look(ctx, p)
 		if e != nil {
 			err = errors.Join(err, fmt.Errorf("%s: %w", p.Name, e))
 			continue
@@ -126,7 +155,7 @@
 // Hold begins to ask for a task, and waits in its queue if wait is set. Close ends it.
 func (c *Client) Hold(ctx context.Context, task, name string, length time.Duration, wait bool) (*Holder, error) {
 	nonce := uint64(time.Now().UnixNano())
-	holder := fmt.Sprintf("%s/%d/%x", name, os.Getpid(), nonce)
+	holder := lease.HolderName(name, os.Getpid(), nonce)
 	command := lease.Command{Kind: lease.Take, Task: task, Holder: holder, Nonce: nonce, Length: length}
 	if err := lease.Usual.Check(&command); err != nil {
 		return nil, err
@@ -289,6 +318,12 @@
 	return lost
 }
 
+// Abandon ends this process's part without a word: the task is held on until its time is over, or another gives it back.
+func (h *Holder) Abandon() {
+	h.stop()
+	h.tasks.Wait()
+}
+
 // Close gives the task back and ends.
 func (h *Holder) Close() {
 	h.mu.Lock()
--- a/internal/lease/quorum/replica.go
+++ b/internal/lease/quorum/replica.go
@@ -154,7 +154,7 @@
 	cut     uint64
 	led     bool
 	dead    bool
-	seated  bool // the voters have changed since the last snapshot
+	seated  bool                     // the voters have changed since the last snapshot
 	pending map[uint64]lease.Command // proposals of this run, by tag
 	last    uint64                   // own tags
 	renewed map[uint64]renewal       // renewals under way, by the keeper's tag
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -11,7 +11,8 @@
 //  3. From every state the events Terminate, Terminate, Answered lead to Stopped.
 //  4. Ready is told once, before any reload, and each Reloading is followed by a
 //     Ready or by Stopping.
-//  5. A configuration is put into force only in the state that asked for it.
+//  5. A daemon that is told to end serves on until it may drain; being told again is leave enough.
+//  6. A configuration is put into force only in the state that asked for it.
 package lifecycle
 
 import "fmt"
@@ -26,6 +27,7 @@
 	Serving                     // all is in force
 	Reloading                   // a configuration is being read
 	ReloadingAgain              // the same
+	Asking                      // it serves on until it may drain
 	Draining                    // nothing new is taken, what is open is answered
 	Stopping                    // the same, and no longer than what is open now may take
 	Stopped                     // the end
@@ -45,6 +47,7 @@
 	ReadBad                  // it can't be
 	Answered                 // all that was taken is answered, all clients are closed
 	Ping                     // the service manager's watchdog wants a sign
+	Permitted                // it may drain, by leave of the fleet or without
 	events
 )
 
@@ -61,6 +64,7 @@
 	Apply                       // what was read, whole; a refusal is logged and changes nothing
 	Discard                     // what was read
 	LogIgnored                  // a signal means nothing any more
+	Ask                         // the fleet whether this process may drain; Permitted follows
 	Drain                       // Answered follows
 	Hurry                       // the drain
 	Exit                        // with zero
@@ -85,6 +89,7 @@
 		ReadBad:     on(Starting),
 		Answered:    on(Stopped, ExitFailed), // it never came up
 		Ping:        on(Starting, TellAlive),
+		Permitted:   on(Starting),
 	},
 	StartingAgain: {
 		Hangup:      on(StartingAgain),
@@ -95,36 +100,51 @@
 		ReadBad:     on(StartingAgain),
 		Answered:    on(Stopped, ExitFailed),
 		Ping:        on(StartingAgain, TellAlive),
+		Permitted:   on(StartingAgain),
 	},
 	Serving: {
 		Hangup:      on(Reloading, TellReloading, Read),
-		Terminate:   on(Draining, TellStopping, Drain),
+		Terminate:   on(Asking, Ask),
 		Started:     on(Serving),
 		StartFailed: on(Stopped, ExitFailed),
 		ReadGood:    on(Serving, Discard),
 		ReadBad:     on(Serving),
 		Answered:    on(Stopped, ExitFailed), // it ended unasked
 		Ping:        on(Serving, TellAlive),
+		Permitted:   on(Serving),
 	},
 	Reloading: {
 		Hangup:      on(ReloadingAgain), // the file may have changed since it was read
-		Terminate:   on(Draining, TellStopping, Drain),
+		Terminate:   on(Asking, Ask),
 		Started:     on(Reloading),
 		StartFailed: on(Stopped, ExitFailed),
 		ReadGood:    on(Serving, Apply, TellReady),
 		ReadBad:     on(Serving, TellReady),
 		Answered:    on(Stopped, ExitFailed),
 		Ping:        on(Reloading, TellAlive),
+		Permitted:   on(Reloading),
 	},
 	ReloadingAgain: {
 		Hangup:      on(ReloadingAgain), // one more read heeds all of them
-		Terminate:   on(Draining, TellStopping, Drain),
+		Terminate:   on(Asking, Ask),
 		Started:     on(ReloadingAgain),
 		StartFailed: on(Stopped, ExitFailed),
 		ReadGood:    on(Reloading, Apply, Read), // or hangups without a pause would keep all of them from being heeded
 		ReadBad:     on(Reloading, Read),
 		Answered:    on(Stopped, ExitFailed),
 		Ping:        on(ReloadingAgain, TellAlive),
+		Permitted:   on(ReloadingAgain),
+	},
+	Asking: {
+		Hangup:      on(Asking, LogIgnored),
+		Terminate:   on(Draining, TellStopping, Drain), // it is not to wait any longer
+		Started:     on(Asking),
+		StartFailed: on(Stopped, Exit),
+		ReadGood:    on(Asking, Discard),
+		ReadBad:     on(Asking),
+		Answered:    on(Stopped, ExitFailed), // it ended unasked
+		Ping:        on(Asking, TellAlive),
+		Permitted:   on(Draining, TellStopping, Drain),
 	},
 	Draining: {
 		Hangup:      on(Draining, LogIgnored),
@@ -135,6 +155,7 @@
 		ReadBad:     on(Draining),
 		Answered:    on(Stopped, Exit),
 		Ping:        on(Draining, TellAlive),
+		Permitted:   on(Draining),
 	},
 	Stopping: {
 		Hangup:      on(Stopping, LogIgnored),
@@ -145,6 +166,7 @@
 		ReadBad:     on(Stopping),
 		Answered:    on(Stopped, Exit),
 		Ping:        on(Stopping, TellAlive),
+		Permitted:   on(Stopping),
 	},
 	Stopped: {
 		Hangup:      on(Stopped),
@@ -155,6 +177,7 @@
 		ReadBad:     on(Stopped),
 		Answered:    on(Stopped),
 		Ping:        on(Stopped),
+		Permitted:   on(Stopped),
 	},
 }
 
@@ -174,7 +197,7 @@
 }
 
 var stateNames = [states]string{"starting", "starting, to reload", "serving", "reloading", "reloading, to reload again",
-	"draining", "stopping", "stopped"}
+	"asking to drain", "draining", "stopping", "stopped"}
 
 // String names a state as the log does.
 func (s State) String() string {
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -12,31 +12,34 @@
 func TestEveryStateAnswersEveryEvent(t *testing.T) {
 	type row map[Event]step
 	starting := func(self, started State, do ...Action) row {
-		return row{Hangup: {StartingAgain, nil}, Terminate: {Draining, []Action{TellStopping, Drain}},
+		return row{Hangup: {StartingAgain, nil}, Permitted: {self, nil}, Terminate: {Draining, []Action{TellStopping, Drain}},
 			Started: {started, do}, StartFailed: {Stopped, []Action{ExitFailed}}, ReadGood: {self, []Action{Discard}},
 			ReadBad: {self, nil}, Answered: {Stopped, []Action{ExitFailed}}, Ping: {self, []Action{TellAlive}}}
 	}
 	reloading := func(self, next State, good, bad []Action) row {
-		return row{Hangup: {ReloadingAgain, nil}, Terminate: {Draining, []Action{TellStopping, Drain}},
+		return row{Hangup: {ReloadingAgain, nil}, Terminate: {Asking, []Action{Ask}}, Permitted: {self, nil},
 			Started: {self, nil}, StartFailed: {Stopped, []Action{ExitFailed}}, ReadGood: {next, good},
 			ReadBad: {next, bad}, Answered: {Stopped, []Action{ExitFailed}}, Ping: {self, []Action{TellAlive}}}
 	}
 	ending := func(self, term State, do ...Action) row {
-		return row{Hangup: {self, []Action{LogIgnored}}, Terminate: {term, do}, Started: {self, nil},
+		return row{Hangup: {self, []Action{LogIgnored}}, Permitted: {self, nil}, Terminate: {term, do}, Started: {self, nil},
 			StartFailed: {Stopped, []Action{Exit}}, ReadGood: {self, []Action{Discard}}, ReadBad: {self, nil},
 			Answered: {Stopped, []Action{Exit}}, Ping: {self, []Action{TellAlive}}}
 	}
 	want := map[State]row{
 		Starting:      starting(Starting, Serving, TellReady),
 		StartingAgain: starting(StartingAgain, Reloading, TellReady, TellReloading, Read),
-		Serving: {Hangup: {Reloading, []Action{TellReloading, Read}}, Terminate: {Draining, []Action{TellStopping, Drain}},
+		Serving: {Hangup: {Reloading, []Action{TellReloading, Read}}, Terminate: {Asking, []Action{Ask}}, Permitted: {Serving, nil},
 			Started: {Serving, nil}, StartFailed: {Stopped, []Action{ExitFailed}}, ReadGood: {Serving, []Action{Discard}},
 			ReadBad: {Serving, nil}, Answered: {Stopped, []Action{ExitFailed}}, Ping: {Serving, []Action{TellAlive}}},
 		Reloading:      reloading(Reloading, Serving, []Action{Apply, TellReady}, []Action{TellReady}),
 		ReloadingAgain: reloading(ReloadingAgain, Reloading, []Action{Apply, Read}, []Action{Read}),
-		Draining:       ending(Draining, Stopping, Hurry),
-		Stopping:       ending(Stopping, Stopping),
-		Stopped: {Hangup: {Stopped, nil}, Terminate: {Stopped, nil}, Started: {Stopped, nil}, StartFailed: {Stopped, nil},
+		Asking: {Hangup: {Asking, []Action{LogIgnored}}, Terminate: {Draining, []Action{TellStopping, Drain}}, Permitted: {Draining, []Action{TellStopping, Drain}},
+			Started: {Asking, nil}, StartFailed: {Stopped, []Action{Exit}}, ReadGood: {Asking, []Action{Discard}}, ReadBad: {Asking, nil},
+			Answered: {Stopped, []Action{ExitFailed}}, Ping: {Asking, []Action{TellAlive}}},
+		Draining: ending(Draining, Stopping, Hurry),
+		Stopping: ending(Stopping, Stopping),
+		Stopped: {Hangup: {Stopped, nil}, Permitted: {Stopped, nil}, Terminate: {Stopped, nil}, Started: {Stopped, nil}, StartFailed: {Stopped, nil},
 			ReadGood: {Stopped, []Action{Discard}}, ReadBad: {Stopped, nil}, Answered: {Stopped, nil}, Ping: {Stopped, nil}},
 	}
 	for s := range states {
--- a/internal/peer/link/instance.go
+++ b/internal/peer/link/instance.go
@@ -139,6 +139,13 @@
 	i.self.Leaving = true
 }
 
+// Replaced tells whether another process of this one's name counts since.
+func (i *Instance) Replaced() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.told == peer.Replaced
+}
+
 // Members are all that are known, whether the knowledge is old, and a channel that is closed with the next change.
 func (i *Instance) Members() (list []peer.Seen, blind bool, changed <-chan struct{}) {
 	i.mu.Lock()
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -67,6 +67,17 @@
 // MarshalText has it be written as a word.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads the word.
+func (s *State) UnmarshalText(text []byte) error {
+	*s = 0
+	for state, name := range stateNames {
+		if name == string(text) && name != "" {
+			*s = State(state)
+		}
+	}
+	return nil
+}
+
 // Seen is a member and what is held of it.
 type Seen struct {
 	Member `cbor:"1,keyasint"`
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/standin/list"
 	"mulleinpier/internal/standin/node"
 	"mulleinpier/internal/standin/origin"
@@ -38,6 +39,7 @@
 	list    directory
 	proxies []*proxyDoor
 	links   links
+	voters  agent.Fleet // of permits, if there are any
 
 	mu       sync.Mutex
 	entries  []list.Entry // of nodes, as last told
@@ -72,6 +74,7 @@
 	quota    int
 	restarts int
 	reloads  int
+	down     []stand // from a drain's beginning until the next process was ready
 }
 
 // startFleet starts the stand-ins, and processes if a program is named.
@@ -104,6 +107,10 @@
 	} else {
 		f.list = newPlatformList(f.entries, f.linkedNode)
 	}
+	if err := f.seatVoters(); err != nil {
+		f.close()
+		return nil, err
+	}
 	for i := range p.Proxies {
 		d, err := f.newDoor(i)
 		if err != nil {
@@ -122,6 +129,10 @@
 		f.close()
 		return nil, err
 	}
+	if err := f.allowRestarts(); err != nil {
+		f.close()
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -196,6 +207,7 @@
 		}
 		fmt.Fprintf(&b, "[test]\nsleep_at = %q\nsleep_for = %q\ndrift = %v\n", time.Duration(p.SleepAt), time.Duration(p.SleepFor), drift)
 	}
+	d.peers(&b)
 	for _, t := range s.Load.Tenants {
 		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nquota = %d\n", t, d.quota)
 	}
@@ -374,6 +386,10 @@
 		d.mu.Unlock()
 		return true
 	}
+	if f.scenario.Fleet.Permits > 0 {
+		d.restartByLeave(old, begin)
+		return
+	}
 	switch {
 	case d.listener != nil: // both hold it, and the front sees no gap
 		if begin() {
@@ -494,7 +510,7 @@
 			}
 			if p.crashed() {
 				f.crash("proxy %d had ended unasked: %v: %s", d.index, p.err, tail(p.log))
-			} else if err := p.end(syscall.SIGTERM); err != nil {
+			} else if err := d.endForGood(p); err != nil {
 				f.crash("proxy %d: at the end: %v: %s", d.index, err, tail(p.log))
 			}
 		})
--- /dev/null
+++ b/internal/rehearse/permits.go
@@ -0,0 +1,160 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/lease/agent"
+)
+
+// This file has a fleet's proxies restart by its leave, and counts how many are down at a time.
+
+const (
+	permitVoters = 3
+	permitFleet  = "rehearsal"
+	// permitPatience bounds the wait for leave and drain together.
+	permitPatience = 3 * time.Minute
+)
+
+// seatVoters reserves the voters' addresses and makes their memories.
+func (f *fleet) seatVoters() error {
+	if f.scenario.Fleet.Permits == 0 {
+		return nil
+	}
+	f.voters.Name = permitFleet
+	for i := range permitVoters {
+		l, err := net.Listen("tcp", proxyHost+":0")
+		if err != nil {
+			return err
+		}
+		f.voters.Voters = append(f.voters.Voters, agent.Peer{Name: fmt.Sprint("p", i), Address: l.Addr().String()})
+		l.Close()
+	}
+	for i := range permitVoters {
+		if err := agent.Init(f.memory(i), &f.voters); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) memory(i int) string { return filepath.Join(f.folder, fmt.Sprintf("p%d.memory", i)) }
+
+// peers writes a proxy's part in the fleet.
+func (d *proxyDoor) peers(b io.Writer) {
+	if d.fleet.scenario.Fleet.Permits == 0 {
+		return
+	}
+	var voters []string
+	for _, v := range d.fleet.voters.Voters {
+		voters = append(voters, v.Name+"="+v.Address)
+	}
+	fmt.Fprintf(b, "[peers]\nfleet = %q\nvoters = %s\npermit = \"wait\"\n", permitFleet, quoted(voters))
+	if d.index < permitVoters {
+		fmt.Fprintf(b, "voter = \"p%d\"\nmemory = %q\n", d.index, d.fleet.memory(d.index))
+	}
+}
+
+// allowRestarts has the voters give so many permits at a time.
+func (f *fleet) allowRestarts() error {
+	if f.scenario.Fleet.Permits == 0 {
+		return nil
+	}
+	c, err := agent.NewClient(f.voters)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err = c.Do(ctx, lease.Command{Kind: lease.Limit, Task: lease.PermitTask, Most: f.scenario.Fleet.Permits})
+	return err
+}
+
+// restartByLeave replaces the proxy's process: told to end it serves on until it has leave.
+func (d *proxyDoor) restartByLeave(old *process, begin func() bool) {
+	f := d.fleet
+	ended := make(chan struct{})
+	go func() { // the front sees it some time after it has begun
+		select {
+		case <-old.drains:
+		case <-old.exited:
+		}
+		notice := time.NewTimer(frontNotice)
+		defer notice.Stop()
+		select {
+		case <-notice.C:
+		case <-old.exited:
+		}
+		d.deal(false)
+		close(ended)
+	}()
+	err := old.endWithin(syscall.SIGTERM, permitPatience)
+	<-ended
+	if err != nil {
+		f.crash("proxy %d: %v: %s", d.index, err, tail(old.log))
+	}
+	from := old.exitedAt
+	if isClosed(old.drains) {
+		from = old.drainsAt
+	}
+	if !begin() {
+		return
+	}
+	d.mu.Lock()
+	d.down = append(d.down, stand{from, d.process.readyAt})
+	d.mu.Unlock()
+	d.deal(true)
+}
+
+// endForGood has a process end that nobody follows: told twice, it waits for no leave.
+func (d *proxyDoor) endForGood(p *process) error {
+	if d.fleet.scenario.Fleet.Permits > 0 {
+		p.mu.Lock()
+		p.planned = true
+		p.mu.Unlock()
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-p.drains:
+		case <-p.exited:
+		case <-time.After(frontNotice):
+		}
+		if isClosed(p.drains) { // else it is told below
+			return p.endWithin(syscall.Signal(0), patience)
+		}
+	}
+	return p.end(syscall.SIGTERM)
+}
+
+// mostDown is how many proxies were down by leave at a time.
+func (f *fleet) mostDown() (most int) {
+	type edge struct {
+		at time.Time
+		by int
+	}
+	var edges []edge
+	for _, d := range f.proxies {
+		for _, s := range d.down {
+			edges = append(edges, edge{s.from, 1}, edge{s.to, -1})
+		}
+	}
+	slices.SortFunc(edges, func(a, b edge) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return a.by - b.by
+	})
+	down := 0
+	for _, e := range edges {
+		down += e.by
+		most = max(most, down)
+	}
+	return most
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -115,6 +115,9 @@
 	}
 	switch e.Do {
 	case "restart", "kill", "hangup":
+		if len(e.Proxies) > 0 {
+			return text + fmt.Sprintf(" proxies %v", e.Proxies)
+		}
 		if e.Proxy >= 0 {
 			return text + fmt.Sprintf(" proxy %d", e.Proxy)
 		}
@@ -132,6 +135,13 @@
 	if e.Proxy < 0 {
 		return f.proxies
 	}
+	if len(e.Proxies) > 0 {
+		var list []*proxyDoor
+		for _, i := range e.Proxies {
+			list = append(list, f.proxies[i])
+		}
+		return list
+	}
 	return f.proxies[e.Proxy : e.Proxy+1]
 }
 
--- a/internal/rehearse/process.go
+++ b/internal/rehearse/process.go
@@ -24,11 +24,13 @@
 	notify *net.UnixConn
 	log    string // path of what it writes
 	ready  chan struct{}
+	drains chan struct{}
 	exited chan struct{}
 	tasks  sync.WaitGroup
 
 	begun    time.Time
 	readyAt  time.Time // after ready is closed
+	drainsAt time.Time // after drains is closed
 	exitedAt time.Time // after exited is closed
 	err      error     // after exited is closed
 
@@ -55,7 +57,7 @@
 		return nil, err
 	}
 	defer out.Close()
-	p := &process{notify: notify, log: log, ready: make(chan struct{}), exited: make(chan struct{}), begun: time.Now()}
+	p := &process{notify: notify, log: log, ready: make(chan struct{}), drains: make(chan struct{}), exited: make(chan struct{}), begun: time.Now()}
 	p.cmd = exec.Command(argv[0], argv[1:]...)
 	p.cmd.Env = append(os.Environ(), "NOTIFY_SOCKET="+name, "WATCHDOG_USEC=2000000", "GW_CONFIG=")
 	if listener != nil {
@@ -83,7 +85,7 @@
 // listen takes what the process tells its service manager.
 func (p *process) listen() {
 	buf := make([]byte, 4<<10)
-	for ready := false; ; {
+	for ready, drains := false, false; ; {
 		n, _, err := p.notify.ReadFromUnix(buf)
 		if err != nil {
 			return
@@ -101,6 +103,11 @@
 				}
 			case "RELOADING":
 				p.reloading = true
+			case "STOPPING":
+				if !drains {
+					drains, p.drainsAt = true, time.Now()
+					close(p.drains)
+				}
 			case "STATUS":
 				p.status = value
 			}
@@ -124,17 +131,19 @@
 var errEnded = errors.New("the program ended")
 
 // end has the process end by a signal, and waits for it.
-func (p *process) end(signal syscall.Signal) error {
+func (p *process) end(signal syscall.Signal) error { return p.endWithin(signal, patience) }
+
+func (p *process) endWithin(signal syscall.Signal, most time.Duration) error {
 	p.mu.Lock()
 	p.planned = true
 	p.mu.Unlock()
 	p.cmd.Process.Signal(signal)
 	select {
 	case <-p.exited:
-	case <-time.After(patience):
+	case <-time.After(most):
 		p.cmd.Process.Kill()
 		<-p.exited
-		return fmt.Errorf("did not end in %v after %v", patience, signal)
+		return fmt.Errorf("did not end in %v after %v", most, signal)
 	}
 	p.tasks.Wait()
 	if signal == syscall.SIGKILL {
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -22,6 +22,9 @@
 	Restarts int           `json:"restarts"`
 	Reloads  int           `json:"reloads"`
 
+	Permits  int `json:"permits,omitempty"`   // how many proxies may be down by leave at a time
+	MostDown int `json:"most_down,omitempty"` // and how many were
+
 	Requests    int      `json:"requests"`
 	Lost        int      `json:"lost"`
 	Doubled     int      `json:"doubled"`
@@ -105,6 +108,7 @@
 	for _, d := range f.proxies {
 		r.Restarts, r.Reloads = r.Restarts+d.restarts, r.Reloads+d.reloads
 	}
+	r.Permits, r.MostDown = f.scenario.Fleet.Permits, f.mostDown()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.LateDrains, r.LateBy, r.LastBy, r.Crashes = f.late, millis(f.lateBy), millis(f.lastBy), f.crashes
@@ -122,7 +126,7 @@
 
 // OK tells whether all rules held.
 func (r *Report) OK() bool {
-	return r.Lost+r.Doubled+r.LateDrains+r.Crashes+r.Wrong+r.Fallen == 0
+	return r.Lost+r.Doubled+r.LateDrains+r.Crashes+r.Wrong+r.Fallen == 0 && (r.Permits == 0 || r.MostDown > 0 && r.MostDown <= r.Permits)
 }
 
 // Verdict is the closing line.
@@ -160,6 +164,9 @@
 	fmt.Fprintf(out, "no breach: the last request came to a draining node %.0f ms after its drain was told; %d requests crossed a close, %d were out at a killed proxy, %d at one that stood still, %d over a cut link, %d connections did not come up, %d answers "+
 		"came up to %.0f ms after their deadline, %d requests were not offered; the rehearsal itself was %.0f ms late at the most\n",
 		r.LastBy, r.Crossed, r.Excused, r.Stood, r.Severed, r.Unopened, r.Overdue, r.OverdueBy, r.NotOffered, r.Lag)
+	if r.Permits > 0 {
+		fmt.Fprintf(out, "by leave of the fleet %d proxies were down at a time at the most, of %d allowed\n", r.MostDown, r.Permits)
+	}
 	if r.Wrong > 0 || r.Fallen > 0 {
 		fmt.Fprintf(out, "besides: %d wrong answers, %d nodes pushed over\n", r.Wrong, r.Fallen)
 	}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -69,7 +69,10 @@
 	SleepFor     span `toml:"sleep_for"` // and for so long; 0 for no sleep
 	// Drift is by how much of itself the clock that counts sleep runs off the other; every other proxy's lags.
 	Drift float64
-	Lacks string // the origin has no key that begins so
+	// Permits is how many proxies may restart at once, by leave of the fleet, of which the first three are voters; 0 for
+	// proxies that know nothing of each other.
+	Permits int
+	Lacks   string // the origin has no key that begins so
 }
 
 // LoadPart says what clients do.
@@ -147,7 +150,7 @@
 // what events there are, and what they do.
 var doings = map[string]string{
 	"wave":      "restarts all proxies one after another, Every apart, by Mode",
-	"restart":   "restarts a proxy, or all at once, by Mode",
+	"restart":   "restarts a proxy, or Proxies, or all at once, by Mode",
 	"kill":      "kills a proxy outright and starts it again",
 	"hangup":    "writes a proxy's configuration anew (With: same, quota, broken, gone, half, moved, fixed) and sends SIGHUP, Times times, Every apart",
 	"drain":     "has the list tell that a node drains",
@@ -236,6 +239,8 @@
 		return errors.New("load: want skew above 1, keys from 1, depth 1 to 100, pipelines 0 to 100")
 	case l.Quota < 0:
 		return fmt.Errorf("load.quota cannot be %d: want no less than 0", l.Quota)
+	case f.Permits < 0 || f.Permits > 0 && f.Proxies < permitVoters:
+		return fmt.Errorf("fleet.permits cannot be %d: want 0 or more, and %d proxies", f.Permits, permitVoters)
 	case f.Drift < 0 || f.Drift > 0.5:
 		return fmt.Errorf("fleet.drift cannot be %v: want 0 to 0.5", f.Drift)
 	case len(f.Zones) == 0:
@@ -264,6 +269,8 @@
 			return fmt.Errorf("event %d: mode cannot be %q, or with cannot be %q", i, e.Mode, e.With)
 		case e.Proxy < -1 || e.Proxy >= f.Proxies || e.Node < 0 || e.Node >= f.Nodes:
 			return fmt.Errorf("event %d: there is no proxy %d, or no node %d", i, e.Proxy, e.Node)
+		case slices.ContainsFunc(e.Proxies, func(i int) bool { return i < 0 || i >= f.Proxies }):
+			return fmt.Errorf("event %d: there is no such proxy: %v", i, e.Proxies)
 		case time.Duration(e.At) > s.length():
 			return fmt.Errorf("event %d comes after the end", i)
 		}
