Have the end of who gave up on a cut link come with what it wrote

The same moment as before, but for a client that closes: what waited in the backlog was passed on without its end, so the proxy could not see that its client had left.

--- a/internal/rehearse/rig/link.go
+++ b/internal/rehearse/rig/link.go
@@ -224,15 +224,15 @@
 	for {
 		n, err := from.Read(piece)
 		held, open := l.await(way)
-		switch {
-		case !open:
+		if !open {
 			return
-		case (held || l.TroubledSince(last)) && broken(from): // a sender that gave up with a reset sends nothing again
+		}
+		held = held || l.TroubledSince(last)
+		if last = time.Now(); held && broken(from) { // a sender that gave up with a reset sends nothing again
 			to.(*net.TCPConn).SetLinger(0)
 			to.Close()
 			return
 		}
-		last = time.Now()
 		if n > 0 {
 			if held { // a kernel that sends again what waited sends the end that follows with it
 				cork(to, true)
--- a/internal/rehearse/rig/rig_test.go
+++ b/internal/rehearse/rig/rig_test.go
@@ -181,7 +181,15 @@
 // TestWhatComesUpAsALinkIsCutIsNotDelivered guards rehearsals against a fault of the rig's own: a connection
 // that comes up in the moment before the backlog is full waits there with all that its sender wrote, and the
 // sender has long given it up with a reset when the link takes connections again.
+//
+// One that has closed has its end come with what it wrote, so that whoever reads it can see that.
 func TestWhatComesUpAsALinkIsCutIsNotDelivered(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) { comesUpAsCut(t, reset) })
+	}
+}
+
+func comesUpAsCut(t *testing.T, reset bool) {
 	heard := make(chan string, 1000)
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -197,7 +205,9 @@
 			go func() {
 				defer c.Close()
 				for in := bufio.NewScanner(c); in.Scan(); {
-					heard <- in.Text()
+					if reset || in.Text() == "fresh" || !closing(c) {
+						heard <- in.Text()
+					}
 				}
 			}()
 		}
@@ -238,7 +248,9 @@
 			if _, err := io.WriteString(c, "given up\n"); err == nil {
 				up++
 			}
-			c.SetLinger(0)
+			if reset {
+				c.SetLinger(0)
+			}
 			c.Close()
 		}
 		if err := l.Set(Fault{}); err != nil {
