--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -83,6 +83,12 @@
 	Short    bool   `help:"25 s in place of two minutes."`
 	Seed     uint64 `default:"1"`
 	Careless bool   `help:"At a resource that compares no numbers."`
+	Gaps     int    `help:"Measure so many times of each kind how long a task is without a holder, instead."`
+}
+
+type peersCommand struct {
+	Instances int `default:"12" help:"4 to 99, three of which vote."`
+	Times     int `default:"20" help:"Of each trouble; 0 for rest alone."`
 }
 
 type sightCommand struct {
@@ -102,8 +108,10 @@
 }
 
 type holderCommand struct {
+	Task   string   `required:""`
+	Stay   bool     `help:"It gives the task back at SIGUSR1 alone."`
 	Judge  string   `arg:""`
-	Seed   uint64   `arg:""`
+	Who    uint64   `arg:""`
 	Fleet  string   `arg:""`
 	Voters []string `arg:""`
 }
@@ -134,6 +142,7 @@
 	Clients  clientsCommand `cmd:"" help:"Tills that use the library beside such as the operators describe, in five troubles."`
 	Still    stillCommand   `cmd:"" help:"Processes that stand still, links that are cut: each trouble at some of twelve proxies."`
 	Lease    leaseCommand   `cmd:"" help:"One task among eight processes, with faults between them, two minutes."`
+	Peers    peersCommand   `cmd:"" help:"Instances that know each other: when ends, stops and cuts are known, what rest costs."`
 	Members  struct{}       `cmd:"" help:"What following 2,000 nodes with 50 changes a second costs."`
 	Conform  struct{}       `cmd:"" help:"The conformance suite: both dialects of clients by both of nodes."`
 	Sight    sightCommand   `cmd:"" help:"Play a proxy with a fault put in."`
@@ -295,11 +304,19 @@
 		return rehearse.Still(ctx, rehearse.StillOptions{Options: o, At: c.Still.At, Only: c.Still.Trouble, Seed: c.Still.Seed,
 			Pairs: c.Still.Pairs, Beside: c.Still.Beside})
 	case "lease":
+		if c.Lease.Gaps > 0 {
+			return rehearse.Gaps(ctx, rehearse.GapsOptions{Options: o, Holder: []string{self, "holder"}, Times: c.Lease.Gaps})
+		}
 		length := 2 * time.Minute
 		if c.Lease.Short {
 			length = 25 * time.Second
 		}
 		return rehearse.Lease(ctx, rehearse.LeaseOptions{Options: o, Holder: []string{self, "holder"}, For: length, Seed: c.Lease.Seed, Careless: c.Lease.Careless})
+	case "peers":
+		if err := errors.Join(within("instances", c.Peers.Instances, 4, 99), within("times", c.Peers.Times, 0, 1000)); err != nil {
+			return nil, err
+		}
+		return rehearse.Peers(ctx, rehearse.PeersOptions{Options: o, Instances: c.Peers.Instances, Times: c.Peers.Times})
 	case "conform":
 		return rehearse.Conform(ctx, o)
 	}
@@ -424,8 +441,14 @@
 	if err != nil {
 		return err
 	}
+	o := rehearse.HolderOptions{Judge: c.Judge, Who: c.Who, Fleet: f, Task: c.Task}
+	if c.Stay {
+		back := make(chan os.Signal, 1)
+		signal.Notify(back, syscall.SIGUSR1)
+		o.Back = back
+	}
 	manager.Tell(notify.Ready)
-	return rehearse.ActAsHolder(ctx, c.Judge, c.Seed, f)
+	return rehearse.ActAsHolder(ctx, o)
 }
 
 func (c *relayCommand) run(ctx context.Context) error {
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -107,7 +107,7 @@
 func TestLease(t *testing.T) {
 	out, code, _ := rehearsal(t, "lease", "--short", "--json", filepath.Join(t.TempDir(), "report.json"))
 	lines := strings.Split(strings.TrimSpace(out), "\n")
-	if last := lines[len(lines)-1]; code != 0 || !regexp.MustCompile(`^verdict: ok acts=\d{2,} overlaps=0 backward=0 crashes=0$`).MatchString(last) {
+	if last := lines[len(lines)-1]; code != 0 || !regexp.MustCompile(`^verdict: ok acts=\d{2,} overlaps=0 backward=0 lost=0 doubled=0 crashes=0$`).MatchString(last) {
 		t.Fatalf("exit %d:\n%s", code, out)
 	}
 }
--- a/internal/lease/agent/holder.go
+++ b/internal/lease/agent/holder.go
@@ -94,6 +94,16 @@
 	return s, json.NewDecoder(io.LimitReader(response.Body, talk.MostBody)).Decode(&s)
 }
 
+// Look asks each voter what it knows; who does not answer is left out.
+func (c *Client) Look(ctx context.Context) (list []State) {
+	for _, p := range c.fleet.Voters {
+		if s, err := c.look(ctx, p); err == nil {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // Members are the fleet's instances by the majority of the voters that answer until ctx ends, and how many do.
 func (c *Client) Members(ctx context.Context) (list []peer.Seen, heard int) {
 	states := make([]State, len(c.fleet.Voters))
--- a/internal/lease/agent/state.go
+++ b/internal/lease/agent/state.go
@@ -3,13 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"mulleinpier/internal/peer/talk"
 )
 
 // state copies what the loop knows.
 func (v *Voter) state() State {
 	book, t := v.replica.Book(), now()
 	s := State{Voter: v.name, Seat: v.seat, Leads: v.replica.Leads(), Leader: book.Seats[v.replica.Leader()], Book: book.Clone(), Left: make(map[uint64]float64),
-		Members: v.station.Opinion()}
+		Members: v.station.Opinion(), Traffic: talk.Said()}
 	for _, task := range book.Tasks {
 		for _, g := range task.Held {
 			if left, ok := v.replica.Left(g.Number, t); ok {
--- a/internal/lease/agent/voter.go
+++ b/internal/lease/agent/voter.go
@@ -242,6 +242,7 @@
 	Book    *lease.Book        `json:"book"`
 	Left    map[uint64]float64 `json:"left_s"`  // by number, known to the leader
 	Members []peer.Seen        `json:"members"` // as this voter sees them
+	Traffic talk.Traffic       `json:"traffic"` // of its process
 }
 
 // Open opens a voter's memory. Without one there is no voter, and the error is [store.ErrNone].
--- a/internal/peer/talk/talk.go
+++ b/internal/peer/talk/talk.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +37,23 @@
 	Least int `cbor:"30,keyasint,omitempty"`
 }
 
+// Traffic is what this process has said to others and heard from them since its start: messages, of which an answer is
+// one too, and the bytes of their bodies.
+type Traffic struct {
+	Messages int64 `json:"messages"`
+	Bytes    int64 `json:"bytes"`
+}
+
+var messages, bodies atomic.Int64
+
+// Said returns the traffic so far.
+func Said() Traffic { return Traffic{messages.Load(), bodies.Load()} }
+
+func count(size int) {
+	messages.Add(1)
+	bodies.Add(int64(size))
+}
+
 // In is the head of this program's messages in a fleet.
 func In(fleet string) Head { return Head{Version: Version, Fleet: fleet, Least: Oldest} }
 
@@ -51,6 +69,7 @@
 		http.Error(w, "bad body", http.StatusBadRequest)
 		return false
 	}
+	count(len(body))
 	status, wrong := Parse(body, fleet, into)
 	if wrong != "" {
 		http.Error(w, wrong, status)
@@ -79,6 +98,7 @@
 // Write answers a request.
 func Write(w http.ResponseWriter, answer any) {
 	if text, err := cbor.Marshal(answer); err == nil {
+		count(len(text))
 		w.Write(text)
 	}
 }
@@ -89,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	count(len(body))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -99,6 +120,7 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(response.Body, MostBody))
+	count(len(text))
 	switch {
 	case err != nil:
 		return err
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -39,7 +39,8 @@
 	list    directory
 	proxies []*proxyDoor
 	links   links
-	voters  agent.Fleet // of permits, if there are any
+	voters  agent.Fleet                  // of permits, if there are any
+	found   func(proxy int) []agent.Peer // them, by each proxy; nil for as they are
 
 	mu       sync.Mutex
 	entries  []list.Entry // of nodes, as last told
@@ -79,6 +80,11 @@
 
 // startFleet starts the stand-ins, and processes if a program is named.
 func startFleet(s *Scenario, program []string, folder string, say func(string, ...any)) (*fleet, error) {
+	return startFleetBy(s, program, folder, say, nil)
+}
+
+// startFleetBy is startFleet with the voters found by each proxy where seen says, once their addresses are known.
+func startFleetBy(s *Scenario, program []string, folder string, say func(string, ...any), seen func(real []agent.Peer) (func(proxy int) []agent.Peer, error)) (*fleet, error) {
 	f := &fleet{scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
 		seen: [2]map[string]struct{}{{}, {}}}
 	p := s.Fleet
@@ -107,7 +113,11 @@
 	} else {
 		f.list = newPlatformList(f.entries, f.linkedNode)
 	}
-	if err := f.seatVoters(); err != nil {
+	err := f.seatVoters()
+	if err == nil && seen != nil {
+		f.found, err = seen(f.voters.Voters)
+	}
+	if err != nil {
 		f.close()
 		return nil, err
 	}
--- /dev/null
+++ b/internal/rehearse/gaps.go
@@ -0,0 +1,255 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/rehearse/rig"
+)
+
+// This file measures how long a task is without an act when its holder gives it back, hands it over, is killed, stopped
+// or cut off: many tasks at three voters, each with two processes that want it.
+
+// gapTasks are how many tasks are measured at a time.
+const gapTasks = 10
+
+// gapKinds are what befalls holders, in turn.
+var gapKinds = []string{"given back", "handed over", "killed", "stopped", "cut off"}
+
+// gapPatience bounds the wait for a next holder.
+const gapPatience = 15 * time.Second
+
+// GapsOptions say what to measure.
+type GapsOptions struct {
+	Options
+	Holder []string
+	Times  int // of each kind
+}
+
+// GapsReport is what was measured.
+type GapsReport struct {
+	Waits    []LeaseWait `json:"waits"`
+	Acts     int         `json:"acts"`
+	Overlaps int         `json:"overlaps"`
+	Backward int         `json:"backward"`
+	Problems []string    `json:"problems"`
+}
+
+// OK tells whether no two acts overlapped and all was measured.
+func (r *GapsReport) OK() bool { return r.Overlaps+r.Backward+len(r.Problems) == 0 && r.Acts > 0 }
+
+// Print writes the report, its verdict last.
+func (r *GapsReport) Print(out io.Writer) {
+	printWaits(out, r.Waits)
+	for _, p := range r.Problems {
+		fmt.Fprintln(out, "  "+p)
+	}
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	fmt.Fprintf(out, "verdict: %s acts=%d overlaps=%d backward=%d\n", word, r.Acts, r.Overlaps, r.Backward)
+}
+
+// gapTask is one task with its two holders.
+type gapTask struct {
+	name    string
+	judge   *judge
+	holders [2]*process
+	ways    [2][]*rig.Link
+	seen    [2][]agent.Peer
+	first   int // number of its first holder
+}
+
+// Gaps measures.
+func Gaps(ctx context.Context, o GapsOptions) (*GapsReport, error) {
+	s, err := leaseScenario(time.Minute, 1)
+	if err != nil {
+		return nil, err
+	}
+	f, err := startFleet(s, o.Program, o.Folder, func(string, ...any) {})
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	r := &GapsReport{}
+	waits := make(map[string]*hdrhistogram.Histogram)
+	for _, kind := range gapKinds {
+		waits[kind] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	}
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	for i := range min(gapTasks, o.Times) {
+		times := o.Times / gapTasks
+		if i < o.Times%gapTasks {
+			times++
+		}
+		tasks.Go(func() {
+			t, err := newGapTask(f, o, i)
+			if err == nil {
+				defer t.close()
+				err = t.measure(ctx, f, o, times, func(kind string, gap time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					waits[kind].RecordValue(max(gap.Microseconds(), 1))
+				})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				r.Problems = append(r.Problems, fmt.Sprintf("task %d: %v", i, err))
+			}
+			if t != nil {
+				t.judge.mu.Lock()
+				defer t.judge.mu.Unlock()
+				r.Acts, r.Overlaps, r.Backward = r.Acts+len(t.judge.committed), r.Overlaps+t.judge.overlaps(), r.Backward+t.judge.backward
+			}
+		})
+	}
+	tasks.Wait()
+	f.stop()
+	r.Problems = append(r.Problems, f.problems...)
+	for _, kind := range gapKinds {
+		r.Waits = append(r.Waits, waitOf(kind, waits[kind]))
+	}
+	return r, ctx.Err()
+}
+
+func newGapTask(f *fleet, o GapsOptions, i int) (*gapTask, error) {
+	j, err := newJudge()
+	if err != nil {
+		return nil, err
+	}
+	t := &gapTask{name: fmt.Sprint("gap", i), judge: j, first: 10 + 2*i}
+	for h := range t.holders {
+		for _, v := range f.voters.Voters {
+			link, err := rig.NewLink(linkHost, v.Address)
+			if err != nil {
+				return t, err
+			}
+			t.ways[h] = append(t.ways[h], link)
+			t.seen[h] = append(t.seen[h], agent.Peer{Name: v.Name, Address: link.Address()})
+		}
+		if err := t.start(o, h); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+func (t *gapTask) start(o GapsOptions, h int) (err error) {
+	if t.holders[h], err = startHolder(o.Holder, t.judge, t.first+h, t.name, true, t.seen[h], o.Folder); err != nil {
+		return err
+	}
+	return t.holders[h].awaitReady()
+}
+
+func (t *gapTask) close() {
+	for h, x := range t.holders {
+		if x != nil && !isClosed(x.exited) {
+			x.end(syscall.SIGKILL)
+		}
+		for _, l := range t.ways[h] {
+			l.Close()
+		}
+	}
+	t.judge.close()
+}
+
+// settled waits until one of the two acts and the other waits in the queue, and tells who acts and under which number.
+func (t *gapTask) settled(ctx context.Context, c *agent.Client) (holder int, number uint64, waits string, err error) {
+	for until := time.Now().Add(gapPatience); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		s, err := c.State(ctx)
+		if err != nil || s.Book.Tasks[t.name] == nil {
+			continue
+		}
+		task := s.Book.Tasks[t.name]
+		t.judge.mu.Lock()
+		who, acts := t.judge.who, time.Since(t.judge.last) < 100*time.Millisecond
+		highest := t.judge.highest
+		t.judge.mu.Unlock()
+		if acts && len(task.Held) == 1 && len(task.Waiting) == 1 && task.Held[0].Number == highest {
+			return who - t.first, highest, task.Waiting[0].Holder, nil
+		}
+	}
+	return 0, 0, "", fmt.Errorf("%s: not one that acts and one that waits in %v", t.name, gapPatience)
+}
+
+// next waits for the first act under a higher number, and returns how long the task was without one.
+func (t *gapTask) next(ctx context.Context, number uint64) (time.Duration, error) {
+	for until := time.Now().Add(gapPatience); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		t.judge.mu.Lock()
+		higher, gap := t.judge.highest > number, t.judge.gap
+		t.judge.mu.Unlock()
+		if higher {
+			return gap, nil
+		}
+	}
+	return 0, fmt.Errorf("%s: nobody acts in %v", t.name, gapPatience)
+}
+
+// measure has each kind befall the holder so many times.
+func (t *gapTask) measure(ctx context.Context, f *fleet, o GapsOptions, times int, note func(string, time.Duration)) error {
+	c, err := agent.NewClient(f.voters)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for range times {
+		for _, kind := range gapKinds {
+			h, number, waits, err := t.settled(ctx, c)
+			if err != nil {
+				return err
+			}
+			x := t.holders[h]
+			after := func() error { return nil }
+			switch kind {
+			case "given back":
+				x.cmd.Process.Signal(syscall.SIGUSR1)
+			case "handed over":
+				if _, err := c.Do(ctx, lease.Command{Kind: lease.Hand, Task: t.name, Number: number, To: waits}); err != nil {
+					return err
+				}
+			case "killed":
+				x.end(syscall.SIGKILL)
+				after = func() error { return t.start(o, h) }
+			case "stopped":
+				if err := syscall.Kill(x.cmd.Process.Pid, syscall.SIGSTOP); err != nil {
+					return err
+				}
+				after = func() error { return syscall.Kill(x.cmd.Process.Pid, syscall.SIGCONT) }
+			case "cut off":
+				set := func(fault rig.Fault) error {
+					var err error
+					for _, l := range t.ways[h] {
+						if e := l.Set(fault); e != nil {
+							err = e
+						}
+					}
+					return err
+				}
+				if err := set(rig.Faults["cut"](0)); err != nil {
+					return err
+				}
+				after = func() error { return set(rig.Fault{}) }
+			}
+			gap, err := t.next(ctx, number)
+			if e := after(); err == nil {
+				err = e
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", kind, err)
+			}
+			note(kind, gap)
+		}
+	}
+	return nil
+}
--- a/internal/rehearse/lease.go
+++ b/internal/rehearse/lease.go
@@ -37,7 +37,6 @@
 const (
 	leaseVoters  = 3
 	leaseHolders = 5
-	leaseFleet   = "rehearsal"
 	leaseTask    = "act"
 	LeaseLength  = time.Second // of what holders take
 )
@@ -64,7 +63,8 @@
 	beside    int // begins while another act was open: the hole, which the numbers close
 	backward  int // commits under a number lower than one committed before
 	waits     map[string]*hdrhistogram.Histogram
-	pending   string // what last befell the holder
+	gap       time.Duration // without an act before the highest number's first
+	pending   string        // what last befell the holder
 	since     time.Time
 	conns     map[net.Conn]struct{}
 }
@@ -115,6 +115,7 @@
 			ok = true
 			if number > j.highest {
 				j.waited(now)
+				j.gap = now.Sub(j.last)
 			}
 			if len(j.open) > 0 {
 				j.beside++
@@ -206,6 +207,7 @@
 	Times int64   `json:"times"`
 	P50   float64 `json:"p50_ms"`
 	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
 	Most  float64 `json:"most_ms"`
 }
 
@@ -220,31 +222,32 @@
 	Beside   int         `json:"beside"`
 	Faults   int         `json:"faults"`
 	Crashes  int         `json:"crashes"`
+	Requests int         `json:"requests"` // of clients, at the voters, which serve meanwhile
+	Lost     int         `json:"lost"`
+	Doubled  int         `json:"doubled"`
 	Waits    []LeaseWait `json:"waits"`
 	Problems []string    `json:"problems"`
 	Closing  string      `json:"verdict"`
 }
 
 // OK tells whether nothing broke, and enough was seen.
-func (r *LeaseReport) OK() bool { return r.Overlaps+r.Backward+r.Crashes == 0 && r.Acts > 0 }
+func (r *LeaseReport) OK() bool {
+	return r.Overlaps+r.Backward+r.Lost+r.Doubled+r.Crashes == 0 && r.Acts > 0 && r.Requests > 0
+}
 
-// Verdict is the closing line. There is no load of clients beside it, so nothing can be lost or doubled.
+// Verdict is the closing line.
 func (r *LeaseReport) Verdict() string {
 	word := "ok"
 	if !r.OK() {
 		word = "BROKEN"
 	}
-	return fmt.Sprintf("verdict: %s acts=%d overlaps=%d backward=%d crashes=%d", word, r.Acts, r.Overlaps, r.Backward, r.Crashes)
+	return fmt.Sprintf("verdict: %s acts=%d overlaps=%d backward=%d lost=%d doubled=%d crashes=%d", word, r.Acts, r.Overlaps, r.Backward, r.Lost, r.Doubled, r.Crashes)
 }
 
 // Print writes the report, its verdict last.
 func (r *LeaseReport) Print(out io.Writer) {
-	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "without an act after\ttimes\tp50 ms\tp90 ms\tmost ms")
-	for _, x := range r.Waits {
-		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\n", x.After, x.Times, x.P50, x.P90, x.Most)
-	}
-	w.Flush()
+	printWaits(out, r.Waits)
+	fmt.Fprintf(out, "%d requests at the voters meanwhile\n", r.Requests)
 	fmt.Fprintf(out, "%d faults in %.0f s, numbers up to %d; %d begins beside an act that a stop or a cut had left open, %d words refused for their numbers\n",
 		r.Faults, r.Seconds, r.Numbers, r.Beside, r.Refused)
 	for _, p := range r.Problems {
@@ -258,12 +261,26 @@
 	o     LeaseOptions
 	rng   *rand.Rand
 	judge *judge
+	fleet *fleet // its proxies are the voters
 	real  []agent.Peer
 	ways  map[[2]int]*rig.Link // from a process (voters first, then holders) to a voter
 
-	mu        sync.Mutex
-	processes []*process
-	report    *LeaseReport
+	mu      sync.Mutex
+	holders []*process
+	report  *LeaseReport
+}
+
+// leaseScenario is what the voters serve meanwhile.
+func leaseScenario(length time.Duration, seed uint64) (*Scenario, error) {
+	s, err := Load("still")
+	if err != nil {
+		return nil, err
+	}
+	s.Name, s.About, s.Seed = "lease", "one task among eight processes", seed
+	s.Fleet.Proxies, s.Fleet.Nodes, s.Fleet.Permits = leaseVoters, 6, 1
+	s.Load.Rate = 150
+	s.Phases, s.Events = []Phase{{Name: "all", For: span(length)}}, nil
+	return s, s.check()
 }
 
 // Lease plays leases.
@@ -278,67 +295,55 @@
 	defer j.close()
 	j.careless = o.Careless
 	p := &leasePlay{o: o, rng: rand.New(rand.NewPCG(o.Seed, 9)), judge: j, ways: make(map[[2]int]*rig.Link), report: &LeaseReport{Seconds: o.For.Seconds()},
-		processes: make([]*process, leaseVoters+leaseHolders)}
+		holders: make([]*process, leaseHolders)}
 	defer p.close()
-	if err := p.open(); err != nil {
+	s, err := leaseScenario(o.For, max(o.Seed, 1))
+	if err != nil {
 		return nil, err
 	}
-	for i := range p.processes {
+	if p.fleet, err = startFleetBy(s, o.Program, o.Folder, o.Progress, p.open); err != nil {
+		return nil, err
+	}
+	defer p.fleet.close()
+	for i := range p.holders {
 		if err := p.start(i); err != nil {
 			return nil, err
 		}
 	}
 	began := time.Now()
+	t := newTally(s.Phases, began)
+	c := newClients(p.fleet, t)
 	ctx, stop := context.WithTimeout(ctx, o.For)
 	defer stop()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.run(ctx) })
+	tasks.Go(func() { t.watchLag(ctx) })
 	p.trouble(ctx)
 	sleep(ctx, time.Until(began.Add(o.For)))
+	tasks.Wait()
 	p.end()
-	return p.fill(), nil
+	settle(func() int { return p.fleet.origin.Stats().Writes })
+	served := &Report{}
+	served.fill(p.fleet, t, make([]int, len(s.Phases)+1))
+	return p.fill(served), nil
 }
 
-// open reserves the voters' addresses and puts a link on every way to them.
-func (p *leasePlay) open() error {
-	for i := range leaseVoters {
-		l, err := net.Listen("tcp", proxyHost+":0")
-		if err != nil {
-			return err
-		}
-		p.real = append(p.real, agent.Peer{Name: fmt.Sprint("v", i), Address: l.Addr().String()})
-		l.Close()
-	}
+// open puts a link on every way to the voters.
+func (p *leasePlay) open(real []agent.Peer) (func(int) []agent.Peer, error) {
+	p.real = real
 	for from := range leaseVoters + leaseHolders {
-		for to, v := range p.real {
+		for to, v := range real {
 			if from == to {
 				continue
 			}
 			link, err := rig.NewLink(linkHost, v.Address)
 			if err != nil {
-				return err
+				return nil, err
 			}
 			p.ways[[2]int{from, to}] = link
 		}
 	}
-	for i := range leaseVoters {
-		f := agent.Fleet{Name: leaseFleet, Voters: p.real}
-		if err := agent.Init(p.memory(i), &f); err != nil {
-			return err
-		}
-		var voters []string
-		for _, v := range p.seen(i) {
-			voters = append(voters, v.Name+"="+v.Address)
-		}
-		text := fmt.Sprintf("name = \"p%d\"\nlisten = \"127.0.0.1:0\"\nnodes.addresses = [\"127.0.0.2:1\"]\n[peers]\nfleet = %q\nvoter = \"v%d\"\nmemory = %q\nvoters = %s\n",
-			i, leaseFleet, i, p.memory(i), quoted(voters))
-		if err := os.WriteFile(filepath.Join(p.o.Folder, fmt.Sprintf("p%d.toml", i)), []byte(text), 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (p *leasePlay) memory(i int) string {
-	return filepath.Join(p.o.Folder, fmt.Sprintf("v%d.memory", i))
+	return p.seen, nil
 }
 
 // seen are the voters as a process finds them.
@@ -352,25 +357,27 @@
 	return list
 }
 
-// start starts a process.
+// start starts a holder.
 func (p *leasePlay) start(i int) error {
-	argv := append(append([]string(nil), p.o.Program...), filepath.Join(p.o.Folder, fmt.Sprintf("p%d.toml", i)))
-	if i >= leaseVoters {
-		argv = append(append([]string(nil), p.o.Holder...), p.judge.listener.Addr().String(), fmt.Sprint(i), leaseFleet)
-		for _, v := range p.seen(i) {
-			argv = append(argv, v.Name+"="+v.Address)
-		}
-	}
-	x, err := startProcess(argv, nil, filepath.Join(p.o.Folder, fmt.Sprintf("l%d.log", i)))
+	x, err := startHolder(p.o.Holder, p.judge, leaseVoters+i, leaseTask, false, p.seen(leaseVoters+i), p.o.Folder)
 	if err != nil {
 		return err
 	}
 	p.mu.Lock()
-	p.processes[i] = x
+	p.holders[i] = x
 	p.mu.Unlock()
 	return x.awaitReady()
 }
 
+// startHolder starts a process that holds a task over and over, or stays with it.
+func startHolder(program []string, j *judge, who int, task string, stays bool, voters []agent.Peer, folder string) (*process, error) {
+	argv := append(append([]string(nil), program...), "--task="+task, fmt.Sprintf("--stay=%v", stays), j.listener.Addr().String(), fmt.Sprint(who), permitFleet)
+	for _, v := range voters {
+		argv = append(argv, v.Name+"="+v.Address)
+	}
+	return startProcess(argv, nil, filepath.Join(folder, fmt.Sprintf("h%d.log", who)))
+}
+
 func (p *leasePlay) problem(format string, a ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -386,13 +393,13 @@
 	defer tasks.Wait()
 	sleep(ctx, time.Second)
 	for ctx.Err() == nil {
-		i, span := p.rng.IntN(len(p.processes)), time.Duration(100+p.rng.IntN(3400))*time.Millisecond
+		i, span := p.rng.IntN(leaseVoters+leaseHolders), time.Duration(100+p.rng.IntN(3400))*time.Millisecond
 		kind := p.rng.IntN(5)
 		if at := p.judge.holder(); at > 0 && p.rng.IntN(2) == 0 {
 			i = at
 		}
 		var from, to int
-		if from, to = p.rng.IntN(len(p.processes)), p.rng.IntN(leaseVoters); from == to {
+		if from, to = p.rng.IntN(leaseVoters+leaseHolders), p.rng.IntN(leaseVoters); from == to {
 			from = max(p.judge.holder(), leaseVoters)
 		}
 		fault := []string{"cut", "forth", "back", "delay", "reset"}[p.rng.IntN(5)]
@@ -417,25 +424,32 @@
 }
 
 func (p *leasePlay) kill(i int) {
+	if i < leaseVoters {
+		p.fleet.proxies[i].kill()
+		return
+	}
+	i -= leaseVoters
 	p.mu.Lock()
-	x := p.processes[i]
+	x := p.holders[i]
 	p.mu.Unlock()
-	if i >= leaseVoters {
-		p.judge.befell("holder killed", i)
-	}
+	p.judge.befell("holder killed", leaseVoters+i)
 	x.end(syscall.SIGKILL)
 	if err := p.start(i); err != nil {
-		p.problem("process %d: %v", i, err)
+		p.problem("holder %d: %v", i, err)
 	}
 }
 
 func (p *leasePlay) stop(ctx context.Context, i int, span time.Duration) {
+	if i < leaseVoters {
+		if err := p.fleet.proxies[i].stop(ctx, rig.Stop{For: span}); err != nil && ctx.Err() == nil {
+			p.problem("stop of voter %d: %v", i, err)
+		}
+		return
+	}
 	p.mu.Lock()
-	pid := p.processes[i].cmd.Process.Pid
+	pid := p.holders[i-leaseVoters].cmd.Process.Pid
 	p.mu.Unlock()
-	if i >= leaseVoters {
-		p.judge.befell("holder stopped", i)
-	}
+	p.judge.befell("holder stopped", i)
 	rig.Stop{For: span}.Do(ctx, pid, func(_, _ time.Time) {}) // one that has been killed meanwhile can't be
 }
 
@@ -457,21 +471,21 @@
 // end has all processes end as they do by themselves.
 func (p *leasePlay) end() {
 	var tasks sync.WaitGroup
-	for i := len(p.processes) - 1; i >= 0; i-- {
-		x := p.processes[i]
+	for i, x := range p.holders {
 		tasks.Go(func() {
 			if x.crashed() {
-				p.problem("process %d had ended unasked: %v: %s", i, x.err, tail(x.log))
+				p.problem("holder %d had ended unasked: %v: %s", i, x.err, tail(x.log))
 			} else if err := x.end(syscall.SIGTERM); err != nil {
-				p.problem("process %d: %v: %s", i, err, tail(x.log))
+				p.problem("holder %d: %v: %s", i, err, tail(x.log))
 			}
 		})
 	}
 	tasks.Wait()
+	p.fleet.stop()
 }
 
 func (p *leasePlay) close() {
-	for _, x := range p.processes {
+	for _, x := range p.holders {
 		if x != nil && !isClosed(x.exited) {
 			x.end(syscall.SIGKILL)
 		}
@@ -481,39 +495,68 @@
 	}
 }
 
-func (p *leasePlay) fill() *LeaseReport {
+func (p *leasePlay) fill(served *Report) *LeaseReport {
 	j, r := p.judge, p.report
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r.Acts, r.Numbers, r.Overlaps, r.Backward, r.Refused, r.Beside = len(j.committed), j.highest, j.overlaps(), j.backward, j.refused, j.beside
+	r.Requests, r.Lost, r.Doubled = served.Requests, served.Lost, served.Doubled
+	r.Crashes += served.Crashes + served.LateDrains + served.Wrong
+	r.Problems = append(r.Problems, served.Problems...)
 	for _, what := range []string{"given back", "holder killed", "holder stopped", "holder's way cut"} {
 		if h := j.waits[what]; h != nil {
-			ms := func(us int64) float64 { return float64(us) / 1000 }
-			r.Waits = append(r.Waits, LeaseWait{what, h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.Max())})
+			r.Waits = append(r.Waits, waitOf(what, h))
 		}
 	}
 	r.Closing = r.Verdict()
 	return r
 }
 
+func waitOf(what string, h *hdrhistogram.Histogram) LeaseWait {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return LeaseWait{what, h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+}
+
+// printWaits writes times without an act as a table.
+func printWaits(out io.Writer, waits []LeaseWait) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "without an act after\ttimes\tp50 ms\tp90 ms\tp99 ms\tmost ms")
+	for _, x := range waits {
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", x.After, x.Times, x.P50, x.P90, x.P99, x.Most)
+	}
+	w.Flush()
+}
+
+// HolderOptions say how a holder's process behaves.
+type HolderOptions struct {
+	Judge string
+	Who   uint64
+	Fleet agent.Fleet
+	Task  string
+	Back  <-chan os.Signal // it gives the task back when told so; nil for after a while, by itself
+}
+
 // ActAsHolder is a holder's process: it takes the task, acts for a while at the judge, gives it back, over and over,
 // until ctx ends.
-func ActAsHolder(ctx context.Context, judge string, who uint64, f agent.Fleet) error {
-	client, err := agent.NewClient(f)
+func ActAsHolder(ctx context.Context, o HolderOptions) error {
+	client, err := agent.NewClient(o.Fleet)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	rng := rand.New(rand.NewPCG(who, uint64(os.Getpid())))
+	rng := rand.New(rand.NewPCG(o.Who, uint64(os.Getpid())))
 	for ctx.Err() == nil {
-		h, err := client.Hold(ctx, leaseTask, "holder", LeaseLength, true)
+		h, err := client.Hold(ctx, o.Task, "holder"+fmt.Sprint(o.Who), LeaseLength, true)
 		if err != nil {
 			return err
 		}
 		if _, err := h.Await(ctx); err == nil {
-			span, end := context.WithTimeout(ctx, time.Duration(300+rng.IntN(1500))*time.Millisecond)
-			for span.Err() == nil {
-				if h.Do(span, func(ctx context.Context, number uint64) error { return actOnce(ctx, judge, number, who, rng) }) != nil {
+			span, end := context.WithCancel(ctx)
+			if o.Back == nil {
+				span, end = context.WithTimeout(ctx, time.Duration(300+rng.IntN(1500))*time.Millisecond)
+			}
+			for span.Err() == nil && !told(o.Back) {
+				if h.Do(span, func(ctx context.Context, number uint64) error { return actOnce(ctx, o.Judge, number, o.Who, rng) }) != nil {
 					break
 				}
 			}
@@ -524,6 +567,16 @@
 	return nil
 }
 
+// told tells whether a signal has come.
+func told(c <-chan os.Signal) bool {
+	select {
+	case <-c: // a nil channel never has one
+		return true
+	default:
+		return false
+	}
+}
+
 // actOnce does one act at the judge.
 func actOnce(ctx context.Context, judge string, number, who uint64, rng *rand.Rand) error {
 	c, err := net.DialTimeout("tcp", judge, time.Second)
--- /dev/null
+++ b/internal/rehearse/peers.go
@@ -0,0 +1,295 @@
+package rehearse
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/rehearse/rig"
+)
+
+// This file plays instances that know each other: ends, stops and cuts of some, and what the others log of them when;
+// and what knowing each other costs at rest.
+
+// PeersOptions say what to play.
+type PeersOptions struct {
+	Options
+	Instances int
+	Times     int // of each trouble; 0 for rest alone
+}
+
+// PeersReport is what was found.
+type PeersReport struct {
+	Instances int         `json:"instances"`
+	Known     []PeersRow  `json:"known"`
+	Rest      []PeersRest `json:"rest"`
+	False     int         `json:"false"`  // deaths of those that lived
+	Missed    int         `json:"missed"` // deaths that some never told
+	Problems  []string    `json:"problems"`
+}
+
+// PeersRow is when a trouble was known to each of the others, from its beginning.
+type PeersRow struct {
+	Trouble string  `json:"trouble"`
+	Times   int64   `json:"times"` // troubles by those who are to know
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	Most    float64 `json:"most_ms"`
+}
+
+// PeersRest is what instances take while nothing happens, a second each.
+type PeersRest struct {
+	Who      string  `json:"who"`
+	CPU      float64 `json:"cpu_ms"`
+	MB       float64 `json:"mb"`
+	Messages float64 `json:"messages"` // of the process; known of voters
+	Bytes    float64 `json:"bytes"`
+}
+
+// OK tells whether nobody was taken for dead that lived, and all deaths were known.
+func (r *PeersReport) OK() bool { return r.False+r.Missed+len(r.Problems) == 0 }
+
+// Print writes the report, its verdict last.
+func (r *PeersReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	if len(r.Known) > 0 {
+		fmt.Fprintln(w, "known to each of the others after\ttimes\tp50 ms\tp99 ms\tmost ms")
+		for _, x := range r.Known {
+			fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%.0f\n", x.Trouble, x.Times, x.P50, x.P99, x.Most)
+		}
+		w.Flush()
+	}
+	fmt.Fprintf(w, "at rest, a second, of %d instances\tCPU ms\tMB\tmessages\tbytes of bodies\n", r.Instances)
+	for _, x := range r.Rest {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.0f\t%.0f\n", x.Who, x.CPU, x.MB, x.Messages, x.Bytes)
+	}
+	w.Flush()
+	for _, p := range r.Problems {
+		fmt.Fprintln(out, "  "+p)
+	}
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	fmt.Fprintf(out, "verdict: %s instances=%d false=%d missed=%d\n", word, r.Instances, r.False, r.Missed)
+}
+
+// peersPlay is a play under way.
+type peersPlay struct {
+	o      PeersOptions
+	fleet  *fleet
+	ways   [][]*rig.Link // from an instance to the voters
+	report *PeersReport
+}
+
+// restTime is how long rest is measured.
+const restTime = 8 * time.Second
+
+// Peers plays instances that know each other.
+func Peers(ctx context.Context, o PeersOptions) (*PeersReport, error) {
+	s, err := leaseScenario(time.Minute, 1)
+	if err != nil {
+		return nil, err
+	}
+	s.Fleet.Proxies, s.Fleet.Nodes = o.Instances, 2
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	p := &peersPlay{o: o, ways: make([][]*rig.Link, o.Instances), report: &PeersReport{Instances: o.Instances}}
+	defer p.close()
+	if p.fleet, err = startFleetBy(s, o.Program, o.Folder, func(string, ...any) {}, p.open); err != nil {
+		return nil, err
+	}
+	defer p.fleet.close()
+	sleep(ctx, 2*time.Second)
+	if err := p.rest(ctx); err != nil {
+		return nil, err
+	}
+	if o.Times > 0 {
+		p.play(ctx)
+	}
+	p.fleet.stop()
+	p.report.Problems = append(p.report.Problems, p.fleet.problems...)
+	return p.report, ctx.Err()
+}
+
+// open puts links between instances and voters, where troubles are to be played.
+func (p *peersPlay) open(real []agent.Peer) (func(int) []agent.Peer, error) {
+	found := make([][]agent.Peer, p.o.Instances)
+	for i := range found {
+		for at, v := range real {
+			if p.o.Times > 0 && at != i {
+				link, err := rig.NewLink(linkHost, v.Address)
+				if err != nil {
+					return nil, err
+				}
+				p.ways[i] = append(p.ways[i], link)
+				v.Address = link.Address()
+			}
+			found[i] = append(found[i], v)
+		}
+	}
+	return func(i int) []agent.Peer { return found[i] }, nil
+}
+
+func (p *peersPlay) close() {
+	for _, list := range p.ways {
+		for _, l := range list {
+			l.Close()
+		}
+	}
+}
+
+// rest measures instances while nothing happens.
+func (p *peersPlay) rest(ctx context.Context) error {
+	c, err := agent.NewClient(p.fleet.voters)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	traffic := func() (messages, bytes float64) {
+		for _, s := range c.Look(ctx) {
+			messages, bytes = messages+float64(s.Traffic.Messages), bytes+float64(s.Traffic.Bytes)
+		}
+		return messages, bytes
+	}
+	cpu := make([]time.Duration, p.o.Instances)
+	for i, d := range p.fleet.proxies {
+		cpu[i] = cpuOf(d.current().cmd.Process.Pid)
+	}
+	messages, bytes := traffic()
+	sleep(ctx, restTime)
+	messagesNow, bytesNow := traffic()
+	var voters, others PeersRest
+	voters.Who, others.Who = "a voter", "one that does not vote"
+	for i, d := range p.fleet.proxies {
+		into, of := &voters, float64(permitVoters)
+		if i >= permitVoters {
+			into, of = &others, float64(p.o.Instances-permitVoters)
+		}
+		pid := d.current().cmd.Process.Pid
+		mb, _ := footprintOf(pid)
+		into.CPU += millis(cpuOf(pid)-cpu[i]) / restTime.Seconds() / of
+		into.MB += mb / of
+	}
+	voters.Messages = (messagesNow - messages) / restTime.Seconds() / permitVoters
+	voters.Bytes = (bytesNow - bytes) / restTime.Seconds() / permitVoters
+	p.report.Rest = append(p.report.Rest, voters)
+	if p.o.Instances > permitVoters {
+		p.report.Rest = append(p.report.Rest, others)
+	}
+	return nil
+}
+
+// cpuOf is the time of a processor that a process has used.
+func cpuOf(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	words := strings.Fields(rest)
+	if len(words) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(words[11])
+	system, _ := strconv.Atoi(words[12])
+	return time.Duration(user+system) * 10 * time.Millisecond // as Linux counts for processes
+}
+
+// play has troubles befall instances that do not vote, in turn, and reads what the others logged.
+func (p *peersPlay) play(ctx context.Context) {
+	for _, trouble := range []struct {
+		name  string
+		death bool
+		do    func(d *proxyDoor) error
+	}{
+		{"kill -9", true, func(d *proxyDoor) error {
+			d.current().end(syscall.SIGKILL)
+			sleep(ctx, time.Second)
+			return d.start()
+		}},
+		{"stop of 300 ms", false, func(d *proxyDoor) error { return d.stop(ctx, rig.Stop{For: 300 * time.Millisecond}) }},
+		{"stop of 2 s", true, func(d *proxyDoor) error { return d.stop(ctx, rig.Stop{For: 2 * time.Second}) }},
+		{"cut off for 2 s", true, func(d *proxyDoor) error { return p.cut(ctx, d.index, "cut") }},
+		{"answers held for 2 s", true, func(d *proxyDoor) error { return p.cut(ctx, d.index, "back") }},
+		{"connections reset", false, func(d *proxyDoor) error {
+			for _, l := range p.ways[d.index] {
+				l.Reset()
+			}
+			return nil
+		}},
+	} {
+		known := hdrhistogram.New(1, int64(time.Minute/time.Millisecond), 3)
+		for i := range p.o.Times {
+			if ctx.Err() != nil {
+				return
+			}
+			victim := permitVoters + i%(p.o.Instances-permitVoters)
+			from := time.Now()
+			if err := trouble.do(p.fleet.proxies[victim]); err != nil {
+				p.report.Problems = append(p.report.Problems, fmt.Sprintf("%s: %v", trouble.name, err))
+				return
+			}
+			sleep(ctx, time.Second)
+			for other := range p.fleet.proxies {
+				if other == victim {
+					continue
+				}
+				at := p.gone(other, fmt.Sprint("p", victim), from)
+				switch {
+				case at.IsZero() && trouble.death:
+					p.report.Missed++
+				case !at.IsZero() && !trouble.death:
+					p.report.False++
+				case !at.IsZero():
+					known.RecordValue(max(at.Sub(from).Milliseconds(), 1))
+				}
+			}
+		}
+		if trouble.death {
+			p.report.Known = append(p.report.Known, PeersRow{trouble.name, known.TotalCount(), float64(known.ValueAtQuantile(50)),
+				float64(known.ValueAtQuantile(99)), float64(known.Max())})
+		}
+	}
+}
+
+// cut has an instance's ways to the voters fail for a while.
+func (p *peersPlay) cut(ctx context.Context, i int, kind string) error {
+	var errs []error
+	for _, l := range p.ways[i] {
+		errs = append(errs, l.Set(rig.Faults[kind](0)))
+	}
+	sleep(ctx, 2*time.Second)
+	for _, l := range p.ways[i] {
+		errs = append(errs, l.Set(rig.Fault{}))
+	}
+	return errors.Join(errs...)
+}
+
+var memberLine = regexp.MustCompile(`(?m)^time=(\S+) .*msg="peers: member" proxy=\S+ name=(\S+) state=gone `)
+
+// gone is when an instance logged that another was gone, after a time; zero for never.
+func (p *peersPlay) gone(at int, name string, from time.Time) time.Time {
+	text, err := os.ReadFile(p.fleet.proxies[at].current().log)
+	if err != nil {
+		return time.Time{}
+	}
+	for _, m := range memberLine.FindAllStringSubmatch(string(text), -1) {
+		if t, err := time.Parse(time.RFC3339Nano, m[1]); err == nil && m[2] == name && !t.Before(from.Truncate(time.Millisecond)) {
+			return t
+		}
+	}
+	return time.Time{}
+}
--- a/internal/rehearse/permits.go
+++ b/internal/rehearse/permits.go
@@ -52,8 +52,12 @@
 	if d.fleet.scenario.Fleet.Permits == 0 {
 		return
 	}
+	list := d.fleet.voters.Voters
+	if d.fleet.found != nil {
+		list = d.fleet.found(d.index)
+	}
 	var voters []string
-	for _, v := range d.fleet.voters.Voters {
+	for _, v := range list {
 		voters = append(voters, v.Name+"="+v.Address)
 	}
 	fmt.Fprintf(b, "[peers]\nfleet = %q\nvoters = %s\npermit = \"wait\"\n", permitFleet, quoted(voters))
