Prove leases over voters that lose their disks and are replaced; permits, clocks and full disks tested

A voter with yesterday's disk stands down. Daemons without voters drain after their wait or serve on, by configuration; voters that move in mid-lease keep the grant; a successor gives its permit back. rehearse lease fills voters' disks (RLIMIT_FSIZE from outside) and runs clocks at the bound in opposite ways. go test ./internal/lease/... ./internal/peer/... ./cmd/yarrowspan

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -51,8 +51,9 @@
 }
 
 type costCommand struct {
-	Runs     int `default:"5" help:"1 to 1000."`
-	Requests int `default:"20000" help:"1 to 10000000."`
+	Runs     int  `default:"5" help:"1 to 1000."`
+	Requests int  `default:"20000" help:"1 to 10000000."`
+	Peers    bool `help:"The proxy is one of a fleet that knows itself, with three voters beside it."`
 }
 
 type timesCommand struct {
@@ -110,6 +111,7 @@
 type holderCommand struct {
 	Task   string   `required:""`
 	Stay   bool     `help:"It gives the task back at SIGUSR1 alone."`
+	Drift  float64  `help:"Of its clock."`
 	Judge  string   `arg:""`
 	Who    uint64   `arg:""`
 	Fleet  string   `arg:""`
@@ -276,6 +278,7 @@
 		}
 		return rehearse.Cost(ctx, rehearse.CostOptions{Proxy: o.Program, Relay: []string{self, "relay"}, Folder: o.Folder,
 			Profiled: func(path string) []string { return []string{o.Program[0], "serve", "--cpuprofile", path, "--config"} },
+			Peers:    c.Cost.Peers,
 			Runs:     c.Cost.Runs, Requests: c.Cost.Requests, Conns: []int{1, 8, 64}, Progress: o.Progress})
 	case "members":
 		return rehearse.Members(ctx, rehearse.MembersOptions{Options: o, Nodes: 2000, Changes: 50, For: 20 * time.Second})
@@ -441,7 +444,7 @@
 	if err != nil {
 		return err
 	}
-	o := rehearse.HolderOptions{Judge: c.Judge, Who: c.Who, Fleet: f, Task: c.Task}
+	o := rehearse.HolderOptions{Judge: c.Judge, Who: c.Who, Fleet: f, Task: c.Task, Drift: c.Drift}
 	if c.Stay {
 		back := make(chan os.Signal, 1)
 		signal.Notify(back, syscall.SIGUSR1)
--- /dev/null
+++ b/cmd/yarrowspan/peers_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/lease"
+	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/standin/node"
+	"mulleinpier/internal/testwait"
+)
+
+// nowhere is an address that nobody listens at, on a host that no connection goes out from.
+func nowhere(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func peersOf(permit, voter string, fleet agent.Fleet, memory string) string {
+	text := fmt.Sprintf("[peers]\nfleet = %q\npermit = %q\npermit_wait = \"200ms\"\nvoters = [", fleet.Name, permit)
+	for _, v := range fleet.Voters {
+		text += fmt.Sprintf("%q, ", v.Name+"="+v.Address)
+	}
+	text += "]\n"
+	if voter != "" {
+		text += fmt.Sprintf("voter = %q\nmemory = %q\n", voter, memory)
+	}
+	return text
+}
+
+// TestNoPermitToBeHad guards operators against a fleet that has lost its voters: a daemon that may go without drains
+// after its wait, one that may not serves on, and drains when it is told twice.
+func TestNoPermitToBeHad(t *testing.T) {
+	fleet := agent.Fleet{Name: "test"}
+	for i := range 3 {
+		fleet.Voters = append(fleet.Voters, agent.Peer{Name: fmt.Sprint("v", i), Address: nowhere(t)})
+	}
+	for _, permit := range []string{"go", "wait"} {
+		t.Run(permit, func(t *testing.T) {
+			r := newRig(t, node.Config{})
+			r.configure(peersOf(permit, "", fleet, ""))
+			r.start()
+			r.hear("READY=1")
+			c := r.call()
+			c.send("mg a v O0 Pc=read\r\n")
+			c.expect("VA ")
+			r.signal(syscall.SIGTERM)
+			if permit == "go" {
+				waitLine(t, r.lines, "no permit, going on without")
+				r.hear("STOPPING=1")
+				r.end()
+				return
+			}
+			time.Sleep(time.Second)
+			for i := range 3 { // it serves on, and takes new clients
+				c := r.call()
+				c.send("mg a v Olater%d Pc=read\r\n", i)
+				c.expect("VA ")
+			}
+			r.signal(syscall.SIGTERM)
+			r.hear("STOPPING=1")
+			r.end()
+		})
+	}
+}
+
+// TestVotersMoveInMidLease reloads the only voter with another address while a task is held: the grant goes on under
+// its number, and no client notices.
+func TestVotersMoveInMidLease(t *testing.T) {
+	r := newRig(t, node.Config{})
+	memory := filepath.Join(t.TempDir(), "memory")
+	fleet := agent.Fleet{Name: "test", Voters: []agent.Peer{{Name: "v", Address: nowhere(t)}}}
+	if err := agent.Init(memory, &fleet); err != nil {
+		t.Fatal(err)
+	}
+	r.configure(peersOf("none", "v", fleet, memory))
+	r.start()
+	r.hear("READY=1")
+	c := r.call()
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	client := func() *agent.Client {
+		c, err := agent.NewClient(fleet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		return c
+	}
+	reply, err := client().Do(ctx, lease.Command{Kind: lease.Take, Task: "x", Holder: "h", Nonce: 1, Length: time.Minute})
+	if err != nil || reply.Number == 0 {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	fleet.Voters = []agent.Peer{{Name: "v", Address: nowhere(t)}}
+	r.configure(peersOf("none", "v", fleet, memory))
+	r.signal(syscall.SIGHUP)
+	waitLine(t, r.lines, "reloaded")
+	testwait.Until(t, "the voter at its new address", func() bool {
+		s, err := client().State(ctx)
+		return err == nil && s.Leads && s.Book.Tasks["x"] != nil && len(s.Book.Tasks["x"].Held) == 1 && s.Book.Tasks["x"].Held[0].Number == reply.Number
+	})
+	next, err := client().Do(ctx, lease.Command{Kind: lease.Take, Task: "y", Holder: "h", Nonce: 2, Length: time.Minute})
+	if err != nil || next.Number <= reply.Number {
+		t.Errorf("%+v after %+v, %v", next, reply, err)
+	}
+	c.send("mg a v O0 Pc=read\r\n") // over the connection of before
+	c.expect("VA ")
+	r.signal(syscall.SIGTERM)
+	r.end()
+}
+
+// TestSuccessorGivesBack restarts a daemon by leave of a fleet that lets one go at a time: the permit of the first is
+// free again as soon as the second is ready, long before it would run out.
+func TestSuccessorGivesBack(t *testing.T) {
+	r := newRig(t, node.Config{})
+	v := newRig(t, node.Config{})
+	memory := filepath.Join(t.TempDir(), "memory")
+	fleet := agent.Fleet{Name: "test", Voters: []agent.Peer{{Name: "v", Address: nowhere(t)}}}
+	if err := agent.Init(memory, &fleet); err != nil {
+		t.Fatal(err)
+	}
+	v.configure(peersOf("none", "v", fleet, memory))
+	v.start()
+	v.hear("READY=1")
+	r.configure(peersOf("wait", "", fleet, ""))
+	for range 3 {
+		r.start()
+		r.hear("READY=1")
+		r.signal(syscall.SIGTERM)
+		waitLine(t, r.lines, "msg=permit")
+		r.end()
+	}
+	r.start()
+	r.hear("READY=1")
+	c, err := agent.NewClient(fleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	testwait.Until(t, "the permit to be free", func() bool {
+		s, err := c.State(context.Background())
+		return err == nil && s.Book.Last == 3 && len(s.Book.Tasks[lease.PermitTask].Held) == 0
+	})
+	r.signal(syscall.SIGTERM)
+	r.end()
+	v.signal(syscall.SIGTERM)
+	v.end()
+}
--- a/internal/lease/agent/agent_test.go
+++ b/internal/lease/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -422,3 +423,43 @@
 		}
 	}
 }
+
+// TestYesterdaysDisk starts a voter with a memory of long ago: it stands down, as what it has promised since lies with
+// the leader, and the others go on; numbers still rise.
+func TestYesterdaysDisk(t *testing.T) {
+	f := newFleet(t)
+	last := f.await(f.hold("x", "a", true))
+	at := (f.leader() + 1) % 3
+	f.stop(at)
+	old, err := os.ReadFile(f.paths[at])
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.start(at)
+	for i := range 20 {
+		h := f.hold(fmt.Sprint("y", i), "a", true)
+		if n := f.await(h); n <= last {
+			t.Errorf("number %d after %d", n, last)
+		} else {
+			last = n
+		}
+	}
+	knows := func() (s State) {
+		answer, err := http.Get("http://" + f.Fleet.Voters[at].Address + "/v1/book")
+		if err == nil {
+			defer answer.Body.Close()
+			json.NewDecoder(answer.Body).Decode(&s)
+		}
+		return s
+	}
+	testwait.Until(t, "the voter to have heard of all", func() bool { s := knows(); return s.Book != nil && s.Book.Last >= last })
+	f.stop(at)
+	if err := os.WriteFile(f.paths[at], old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.start(at)
+	testwait.Until(t, "the voter to stand down", func() bool { return knows().Down != "" })
+	if n := f.await(f.hold("z", "a", true)); n <= last {
+		t.Errorf("number %d after %d", n, last)
+	}
+}
--- a/internal/lease/agent/state.go
+++ b/internal/lease/agent/state.go
@@ -12,6 +12,9 @@
 	book, t := v.replica.Book(), now()
 	s := State{Voter: v.name, Seat: v.seat, Leads: v.replica.Leads(), Leader: book.Seats[v.replica.Leader()], Book: book.Clone(), Left: make(map[uint64]float64),
 		Members: v.station.Opinion(), Traffic: talk.Said()}
+	if v.down != nil {
+		s.Down = v.down.Error()
+	}
 	for _, task := range book.Tasks {
 		for _, g := range task.Held {
 			if left, ok := v.replica.Left(g.Number, t); ok {
--- a/internal/lease/agent/voter.go
+++ b/internal/lease/agent/voter.go
@@ -206,6 +206,7 @@
 	parked  map[waiter]parked      // those who wait for their turn; of Run's goroutine
 	tag     uint64
 	seat    uint64
+	down    error // once it has stood down; of Run's goroutine
 	client  *http.Client
 	station *link.Station
 
@@ -239,6 +240,7 @@
 	Seat    uint64             `json:"seat"`
 	Leader  string             `json:"leader"` // "" for none that it knows
 	Leads   bool               `json:"leads"`
+	Down    string             `json:"down,omitempty"` // why it votes no more
 	Book    *lease.Book        `json:"book"`
 	Left    map[uint64]float64 `json:"left_s"`  // by number, known to the leader
 	Members []peer.Seen        `json:"members"` // as this voter sees them
@@ -295,6 +297,7 @@
 	tasks.Go(func() { server.Serve(listener) })
 	tasks.Go(func() { v.station.Run(ctx) })
 	v.loop(ctx)
+	v.station.Stop()
 	server.Close()
 	tasks.Wait()
 	v.client.CloseIdleConnections()
@@ -371,6 +374,7 @@
 				}
 				v.log.Info("leases: this voter leads", "now", a.Now)
 			case quorum.Down:
+				v.down = a.Err
 				v.log.Error("leases: this voter stands down; serving goes on", "error", a.Err)
 			}
 		}
--- a/internal/lease/quorum/lives_test.go
+++ b/internal/lease/quorum/lives_test.go
@@ -3,7 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"runtime"
 	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +37,8 @@
 
 type voter struct {
 	id      uint64
+	name    string
+	lost    bool // its disk, for good
 	replica *Replica
 	disk    Saved
 	saving  *Saved // what a crash may lose
@@ -39,7 +46,8 @@
 	rate    float64 // of its clock
 	down    bool
 	stopped bool
-	waiting []func() // what comes while it is stopped
+	slow    time.Duration // it takes so much longer to save
+	waiting []func()      // what comes while it is stopped
 }
 
 type contender struct {
@@ -65,15 +73,22 @@
 	terms  lease.Terms
 	nonces uint64
 
-	downs  string // of a voter that stood down
-	top    uint64
-	acts   int
-	broken string
+	replacing bool   // a voter that lost its disk is being
+	replaced  int    // voters so far
+	sent      int    // messages between voters
+	asked     int    // of contenders
+	downs     string // of a voter that stood down
+	top       uint64
+	acts      int
+	broken    string
 }
 
 const length = 400 * ms
 
-func newLife(seed uint64, f flaw) *life {
+func newLife(seed uint64, f flaw) *life { return newLifeOf(seed, f, 3) }
+
+// newLifeOf is newLife with so many contenders.
+func newLifeOf(seed uint64, f flaw, contenders int) *life {
 	l := &life{rng: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]int]bool), tags: make(map[uint64]func(Answer)), flaw: f, terms: lease.Usual}
 	if f.margin {
 		l.terms.Margin, l.terms.Drift = -60*ms, 0
@@ -92,11 +107,11 @@
 		panic(err)
 	}
 	for i := range 3 {
-		v := &voter{id: uint64(i + 1), disk: first, rate: rate()}
+		v := &voter{id: uint64(i + 1), name: fmt.Sprint(i + 1), disk: first, rate: rate()}
 		l.voters = append(l.voters, v)
 		l.boot(v)
 	}
-	for i := range 3 {
+	for i := range contenders {
 		c := &contender{name: fmt.Sprint("c", i), rate: rate()}
 		if f.drift {
 			c.rate = 0.5
@@ -143,14 +158,59 @@
 
 // elect has some voter ask for votes, now and then.
 func (l *life) elect() {
-	v := l.voters[l.rng.IntN(3)]
+	v := l.pick()
 	if !slices.ContainsFunc(l.voters, func(v *voter) bool { return v.replica.Leads() && !v.down && !v.stopped }) || l.rng.IntN(8) == 0 {
 		l.at(v, func() { l.act(v, v.replica.Campaign(l.clock(v.rate))) })
 	}
 	l.after(time.Duration(50+l.rng.IntN(150))*ms, l.elect)
 }
 
+// pick returns a voter that has its disk, whatever else befell it.
+func (l *life) pick() *voter {
+	for {
+		if v := l.voters[l.rng.IntN(len(l.voters))]; !v.lost {
+			return v
+		}
+	}
+}
+
+// replace gives a voter that has lost its disk up, and seats another of its name, as operators do: under a new seat,
+// with an empty memory.
+func (l *life) replace(v *voter, kind lease.Kind) {
+	again := func(kind lease.Kind) { l.after(100*ms, func() { l.replace(v, kind) }) }
+	at := slices.IndexFunc(l.voters, func(x *voter) bool { return x.replica.Leads() && !x.down && !x.stopped })
+	if at < 0 {
+		again(kind)
+		return
+	}
+	x := l.voters[at]
+	// What was asked may have been done though no answer came: the book tells.
+	switch seat := x.replica.Book().Seat(v.name); {
+	case kind == lease.Dismiss && seat != v.id:
+		again(lease.Enrol)
+		return
+	case kind == lease.Enrol && seat != 0:
+		n := &voter{id: seat, name: v.name, rate: 1}
+		n.disk, _ = Joining()
+		for uint64(len(l.voters)) < seat-1 { // a seat that nobody came to
+			l.voters = append(l.voters, &voter{id: uint64(len(l.voters) + 1), lost: true, down: true, replica: v.replica})
+		}
+		l.voters = append(l.voters, n)
+		l.boot(n)
+		l.beat(n)
+		l.replacing = false
+		l.replaced++
+		return
+	}
+	l.tag++
+	l.act(x, x.replica.Handle(l.clock(x.rate), Asked{Tag: l.tag, Command: lease.Command{Kind: kind, To: v.name}}))
+	again(kind)
+}
+
 func (l *life) beat(v *voter) {
+	if v.lost {
+		return
+	}
 	l.at(v, func() { l.act(v, v.replica.Handle(l.clock(v.rate), Pass{})) })
 	l.after(Tick, func() { l.beat(v) })
 }
@@ -178,7 +238,7 @@
 				l.after(0, func() { l.at(v, func() { l.act(v, v.replica.Handle(l.clock(v.rate), Done{})) }) })
 				continue
 			}
-			l.after(time.Duration(l.rng.IntN(8))*ms, func() {
+			l.after(v.slow+time.Duration(l.rng.IntN(8))*ms, func() {
 				l.at(v, func() {
 					if v.run != run {
 						return
@@ -192,6 +252,7 @@
 			l.downs = a.Err.Error()
 		case Cut:
 			v.disk.Snapshot = a.Snapshot
+			v.disk.Entries = slices.DeleteFunc(slices.Clone(v.disk.Entries), func(e *raftpb.Entry) bool { return e.GetIndex() <= a.Snapshot.GetMetadata().GetIndex() })
 		case Send:
 			for _, m := range a.Messages {
 				l.send(v, m)
@@ -227,6 +288,10 @@
 	if err != nil {
 		panic(err)
 	}
+	l.sent++
+	if m.GetTo() > uint64(len(l.voters)) {
+		return // who has that seat has not come up yet
+	}
 	to := l.voters[m.GetTo()-1]
 	times := 1
 	switch l.rng.IntN(20) {
@@ -308,12 +373,13 @@
 // request takes a contender's wish to a voter and the answer back, each late, lost or doubled.
 func (l *life) request(c *contender, run int, a lease.Ask) {
 	for range 1 + l.rng.IntN(20)/19 {
+		l.asked++
 		if l.rng.IntN(20) == 0 {
 			continue
 		}
-		v := l.voters[l.rng.IntN(3)]
+		v := l.pick()
 		for _, x := range l.voters { // it mostly knows who leads
-			if x.replica.Leads() && l.rng.IntN(4) > 0 {
+			if !x.lost && x.replica.Leads() && l.rng.IntN(4) > 0 {
 				v = x
 			}
 		}
@@ -343,9 +409,15 @@
 
 // trouble befalls something, time and again.
 func (l *life) trouble() {
-	v, c := l.voters[l.rng.IntN(3)], l.who[l.rng.IntN(3)]
+	v, c := l.pick(), l.who[l.rng.IntN(len(l.who))]
 	span := time.Duration(l.rng.IntN(1500)) * ms
-	switch l.rng.IntN(6) {
+	switch l.rng.IntN(7) {
+	case 6: // its disk is gone; the others are not touched until it has been replaced
+		if !l.replacing && !v.down && l.now > time.Second {
+			v.lost, v.down, v.stopped, v.waiting = true, true, false, nil
+			l.replacing = true
+			l.replace(v, lease.Dismiss)
+		}
 	case 0: // kill -9, some or none of what was being saved lasts
 		if !v.down {
 			v.down = true
@@ -353,7 +425,11 @@
 				v.store(*v.saving)
 			}
 			v.waiting, v.stopped = nil, false
-			l.after(span/2, func() { l.boot(v) })
+			l.after(span/2, func() {
+				if !v.lost {
+					l.boot(v)
+				}
+			})
 		}
 	case 1:
 		if !v.stopped && !v.down {
@@ -384,7 +460,7 @@
 	case 3: // it is gone, and its next run wants the task again
 		l.begin(c)
 	case 4:
-		w := l.voters[l.rng.IntN(3)]
+		w := l.pick()
 		way := [2]int{int(v.id), int(w.id)}
 		back := [2]int{int(w.id), int(v.id)}
 		l.cut[way] = true
@@ -429,25 +505,56 @@
 	}
 }
 
-// TestRandomLives guards guarantees 1 to 3 of package lease with the real library under it.
+// TestRandomLives guards guarantees 1 to 3 of package lease with the real library under it. MULLEINPIER_LIVES is how many
+// lives are played, 400 if it is not set.
 func TestRandomLives(t *testing.T) {
-	lives, acts := 400, 0
+	lives := 400
 	if testing.Short() {
 		lives = 50
 	}
-	granted := uint64(0)
-	for seed := range uint64(lives) {
-		l := newLife(seed, flaw{})
-		l.play(6 * time.Second)
-		if l.broken != "" || l.downs != "" {
-			t.Fatalf("seed %d: %s %s", seed, l.broken, l.downs)
-		}
-		acts += l.acts
-		granted += l.top
+	if n, err := strconv.Atoi(os.Getenv("MULLEINPIER_LIVES")); err == nil {
+		lives = n
+	}
+	var next, acts, granted, replaced atomic.Uint64
+	var tasks sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		tasks.Go(func() {
+			for seed := next.Add(1) - 1; seed < uint64(lives) && !t.Failed(); seed = next.Add(1) - 1 {
+				l := newLife(seed, flaw{})
+				l.play(6 * time.Second)
+				if l.broken != "" || l.downs != "" {
+					t.Errorf("seed %d: %s %s", seed, l.broken, l.downs)
+				}
+				acts.Add(uint64(l.acts))
+				granted.Add(l.top)
+				replaced.Add(uint64(l.replaced))
+			}
+		})
+	}
+	tasks.Wait()
+	t.Logf("%d lives of 6 s, %d grants, %d looks at a holder, %d voters without a disk replaced", lives, granted.Load(), acts.Load(), replaced.Load())
+	if replaced.Load() == 0 {
+		t.Error("no voter was replaced")
+	}
+	if granted.Load() < uint64(lives) {
+		t.Errorf("only %d grants in %d lives", granted.Load(), lives)
+	}
+}
+
+// TestThreeHundredInstances has them want one task of three voters, of which one is slow to save, with all faults: one
+// holds at a time, and it goes round.
+func TestThreeHundredInstances(t *testing.T) {
+	l := newLifeOf(1, flaw{}, 300)
+	l.voters[2].slow = 100 * ms
+	const span = 10 * time.Second
+	l.play(span)
+	if l.broken != "" || l.downs != "" {
+		t.Fatal(l.broken, l.downs)
 	}
-	t.Logf("%d lives of 6 s, %d grants, %d looks at a holder", lives, granted, acts)
-	if granted < uint64(lives) {
-		t.Errorf("only %d grants in %d lives", granted, lives)
+	t.Logf("%d grants in %v; a second %.0f messages between voters, %.0f requests of contenders", l.top, span, float64(l.sent)/span.Seconds(),
+		float64(l.asked)/span.Seconds())
+	if l.top < 2 {
+		t.Errorf("only %d grants", l.top)
 	}
 }
 
--- a/internal/peer/link/station.go
+++ b/internal/peer/link/station.go
@@ -46,6 +46,7 @@
 	changed chan struct{}
 	conns   map[net.Conn]uint64
 	last    uint64 // of them
+	stopped bool
 }
 
 // connKey finds a connection's number in a request's context.
@@ -81,6 +82,9 @@
 
 // handle tells the watch something, and those who wait what came of it. s.mu is held.
 func (s *Station) handle(e peer.Event) peer.Answer {
+	if s.stopped {
+		return peer.Heard
+	}
 	answer := s.watch.Handle(s.clock(), e)
 	if v := s.watch.Version(); v != s.version {
 		s.version = v
@@ -90,6 +94,14 @@
 	return answer
 }
 
+// Stop has the watcher say nothing more: as its connections are closed, one after another, it would hold those who are
+// closed first for dead, and tell the others.
+func (s *Station) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+}
+
 // Run lets time pass until ctx ends.
 func (s *Station) Run(ctx context.Context) {
 	for {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -19,6 +19,7 @@
 	viewCut map[int]bool   // watchers that the view doesn't hear
 	members []*living
 	changes []string
+	told    int // members in opinions
 }
 
 type living struct {
@@ -61,6 +62,7 @@
 			if !f.viewCut[i] {
 				list, whole := w.Since(f.known[i])
 				f.known[i] = w.Version()
+				f.told += len(list)
 				f.note(f.view.Told(f.now, fmt.Sprint(i), whole, list))
 			}
 		}
@@ -312,3 +314,35 @@
 		}
 	}
 }
+
+// TestThreeHundred has 300 instances at three watchers, of which a tenth end at once and as many come: all is known in
+// its time, and what is told for it is bounded, as a watcher tells of changes alone.
+func TestThreeHundred(t *testing.T) {
+	var names []string
+	for i := range 300 {
+		names = append(names, fmt.Sprint("p", i))
+	}
+	f := newFleet(3, names...)
+	f.run(2 * time.Second)
+	f.told, f.changes = 0, nil
+	f.run(time.Second)
+	if f.told != 0 || len(f.changes) != 0 {
+		t.Errorf("at rest %d members are told of", f.told)
+	}
+	for i := range 30 {
+		f.end(f.members[i])
+	}
+	f.run(100 * ms)
+	for i := range 300 {
+		want := Alive
+		if i < 30 {
+			want = Gone
+		}
+		if s := f.state(names[i]); s != want {
+			t.Errorf("%s is %v, want %v", names[i], s, want)
+		}
+	}
+	if f.told > 3*2*30 {
+		t.Errorf("%d members are told of for 30 that ended", f.told)
+	}
+}
--- a/internal/rehearse/cost.go
+++ b/internal/rehearse/cost.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"mulleinpier/internal/binary"
+	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/standin/caller"
@@ -31,6 +33,7 @@
 	Profiled func(path string) []string
 	Relay    []string // starts a byte relay; ADDRESS TO follow
 	Folder   string
+	Peers    bool // the proxy is one of a fleet, whose voters run beside it
 	Runs     int
 	Requests int // of one measurement
 	Conns    []int
@@ -64,6 +67,36 @@
 	return time.Duration(t.Nano()), nil
 }
 
+// startVoters starts three processes that vote and serve nobody.
+func startVoters(program []string, folder string) (list []agent.Peer, end func(), err error) {
+	f, err := newVoters(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	var started []*process
+	end = func() {
+		for _, p := range started {
+			p.end(syscall.SIGKILL)
+		}
+	}
+	for i, v := range f.Voters {
+		config := filepath.Join(folder, v.Name+".toml")
+		text := "name = \"" + v.Name + "\"\nlisten = \"127.0.0.1:0\"\nnodes.addresses = [\"127.0.0.2:1\"]\n" + peersText(f.Voters, folder, i)
+		if err = os.WriteFile(config, []byte(text), 0o600); err == nil {
+			var p *process
+			if p, err = startProcess(append(slices.Clone(program), config), nil, filepath.Join(folder, v.Name+".log")); err == nil {
+				started = append(started, p)
+				err = p.awaitReady()
+			}
+		}
+		if err != nil {
+			end()
+			return nil, nil, err
+		}
+	}
+	return f.Voters, end, nil
+}
+
 // Cost measures a proxy and a byte relay side by side, turn by turn.
 func Cost(ctx context.Context, o CostOptions) (*CostReport, error) {
 	center := origin.New(origin.Config{Slots: 64, Queue: 1024, Work: time.Millisecond})
@@ -81,6 +114,15 @@
 	}
 	config := filepath.Join(o.Folder, "cost.toml")
 	text := fmt.Sprintf("listen = %q\nnodes.addresses = [%q]\nbinary.clients = true\n[limits]\nsockets = 1024\nconnections_per_node = %d\n", proxyAt, n.Address(), most)
+	if o.Peers {
+		voters, end, err := startVoters(o.Proxy, o.Folder)
+		if err != nil {
+			return nil, err
+		}
+		defer end()
+		text += peersText(voters, o.Folder, -1)
+		text = strings.Replace(text, "permit = \"wait\"\n", "", 1) // nobody follows it
+	}
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/rehearse/lease.go
+++ b/internal/rehearse/lease.go
@@ -17,6 +17,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"mulleinpier/internal/clock"
+	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/rehearse/rig"
 )
@@ -278,6 +280,7 @@
 	}
 	s.Name, s.About, s.Seed = "lease", "one task among eight processes", seed
 	s.Fleet.Proxies, s.Fleet.Nodes, s.Fleet.Permits = leaseVoters, 6, 1
+	s.Fleet.Drift = lease.Usual.Drift
 	s.Load.Rate = 150
 	s.Phases, s.Events = []Phase{{Name: "all", For: span(length)}}, nil
 	return s, s.check()
@@ -371,7 +374,7 @@
 
 // startHolder starts a process that holds a task over and over, or stays with it.
 func startHolder(program []string, j *judge, who int, task string, stays bool, voters []agent.Peer, folder string) (*process, error) {
-	argv := append(append([]string(nil), program...), "--task="+task, fmt.Sprintf("--stay=%v", stays), j.listener.Addr().String(), fmt.Sprint(who), permitFleet)
+	argv := append(append([]string(nil), program...), "--task="+task, fmt.Sprintf("--stay=%v", stays), fmt.Sprintf("--drift=%v", lease.Usual.Drift*float64(1-2*(who%2))), j.listener.Addr().String(), fmt.Sprint(who), permitFleet)
 	for _, v := range voters {
 		argv = append(argv, v.Name+"="+v.Address)
 	}
@@ -394,7 +397,7 @@
 	sleep(ctx, time.Second)
 	for ctx.Err() == nil {
 		i, span := p.rng.IntN(leaseVoters+leaseHolders), time.Duration(100+p.rng.IntN(3400))*time.Millisecond
-		kind := p.rng.IntN(5)
+		kind := p.rng.IntN(6)
 		if at := p.judge.holder(); at > 0 && p.rng.IntN(2) == 0 {
 			i = at
 		}
@@ -412,11 +415,17 @@
 				p.kill(i)
 			case 1:
 				p.stop(ctx, i, span)
+			case 2:
+				if i < leaseVoters {
+					p.fillDisk(ctx, i, span)
+					return
+				}
+				p.fail(ctx, from, to, fault, span)
 			default:
 				p.fail(ctx, from, to, fault, span)
 			}
 		})
-		if kind <= 1 && i < leaseVoters { // one voter at a time
+		if kind <= 2 && i < leaseVoters { // one voter at a time
 			<-busy
 		}
 		sleep(ctx, time.Duration(200+p.rng.IntN(800))*time.Millisecond)
@@ -453,6 +462,17 @@
 	rig.Stop{For: span}.Do(ctx, pid, func(_, _ time.Time) {}) // one that has been killed meanwhile can't be
 }
 
+// fillDisk has a voter's disk be full for a while. It stands down, serves on, and votes again once started anew.
+func (p *leasePlay) fillDisk(ctx context.Context, i int, span time.Duration) {
+	d := p.fleet.proxies[i]
+	if err := rig.FullDisk(ctx, d.current().cmd.Process.Pid, span); err != nil {
+		p.problem("voter %d: %v", i, err)
+	}
+	if ctx.Err() == nil {
+		d.kill()
+	}
+}
+
 func (p *leasePlay) fail(ctx context.Context, from, to int, kind string, span time.Duration) {
 	link := p.ways[[2]int{from, to}]
 	if from >= leaseVoters {
@@ -533,12 +553,14 @@
 	Who   uint64
 	Fleet agent.Fleet
 	Task  string
+	Drift float64          // of its clock
 	Back  <-chan os.Signal // it gives the task back when told so; nil for after a while, by itself
 }
 
 // ActAsHolder is a holder's process: it takes the task, acts for a while at the judge, gives it back, over and over,
 // until ctx ends.
 func ActAsHolder(ctx context.Context, o HolderOptions) error {
+	agent.RehearseClock(clock.Sleeping(0, 0, o.Drift))
 	client, err := agent.NewClient(o.Fleet)
 	if err != nil {
 		return err
--- a/internal/rehearse/peers.go
+++ b/internal/rehearse/peers.go
@@ -7,8 +7,6 @@
 	"io"
 	"os"
 	"regexp"
-	"strconv"
-	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -166,7 +164,9 @@
 	}
 	cpu := make([]time.Duration, p.o.Instances)
 	for i, d := range p.fleet.proxies {
-		cpu[i] = cpuOf(d.current().cmd.Process.Pid)
+		if cpu[i], err = cpuTime(d.current().cmd.Process.Pid); err != nil {
+			return err
+		}
 	}
 	messages, bytes := traffic()
 	sleep(ctx, restTime)
@@ -180,7 +180,11 @@
 		}
 		pid := d.current().cmd.Process.Pid
 		mb, _ := footprintOf(pid)
-		into.CPU += millis(cpuOf(pid)-cpu[i]) / restTime.Seconds() / of
+		now, err := cpuTime(pid)
+		if err != nil {
+			return err
+		}
+		into.CPU += millis(now-cpu[i]) / restTime.Seconds() / of
 		into.MB += mb / of
 	}
 	voters.Messages = (messagesNow - messages) / restTime.Seconds() / permitVoters
@@ -192,22 +196,6 @@
 	return nil
 }
 
-// cpuOf is the time of a processor that a process has used.
-func cpuOf(pid int) time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	words := strings.Fields(rest)
-	if len(words) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(words[11])
-	system, _ := strconv.Atoi(words[12])
-	return time.Duration(user+system) * 10 * time.Millisecond // as Linux counts for processes
-}
-
 // play has troubles befall instances that do not vote, in turn, and reads what the others logged.
 func (p *peersPlay) play(ctx context.Context) {
 	for _, trouble := range []struct {
--- a/internal/rehearse/permits.go
+++ b/internal/rehearse/permits.go
@@ -23,47 +23,63 @@
 	permitPatience = 3 * time.Minute
 )
 
-// seatVoters reserves the voters' addresses and makes their memories.
-func (f *fleet) seatVoters() error {
-	if f.scenario.Fleet.Permits == 0 {
-		return nil
-	}
-	f.voters.Name = permitFleet
+// newVoters reserves voters' addresses, and makes their memories in a folder.
+func newVoters(folder string) (f agent.Fleet, err error) {
+	f.Name = permitFleet
 	for i := range permitVoters {
 		l, err := net.Listen("tcp", proxyHost+":0")
 		if err != nil {
-			return err
+			return f, err
 		}
-		f.voters.Voters = append(f.voters.Voters, agent.Peer{Name: fmt.Sprint("p", i), Address: l.Addr().String()})
+		f.Voters = append(f.Voters, agent.Peer{Name: fmt.Sprint("p", i), Address: l.Addr().String()})
 		l.Close()
 	}
 	for i := range permitVoters {
-		if err := agent.Init(f.memory(i), &f.voters); err != nil {
-			return err
+		if err := agent.Init(memoryOf(folder, i), &f); err != nil {
+			return f, err
 		}
 	}
-	return nil
+	return f, nil
+}
+
+func memoryOf(folder string, i int) string {
+	return filepath.Join(folder, fmt.Sprintf("p%d.memory", i))
 }
 
-func (f *fleet) memory(i int) string { return filepath.Join(f.folder, fmt.Sprintf("p%d.memory", i)) }
+// seatVoters has the first proxies be voters.
+func (f *fleet) seatVoters() (err error) {
+	if f.scenario.Fleet.Permits > 0 {
+		f.voters, err = newVoters(f.folder)
+	}
+	return err
+}
+
+// peersText is a process's part in a fleet, as a configuration has it; voter is its number among the voters, -1 for none.
+func peersText(list []agent.Peer, folder string, voter int) string {
+	var voters []string
+	for _, v := range list {
+		voters = append(voters, v.Name+"="+v.Address)
+	}
+	text := fmt.Sprintf("[peers]\nfleet = %q\nvoters = %s\npermit = \"wait\"\n", permitFleet, quoted(voters))
+	if voter >= 0 {
+		text += fmt.Sprintf("voter = %q\nmemory = %q\n", list[voter].Name, memoryOf(folder, voter))
+	}
+	return text
+}
 
 // peers writes a proxy's part in the fleet.
 func (d *proxyDoor) peers(b io.Writer) {
 	if d.fleet.scenario.Fleet.Permits == 0 {
 		return
 	}
-	list := d.fleet.voters.Voters
+	list, voter := d.fleet.voters.Voters, d.index
 	if d.fleet.found != nil {
 		list = d.fleet.found(d.index)
 	}
-	var voters []string
-	for _, v := range list {
-		voters = append(voters, v.Name+"="+v.Address)
-	}
-	fmt.Fprintf(b, "[peers]\nfleet = %q\nvoters = %s\npermit = \"wait\"\n", permitFleet, quoted(voters))
-	if d.index < permitVoters {
-		fmt.Fprintf(b, "voter = \"p%d\"\nmemory = %q\n", d.index, d.fleet.memory(d.index))
+	if voter >= permitVoters {
+		voter = -1
 	}
+	io.WriteString(b, peersText(list, d.fleet.folder, voter))
 }
 
 // allowRestarts has the voters give so many permits at a time.
--- a/internal/rehearse/rig/rig_test.go
+++ b/internal/rehearse/rig/rig_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -271,3 +273,40 @@
 		t.Error("nothing was written by those given up")
 	}
 }
+
+// TestFullDiskEnds has a process write to a file: nothing more comes while its disk is full, and then it does.
+func TestFullDiskEnds(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "out")
+	cmd := exec.Command("sh", "-c", "trap '' XFSZ; while :; do echo line >> "+path+"; sleep 0.01; done")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	size := func() int64 {
+		info, err := os.Stat(path)
+		if err != nil {
+			return 0
+		}
+		return info.Size()
+	}
+	testwait.Until(t, "a first line", func() bool { return size() > 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- FullDisk(ctx, cmd.Process.Pid, time.Hour) }()
+	last, same := int64(-1), 0
+	testwait.Until(t, "the file to grow no more", func() bool {
+		time.Sleep(50 * time.Millisecond)
+		if now := size(); now == last {
+			same++
+		} else {
+			last, same = now, 0
+		}
+		return same >= 4
+	})
+	cancel()
+	if err := testwait.Receive(t, "the fault to end", ended); err != nil {
+		t.Error(err)
+	}
+	testwait.Until(t, "the file to grow again", func() bool { return size() > last })
+}
