--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -343,6 +343,13 @@
 
 // silence judges a try whose answer did not come whole.
 func (c *clients) silence(d *proxyDoor, l *link, id string, sent time.Time, wait time.Duration, err error) (ending, time.Duration) {
+	if way := c.fleet.links.clients[d.index]; isTimeout(err) && way != nil && way.TroubledSince(sent) {
+		// What waits on the way is to come with its end behind it, as that of tills which give up: nothing that comes
+		// yet could be held against the proxy.
+		l.socket.Close()
+		c.tally.severed()
+		return silent, 0
+	}
 	if isTimeout(err) {
 		// The client gives up, and what comes yet is watched for.
 		c.tasks.Go(func() { c.late(d, l, id, sent, sent.Add(wait)) })
