--- a/internal/lease/agent/agent_test.go
+++ b/internal/lease/agent/agent_test.go
@@ -463,3 +463,32 @@
 		t.Errorf("number %d after %d", n, last)
 	}
 }
+
+// TestTakerDies hands a task to one that has died while it waited: its grant runs out, and the next one has it.
+func TestTakerDies(t *testing.T) {
+	f := newFleet(t)
+	a := f.hold("x", "a", true)
+	n := f.await(a)
+	c := f.client()
+	var waiting []*Holder
+	for i := range 2 {
+		waiting = append(waiting, f.hold("x", fmt.Sprint("w", i), true))
+		testwait.Until(t, "it to wait", func() bool {
+			s, err := c.State(context.Background())
+			return err == nil && len(s.Book.Tasks["x"].Waiting) == i+1
+		})
+	}
+	s, err := c.State(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	waiting[0].Abandon()
+	ctx, cancel := context.WithTimeout(context.Background(), testwait.Patience)
+	defer cancel()
+	if _, err := c.Do(ctx, lease.Command{Kind: lease.Hand, Task: "x", Number: n, To: s.Book.Tasks["x"].Waiting[0].Holder}); err != nil {
+		t.Fatal(err)
+	}
+	if last := f.await(waiting[1]); last <= n {
+		t.Errorf("number %d after %d", last, n)
+	}
+}
--- a/internal/lease/agent/state.go
+++ b/internal/lease/agent/state.go
@@ -11,7 +11,7 @@
 func (v *Voter) state() State {
 	book, t := v.replica.Book(), now()
 	s := State{Voter: v.name, Seat: v.seat, Leads: v.replica.Leads(), Leader: book.Seats[v.replica.Leader()], Book: book.Clone(), Left: make(map[uint64]float64),
-		Members: v.station.Opinion(), Traffic: talk.Said()}
+		Members: v.station.Opinion(), Traffic: talk.Said(), Saves: v.saves}
 	if v.down != nil {
 		s.Down = v.down.Error()
 	}
--- a/internal/lease/agent/voter.go
+++ b/internal/lease/agent/voter.go
@@ -207,6 +207,7 @@
 	tag     uint64
 	seat    uint64
 	down    error // once it has stood down; of Run's goroutine
+	saves   int   // made to last so far; of Run's goroutine
 	client  *http.Client
 	station *link.Station
 
@@ -245,6 +246,7 @@
 	Left    map[uint64]float64 `json:"left_s"`  // by number, known to the leader
 	Members []peer.Seen        `json:"members"` // as this voter sees them
 	Traffic talk.Traffic       `json:"traffic"` // of its process
+	Saves   int                `json:"saves"`   // syncs of its disk
 }
 
 // Open opens a voter's memory. Without one there is no voter, and the error is [store.ErrNone].
@@ -415,6 +417,7 @@
 	}
 	c, err := change(s)
 	if err == nil {
+		v.saves++
 		err = v.store.Save(c)
 	}
 	return err
--- a/internal/rehearse/rig/rig_test.go
+++ b/internal/rehearse/rig/rig_test.go
@@ -310,3 +310,48 @@
 	}
 	testwait.Until(t, "the file to grow again", func() bool { return size() > last })
 }
+
+// TestLinkDeliversTwice has what comes on a new connection come to the target on two.
+func TestLinkDeliversTwice(t *testing.T) {
+	heard := make(chan string, 10)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewScanner(c); in.Scan(); {
+					heard <- in.Text()
+					io.WriteString(c, "ok\n")
+				}
+			}()
+		}
+	}()
+	l, err := NewLink("127.0.0.1", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if err := l.Set(Faults["twice"](0)); err != nil {
+		t.Fatal(err)
+	}
+	c, in := dial(t, l.Address())
+	say(t, c, "a\n")
+	for range 2 {
+		if got := testwait.Receive(t, "it to come twice", heard); got != "a" {
+			t.Errorf("%q", got)
+		}
+	}
+	hear(t, in, "ok\n")
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if got, err := in.ReadString('\n'); err == nil {
+		t.Errorf("a second answer: %q", got)
+	}
+}
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -72,7 +72,9 @@
 	// Permits is how many proxies may restart at once, by leave of the fleet, of which the first three are voters; 0 for
 	// proxies that know nothing of each other.
 	Permits int
-	Lacks   string // the origin has no key that begins so
+	// Leaderless has proxies of such a fleet find no voter at all.
+	Leaderless bool
+	Lacks      string // the origin has no key that begins so
 }
 
 // LoadPart says what clients do.
--- /dev/null
+++ b/internal/takeover/register.go
@@ -0,0 +1,389 @@
+// Package takeover decides what becomes of a keyed write in hand when the proxy that accepted it is lost. It does no I/O
+// and has no clock. Two parts that know each other by messages only:
+//
+//   - [Register] is a holder's: whose work it is, since when it may have run, what came of it.
+//   - [Errand] is an owner's: from what holders answer it follows whether and until when the write may be sent.
+//
+// Who holds a work follows from its key ([Order]), so that any proxy finds them.
+//
+// Guarantees, as long as nodes drop repeats for the window that a work names and clocks run within [Terms.Drift]:
+//
+//  1. Leave to send is given for a work that may have run before only while repeats of its first possible send are
+//     dropped: however many send, cut off from one another or not, it has one effect.
+//  2. Once a work was served, that is the answer to all who ask, for [Terms.Keep].
+//  3. The number of a work's owner only rises; a former owner gets no leave any more.
+//  4. A key that comes with another write is refused.
+//  5. Works, their bytes and those who wait are bounded; a register that is full says so, and gives no leave.
+//
+// What it can't promise: a stop between the look at the leave and the first byte, longer than the window, at nodes that
+// compare nothing; and memory of a work whose owner and holders were all lost.
+package takeover
+
+import (
+	"slices"
+	"time"
+)
+
+// Terms are what owners and holders have in common.
+type Terms struct {
+	Drift  float64       // by which a clock may be fast or slow
+	Margin time.Duration // left of windows and leaves
+	Leave  time.Duration // how long leave to send lasts
+	Step   time.Duration // between the turns in which holders take a lost work over
+	Keep   time.Duration // how long outcomes are kept
+	Open   time.Duration // after so long a work that nobody has settled is unknown
+	Works  int           // in a register
+	Bytes  int           // of their texts
+	Parked int           // who wait for one work
+}
+
+// Usual are the terms in service.
+var Usual = Terms{Drift: 0.05, Margin: 100 * time.Millisecond, Leave: 2 * time.Second, Step: 150 * time.Millisecond, Keep: 2 * time.Minute,
+	Open: 30 * time.Second, Works: 100_000, Bytes: 16 << 20, Parked: 8}
+
+// Owner is a proxy's process.
+type Owner struct {
+	Name string `cbor:"1,keyasint"`
+	Run  uint64 `cbor:"2,keyasint"`
+}
+
+// Work is a keyed write.
+type Work struct {
+	ID     string        `cbor:"1,keyasint"` // its idempotency key, with what else tells it apart
+	Digest uint64        `cbor:"2,keyasint"` // of all that it would do
+	Window time.Duration `cbor:"3,keyasint"` // in which nodes drop its repeats, from when the first was begun
+	Text   []byte        `cbor:"4,keyasint"` // from which it can be sent again
+}
+
+// Outcome is what came of a work.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Open    Outcome = iota // nothing is known yet
+	Served                 // with a receipt
+	Unknown                // it may have run, and may not be sent any more
+	NotRun                 // it surely has not: it is as if it had never been
+)
+
+// Event is what a Register is told.
+type Event interface{ event() }
+
+type (
+	// Ask is an owner's wish to send a work, or to hear what came of it. Tag names it in the answer. It asks its own
+	// register first, and others only with leave of that: so it has one errand for a work at a time.
+	Ask struct {
+		Tag    uint64
+		Work   Work
+		Owner  Owner
+		Rank   int           // of this holder among the work's
+		Number uint64        // of a taker that tells the others: its own; 0 for who asks
+		Age    time.Duration // since it may have run first, with Number
+		Retry  bool          // the till says that it has asked before
+	}
+	// Settle tells what came of a work.
+	Settle struct {
+		ID      string
+		Digest  uint64
+		Owner   Owner
+		Number  uint64
+		Outcome Outcome
+		Receipt string
+	}
+	// Lost tells that a process is gone; Back that it is heard again.
+	Lost struct{ Owner Owner }
+	Back struct{ Owner Owner }
+	// Left tells that one who waits does not any more.
+	Left struct {
+		ID  string
+		Tag uint64
+	}
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+func (Ask) event()    {}
+func (Settle) event() {}
+func (Lost) event()   {}
+func (Back) event()   {}
+func (Left) event()   {}
+func (Tick) event()   {}
+
+// Word is what a register answers.
+type Word uint8
+
+// The words.
+const (
+	Leave    Word = iota + 1 // it may be sent, for Terms.Leave from when the owner asked
+	Known                    // it was served: Receipt
+	Spent                    // it may have run, and its window is over
+	Conflict                 // the key belongs to another write
+	Full                     // there is no room: no leave, and nothing is noted
+	Again                    // it surely has not run, and its owner gave it up: harmless to ask again
+	Parked                   // another has it in hand: one of the other words follows when that has ended
+)
+
+// Action is what a Register wants done.
+type Action interface{ action() }
+
+type (
+	// Answer ends an Ask.
+	Answer struct {
+		Tag     uint64
+		Word    Word
+		Number  uint64        // with Leave
+		Age     time.Duration // with Leave: since it may have run first; 0 for never
+		Receipt string        // with Known
+		Young   bool          // with Leave of a work that this holder did not know: it may have forgotten it as its process began
+		Was     Owner         // with Leave of a work that it knew: whose it was
+	}
+	// Take has this process be the owner of a work from now on, which nobody asks for. The other holders are to be heard
+	// before it is sent: one of them may know more.
+	Take struct {
+		Work   Work
+		Number uint64
+		Age    time.Duration
+		Was    Owner
+	}
+)
+
+func (Answer) action() {}
+func (Take) action()   {}
+
+// entry is a work as a holder knows it.
+type entry struct {
+	work    Work
+	owner   Owner
+	number  uint64
+	owners  int // that have had leave
+	rank    int
+	first   time.Duration // when it may have run first, by this register's clock
+	gone    bool          // the owner is
+	turn    time.Duration // when this holder takes it over, if nobody else has
+	outcome Outcome
+	receipt string
+	since   time.Duration // of the outcome, or of the entry
+	parked  []Ask
+}
+
+// Register is what a holder knows. The zero value is not usable.
+type Register struct {
+	terms Terms
+	self  Owner
+	born  time.Duration
+	works map[string]*entry
+	order []string // by when they came, for what runs out
+	bytes int
+	turns map[string]struct{} // of those whose owner is gone
+}
+
+// NewRegister returns an empty one of a process that has begun now.
+func NewRegister(terms Terms, self Owner, now time.Duration) *Register {
+	return &Register{terms: terms, self: self, born: now, works: make(map[string]*entry), turns: make(map[string]struct{})}
+}
+
+// Len is how many works are known.
+func (r *Register) Len() int { return len(r.works) }
+
+// Handle takes an event at a time and appends what is to be done to out.
+func (r *Register) Handle(now time.Duration, event Event, out []Action) []Action {
+	switch e := event.(type) {
+	case Ask:
+		return r.ask(now, e, out)
+	case Settle:
+		return r.settle(now, &e, out)
+	case Lost:
+		for _, id := range r.order {
+			if w := r.works[id]; w != nil && w.owner == e.Owner && w.outcome == Open && !w.gone {
+				w.gone, w.turn = true, now+time.Duration(w.rank)*r.terms.Step
+				r.turns[id] = struct{}{}
+				out = r.pass(now, w, out)
+			}
+		}
+	case Back:
+		for id := range r.turns {
+			if w := r.works[id]; w != nil && w.owner == e.Owner && w.gone {
+				w.gone = false
+				delete(r.turns, id)
+			}
+		}
+	case Left:
+		if w := r.works[e.ID]; w != nil {
+			w.parked = slices.DeleteFunc(w.parked, func(a Ask) bool { return a.Tag == e.Tag })
+		}
+	case Tick:
+		return r.tick(now, out)
+	}
+	return out
+}
+
+// within tells whether a repeat that is sent now, or while a leave lasts that is cut to it, is dropped.
+func (r *Register) within(now time.Duration, w *entry) bool {
+	return now-w.first < r.terms.short(w.work.Window)
+}
+
+// short is what of a span surely lies within it by another's clock.
+func (t Terms) short(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1-t.Drift)) - t.Margin
+}
+
+// long is what of an age by another's clock it may be by one's own.
+func (t Terms) long(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + t.Drift)) }
+
+func (r *Register) ask(now time.Duration, e Ask, out []Action) []Action {
+	w := r.works[e.Work.ID]
+	if w == nil {
+		if len(r.works) >= r.terms.Works || r.bytes+len(e.Work.Text) > r.terms.Bytes {
+			return append(out, Answer{Tag: e.Tag, Word: Full})
+		}
+		age := time.Duration(0)
+		if e.Number > 0 { // a taker tells
+			age = r.terms.long(e.Age)
+		}
+		w = &entry{work: e.Work, owner: e.Owner, number: max(e.Number, 1), owners: 1, rank: e.Rank, first: now - age, since: now}
+		r.works[e.Work.ID] = w
+		r.order = append(r.order, e.Work.ID)
+		r.bytes += len(e.Work.Text)
+		return append(out, Answer{Tag: e.Tag, Word: Leave, Number: w.number, Age: age, Young: now-r.born < r.terms.Keep})
+	}
+	if w.work.Digest != e.Work.Digest {
+		return append(out, Answer{Tag: e.Tag, Word: Conflict})
+	}
+	switch {
+	case w.outcome != Open:
+		return append(out, w.answer(e.Tag))
+	case e.Number > w.number: // a taker tells: its word on the age counts if it is older
+		w.first = min(w.first, now-r.terms.long(e.Age))
+		return r.give(now, w, e, e.Number, out)
+	case e.Number > 0 && e.Number < w.number:
+		return append(out, Answer{Tag: e.Tag, Word: Full}) // another has taken it since
+	case w.gone && e.Owner != w.owner:
+		return r.give(now, w, e, w.number+1, out)
+	case len(w.parked) >= r.terms.Parked:
+		return append(out, Answer{Tag: e.Tag, Word: Full})
+	}
+	w.parked = append(w.parked, e)
+	return append(out, Answer{Tag: e.Tag, Word: Parked})
+}
+
+// give gives leave to another owner, or to the same anew, while repeats are dropped.
+func (r *Register) give(now time.Duration, w *entry, e Ask, number uint64, out []Action) []Action {
+	if !r.within(now, w) {
+		return append(r.end(now, w, Unknown, "", out), Answer{Tag: e.Tag, Word: Spent})
+	}
+	was := w.owner
+	if e.Owner != w.owner {
+		w.owners++
+	}
+	w.owner, w.number, w.gone = e.Owner, number, false
+	delete(r.turns, w.work.ID)
+	return append(out, Answer{Tag: e.Tag, Word: Leave, Number: number, Age: max(now-w.first, 1), Was: was})
+}
+
+// answer says what came of a work.
+func (w *entry) answer(tag uint64) Answer {
+	if w.outcome == Served {
+		return Answer{Tag: tag, Word: Known, Receipt: w.receipt}
+	}
+	return Answer{Tag: tag, Word: Spent}
+}
+
+// end gives a work its outcome, which all who wait hear.
+func (r *Register) end(now time.Duration, w *entry, o Outcome, receipt string, out []Action) []Action {
+	w.outcome, w.receipt, w.since = o, receipt, now
+	r.bytes -= len(w.work.Text)
+	w.work.Text = nil
+	delete(r.turns, w.work.ID)
+	for _, p := range w.parked {
+		out = append(out, w.answer(p.Tag))
+	}
+	w.parked = nil
+	return out
+}
+
+func (r *Register) settle(now time.Duration, e *Settle, out []Action) []Action {
+	w := r.works[e.ID]
+	switch {
+	case w == nil && e.Outcome == Served && len(r.works) < r.terms.Works: // of which this holder was not told
+		r.works[e.ID] = &entry{work: Work{ID: e.ID, Digest: e.Digest}, owner: e.Owner, number: e.Number, owners: 1, outcome: Served, receipt: e.Receipt, since: now}
+		r.order = append(r.order, e.ID)
+		return out
+	case w == nil || w.outcome == Served:
+		return out
+	case e.Outcome == Served: // it is a fact, whoever tells it
+		if w.outcome == Unknown {
+			w.outcome, w.receipt = Served, e.Receipt
+			return out
+		}
+		return r.end(now, w, Served, e.Receipt, out)
+	case w.outcome != Open || e.Owner != w.owner || e.Number != w.number:
+		return out
+	case e.Outcome == Unknown:
+		return r.end(now, w, Unknown, "", out)
+	case e.Outcome == NotRun && w.owners == 1:
+		for _, p := range w.parked {
+			out = append(out, Answer{Tag: p.Tag, Word: Again})
+		}
+		r.drop(e.ID)
+	case e.Outcome == NotRun: // by this owner; an earlier one's may have
+		w.gone, w.turn = true, now+time.Duration(w.rank)*r.terms.Step
+		r.turns[e.ID] = struct{}{}
+		return r.pass(now, w, out)
+	}
+	return out
+}
+
+// pass gives a lost work to one who waits for it, if there is any.
+func (r *Register) pass(now time.Duration, w *entry, out []Action) []Action {
+	if len(w.parked) == 0 {
+		return out
+	}
+	next := w.parked[0]
+	w.parked = w.parked[1:]
+	return r.give(now, w, next, w.number+1, out)
+}
+
+func (r *Register) drop(id string) {
+	w := r.works[id]
+	r.bytes -= len(w.work.Text)
+	delete(r.works, id)
+	delete(r.turns, id)
+}
+
+// tick takes over what is lost, in turn, and forgets.
+func (r *Register) tick(now time.Duration, out []Action) []Action {
+	var due []string
+	for id := range r.turns {
+		if w := r.works[id]; now >= w.turn {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due) // the same events bring the same actions
+	for _, id := range due {
+		w := r.works[id]
+		if !r.within(now, w) {
+			out = r.end(now, w, Unknown, "", out)
+			continue
+		}
+		was := w.owner
+		w.owner, w.number, w.gone, w.owners = r.self, w.number+1, false, w.owners+1
+		delete(r.turns, id)
+		out = append(out, Take{w.work, w.number, now - w.first, was})
+	}
+	for len(r.order) > 0 {
+		id := r.order[0]
+		w := r.works[id]
+		switch {
+		case w == nil:
+		case w.outcome == Open && now-w.since >= r.terms.Open:
+			out = r.end(now, w, Unknown, "", out)
+			r.order = append(r.order, id)
+		case w.outcome != Open && now-w.since >= r.terms.Keep:
+			r.drop(id)
+		default:
+			return out
+		}
+		r.order = r.order[1:]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/takeover/register_test.go
@@ -0,0 +1,203 @@
+package takeover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func work(id string) Work { return Work{ID: id, Digest: 1, Window: window, Text: make([]byte, 10)} }
+
+// only returns the one answer among actions.
+func only(t *testing.T, actions []Action) Answer {
+	t.Helper()
+	if len(actions) != 1 {
+		t.Fatalf("%+v: want one answer", actions)
+	}
+	a, ok := actions[0].(Answer)
+	if !ok {
+		t.Fatalf("%+v: want an answer", actions)
+	}
+	return a
+}
+
+var a, b = Owner{"a", 1}, Owner{"b", 1}
+
+// TestRegister walks a work through its life.
+func TestRegister(t *testing.T) {
+	r := NewRegister(Usual, Owner{"h", 1}, -time.Hour)
+	ask := func(now time.Duration, o Owner, tag uint64) Answer {
+		return only(t, r.Handle(now, Ask{Tag: tag, Work: work("k"), Owner: o}, nil))
+	}
+	if got := ask(0, a, 1); got.Word != Leave || got.Age != 0 || got.Young || got.Number != 1 {
+		t.Errorf("new: %+v", got)
+	}
+	if got := ask(ms, b, 2); got.Word != Parked {
+		t.Errorf("in another's hand: %+v", got)
+	}
+	if got := only(t, r.Handle(2*ms, Ask{Tag: 3, Work: Work{ID: "k", Digest: 2}, Owner: b}, nil)); got.Word != Conflict {
+		t.Errorf("another write under the key: %+v", got)
+	}
+	if got := only(t, r.Handle(100*ms, Lost{a}, nil)); got.Tag != 2 || got.Word != Leave || got.Number != 2 || got.Age != 100*ms || got.Was != a {
+		t.Errorf("the owner is lost: %+v", got)
+	}
+	if got := only(t, r.Handle(110*ms, Ask{Tag: 4, Work: work("k"), Owner: a, Number: 1}, nil)); got.Word == Leave {
+		t.Errorf("a former owner has leave: %+v", got)
+	}
+	if out := r.Handle(120*ms, Settle{ID: "k", Owner: a, Number: 1, Outcome: Unknown}, nil); len(out) != 0 || r.works["k"].outcome != Open {
+		t.Errorf("a former owner gives it up: %+v", out)
+	}
+	r.Handle(200*ms, Settle{ID: "k", Owner: a, Number: 1, Outcome: Served, Receipt: "r"}, nil) // but what it was served is so
+	for _, o := range []Owner{a, b} {
+		if got := ask(300*ms, o, 5); got.Word != Known || got.Receipt != "r" {
+			t.Errorf("served: %+v", got)
+		}
+	}
+	r.Handle(Usual.Keep+201*ms, Tick{}, nil)
+	if r.Len() != 0 || r.bytes != 0 {
+		t.Errorf("%d works of %d bytes are kept", r.Len(), r.bytes)
+	}
+}
+
+// TestTurnsAndWindows has holders take a lost work over in their order, and none after its window.
+func TestTurnsAndWindows(t *testing.T) {
+	for rank := range 3 {
+		r := NewRegister(Usual, Owner{"h", 1}, -time.Hour)
+		r.Handle(0, Ask{Tag: 1, Work: work("k"), Owner: a, Rank: rank}, nil)
+		r.Handle(100*ms, Lost{a}, nil)
+		taken := time.Duration(-1)
+		for now := 100 * ms; now < time.Second && taken < 0; now += 10 * ms {
+			for _, x := range r.Handle(now, Tick{}, nil) {
+				if take, ok := x.(Take); ok {
+					taken = now
+					if take.Number != 2 || take.Age != now || take.Was != a {
+						t.Errorf("%+v at %v", take, now)
+					}
+				}
+			}
+		}
+		if want := 100*ms + time.Duration(rank)*Usual.Step; taken != want {
+			t.Errorf("rank %d takes it at %v, want %v", rank, taken, want)
+		}
+	}
+	r := NewRegister(Usual, Owner{"h", 1}, -time.Hour)
+	r.Handle(0, Ask{Tag: 1, Work: work("k"), Owner: a}, nil)
+	r.Handle(1400*ms, Lost{a}, nil)
+	if out := r.Handle(1410*ms, Tick{}, nil); len(out) != 0 || r.works["k"].outcome != Unknown {
+		t.Errorf("after its window: %+v", out)
+	}
+	if got := only(t, r.Handle(2*time.Second, Ask{Tag: 2, Work: work("k"), Owner: b}, nil)); got.Word != Spent {
+		t.Errorf("asked for then: %+v", got)
+	}
+}
+
+// TestBounds guards guarantee 5.
+func TestBounds(t *testing.T) {
+	terms := Usual
+	terms.Works, terms.Bytes, terms.Parked = 3, 25, 2
+	r := NewRegister(terms, Owner{"h", 1}, -time.Hour)
+	for i := range 4 {
+		got := only(t, r.Handle(0, Ask{Tag: 1, Work: work(fmt.Sprint(i)), Owner: a}, nil))
+		if (got.Word == Full) != (i >= 2) { // of bytes
+			t.Errorf("work %d: %+v", i, got)
+		}
+	}
+	for i := range 3 {
+		got := only(t, r.Handle(0, Ask{Tag: 1, Work: work("0"), Owner: Owner{fmt.Sprint("o", i), 1}}, nil))
+		if (got.Word == Full) != (i >= 2) {
+			t.Errorf("the %dth that waits: %+v", i, got)
+		}
+	}
+	r.Handle(terms.Open, Tick{}, nil)
+	r.Handle(terms.Open+terms.Keep, Tick{}, nil)
+	if r.Len() != 0 {
+		t.Errorf("%d are never forgotten", r.Len())
+	}
+}
+
+// TestErrand has an owner decide by what holders say.
+func TestErrand(t *testing.T) {
+	leave, known := Answer{Word: Leave, Number: 1}, Answer{Word: Known, Receipt: "r"}
+	young := Answer{Word: Leave, Number: 1, Young: true}
+	old := Answer{Word: Leave, Number: 2, Age: 500 * ms, Was: Owner{"x", 1}}
+	missed := Answer{}
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		strict bool
+		says   []Answer // of own, y, x
+		want   Verdict
+	}{
+		{"all give leave", New, true, []Answer{leave, leave, leave}, Send},
+		{"one is missed", New, true, []Answer{leave, missed, leave}, Send},
+		{"none of the others answers", New, true, []Answer{leave, missed, missed}, Refuse},
+		{"none, plainly", New, false, []Answer{leave, missed, missed}, Plainly},
+		{"one knows the outcome", New, true, []Answer{leave, leave, known}, Receipt},
+		{"a retry that nobody knows", Retry, true, []Answer{leave, leave, leave}, Send},
+		{"a retry, one may have forgotten", Retry, true, []Answer{leave, leave, young}, Unsure},
+		{"a first try, one is young", New, true, []Answer{leave, leave, young}, Send},
+		{"a retry, one is missed", Retry, false, []Answer{leave, leave, missed}, Unsure},
+		{"a retry of a lost owner's", Retry, true, []Answer{leave, old, missed}, Send},
+		{"taken over, the other knows", Taken, true, []Answer{old, known, missed}, Receipt},
+		{"taken over, the other is missed", Taken, true, []Answer{old, missed, missed}, Unsure},
+		{"its window is over", Retry, true, []Answer{leave, {Word: Spent}, leave}, Unsure},
+		{"another write", New, true, []Answer{leave, {Word: Conflict}, leave}, Clash},
+		{"no room", New, true, []Answer{leave, {Word: Full}, {Word: Full}}, Refuse},
+	} {
+		e := NewErrand(Usual, window, 0, 3, Options{Others: 2, Strict: c.strict}, c.kind)
+		for i, name := range []string{"own", "y", "x"} {
+			if c.says[i].Word == 0 {
+				e.Missed(name)
+			} else {
+				e.Heard(name, c.says[i])
+			}
+		}
+		verdict, until := e.Verdict()
+		if verdict != c.want {
+			t.Errorf("%s: %v, want %v", c.name, verdict, c.want)
+		}
+		if verdict == Send && (until <= 0 || until > Usual.Leave || e.age > 0 && until > window-500*ms) {
+			t.Errorf("%s: until %v", c.name, until)
+		}
+	}
+	e := NewErrand(Usual, window, 0, 3, Options{Others: 2, Strict: true}, Retry)
+	e.Heard("own", leave)
+	e.Heard("y", Answer{Word: Parked})
+	if e.Over(); !e.Joined() {
+		t.Error("it has not joined")
+	}
+	if v, _ := e.Verdict(); v != Unsure {
+		t.Errorf("its client's time over, another has it in hand: %v", v)
+	}
+}
+
+// TestOrder guards that any proxy finds the same holders, in different zones, and that a loss moves few works.
+func TestOrder(t *testing.T) {
+	var places []Place
+	for i := range 12 {
+		places = append(places, Place{Owner{fmt.Sprint("p", i), 1}, fmt.Sprint("z", i%3)})
+	}
+	first, moved := make(map[string]int), 0
+	for i := range 3000 {
+		id := fmt.Sprint("key", i)
+		list := Order(id, places)
+		if len(list) != len(places) || list[0].Zone == list[1].Zone || list[1].Zone == list[2].Zone {
+			t.Fatalf("%s: %+v", id, list)
+		}
+		first[list[0].Name]++
+		if less := Order(id, places[1:]); less[0].Name != list[0].Name {
+			moved++
+			if list[0].Name != "p0" {
+				t.Errorf("%s moved from %s as p0 went", id, list[0].Name)
+			}
+		}
+	}
+	for name, n := range first {
+		if n < 150 || n > 350 {
+			t.Errorf("%s is first for %d of 3000", name, n)
+		}
+	}
+	if moved != first["p0"] {
+		t.Errorf("%d moved, p0 had %d", moved, first["p0"])
+	}
+}
