Carry taking over out: desks, leave before the first byte of a keyed write; tills that dial long

Begun, off by default ([peers] takeover): internal/takeover/desk asks other proxies for leave, holds works for them and takes over what was lost; internal/core gives a keyed write to the decision module only with leave, and adopts works of others. Not yet rehearsed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,7 +47,17 @@
 	Name   string // of this voter, "" for none
 	Memory string // path of what it must remember
 	Permit Permit
-	Ahead  func() time.Duration // how far the clock that counts sleep is ahead, in rehearsals; nil for the machine's
+	// Listen is where other proxies bring works in hand, "" for where none do.
+	Listen   string
+	Takeover Takeover
+	Ahead    func() time.Duration // how far the clock that counts sleep is ahead, in rehearsals; nil for the machine's
+}
+
+// Takeover says how keyed writes survive the loss of this proxy.
+type Takeover struct {
+	On      bool
+	Holders int  // other proxies that hold one
+	Strict  bool // refused where none can; else they go out as without
 }
 
 // Permit says whether this process asks the fleet before it drains or reloads.
@@ -370,6 +380,12 @@
 	}
 	permit := t.text("permit", "none", oneOf("none", "go", "wait"))
 	p.Permit = Permit{Asked: permit != "none", Insist: permit == "wait", Wait: t.duration("permit_wait", 30*time.Second, 0, time.Hour)}
+	takeover := t.text("takeover", "off", oneOf("off", "plain", "strict"))
+	p.Takeover = Takeover{On: takeover != "off", Strict: takeover == "strict", Holders: t.whole("holders", 1, 1, 2)}
+	p.Listen = t.text("listen", "", isAddress)
+	if p.Takeover.On != t.has("listen") {
+		t.d.add(t.key("listen"), "goes with %s = \"plain\" or \"strict\"", t.key("takeover"))
+	}
 	t.end()
 	c.Peers = p
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,6 +71,8 @@
 	attempts []*attempt
 	open     int  // attempts that have not ended
 	over     bool // answered, or its client has left
+	stage    stage
+	leave    time.Duration // with stage given: nothing of it goes out from then on
 }
 
 type attempt struct {
@@ -121,6 +123,7 @@
 	counting  bool
 	counts    counts
 	still     stillness
+	desk      Desk // nil where works are this proxy's alone
 }
 
 // rules are what a request is checked against as it comes. They are replaced
@@ -317,8 +320,10 @@
 	c.requests[r.id] = r
 	c.open[in.ID] = struct{}{}
 	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
-	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: in.Key, Deadline: r.deadline,
-		Write: in.Verb == request.Set, Repeat: in.Retry})
+	if !c.asksLeave(r, &rules.set.Classes[class]) {
+		c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: in.Key, Deadline: r.deadline,
+			Write: in.Verb == request.Set, Repeat: in.Retry})
+	}
 	return r
 }
 
@@ -356,7 +361,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range unanswered {
-		if !r.over {
+		if !r.over && !c.outlives(r) {
 			r.over = true
 			c.counts.left++
 			c.handle(policy.Departure{ID: r.id})
@@ -371,6 +376,7 @@
 		return
 	}
 	r.over = true
+	c.settle(r, a)
 	r.reply.Finish(a)
 	c.drop(r)
 }
@@ -504,7 +510,7 @@
 		if r == nil {
 			continue
 		}
-		if r.over || !c.balancer.Allowed(c.now(), r.id, a.Number) {
+		if r.over || !c.balancer.Allowed(c.now(), r.id, a.Number) || r.stage == given && c.now() >= r.leave {
 			c.end(r, a, policy.NotSent, nil)
 			continue
 		}
--- /dev/null
+++ b/internal/core/work.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"time"
+
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/takeover"
+	"mulleinpier/policy"
+)
+
+// This file has keyed writes go out only with leave of those who would go on with them if this proxy were lost.
+
+// Desk asks for leave, and hears what came of works. Its calls come under the core's lock: none of them may wait, or call
+// back at once.
+type Desk interface {
+	// Ask asks for leave to send a write; [Core.Permit] follows before it expires. It tells whether there is room.
+	Ask(id uint64, in *request.Request, window time.Duration, expires time.Time) bool
+	// Settle tells what came of a work that was given leave.
+	Settle(id uint64, outcome takeover.Outcome, receipt string)
+	// Strict tells whether a work is refused where there is no room.
+	Strict() bool
+}
+
+// SetDesk has keyed writes be held with others from now on. It is for before the first request.
+func (c *Core) SetDesk(d Desk) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.desk = d
+}
+
+// stage is how far a request's leave has come.
+type stage uint8
+
+const (
+	free   stage = iota // it needs none
+	asking              // it waits for it
+	given               // until Held.leave
+)
+
+// asksLeave tells whether a request that has just come needs leave, and asks for it. c.mu is held.
+func (c *Core) asksLeave(r *Held, class *policy.Class) bool {
+	if c.desk == nil || class.Effect != policy.Keyed || r.request.Verb != request.Set {
+		return false
+	}
+	r.stage = asking
+	switch {
+	case c.desk.Ask(r.id, r.request, class.Window, r.expires):
+	case c.desk.Strict():
+		c.counts.refused++
+		c.answer(r, &request.Answer{Kind: request.Busy, After: time.Second})
+	default:
+		r.stage = free
+		return false
+	}
+	return true
+}
+
+// Permit tells what was decided on a work: with Send it may go out for a time yet. It tells whether it was still wanted.
+func (c *Core) Permit(id uint64, verdict takeover.Verdict, within time.Duration, receipt string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeSleep()
+	r := c.requests[id]
+	if r == nil || r.stage != asking || r.over {
+		return false
+	}
+	r.stage = free
+	switch verdict {
+	case takeover.Send:
+		r.stage, r.leave = given, c.now()+within
+		c.arrive(r)
+	case takeover.Plainly:
+		c.arrive(r)
+	case takeover.Receipt:
+		c.counts.served++
+		c.answer(r, &request.Answer{Kind: request.Stored, Receipt: receipt})
+	case takeover.Unsure:
+		c.counts.failed++
+		c.answer(r, &request.Answer{Kind: request.Failed})
+	case takeover.Clash:
+		c.answer(r, &request.Answer{Kind: request.Bad, Reason: "k belongs to another write"})
+	default:
+		c.counts.refused++
+		c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)})
+	}
+	return true
+}
+
+// advice is when a refused request may come again.
+func (c *Core) advice(r *Held) time.Duration {
+	if class, ok := c.rules.classes[r.request.Class]; ok {
+		return c.balancer.Advice(class)
+	}
+	return 0
+}
+
+// arrive gives a request to the decision module. What it named may be gone since it came.
+func (c *Core) arrive(r *Held) {
+	class, known := c.rules.classes[r.request.Class]
+	tenant := 0
+	if known && len(c.rules.tenants) > 0 {
+		tenant, known = c.rules.tenants[r.request.Tenant]
+	}
+	if !known || c.now() >= r.deadline {
+		c.answer(r, &request.Answer{Kind: request.Busy})
+		return
+	}
+	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: r.request.Key, Deadline: r.deadline,
+		Write: r.request.Verb == request.Set, Repeat: r.request.Retry})
+}
+
+// nobody is the reply of a work that no client waits for.
+type nobody struct{ release func() }
+
+func (nobody) Finish(*request.Answer) {}
+func (n nobody) Release() {
+	if n.release != nil {
+		n.release()
+	}
+}
+
+// Adopt takes a work over that another proxy had in hand: it may be sent for a time yet, and Desk.Settle tells of its id
+// what came of it.
+func (c *Core) Adopt(in *request.Request, within time.Duration) (id uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeSleep()
+	class, known := c.rules.classes[in.Class]
+	if !known || within <= 0 || c.desk == nil {
+		return 0, false
+	}
+	c.last++
+	in.Serial = uint32(c.last)
+	wait := c.rules.set.Classes[class].Deadline
+	r := &Held{id: c.last, request: in, reply: nobody{}, deadline: c.now() + wait, expires: time.Now().Add(wait), stage: given, leave: c.now() + within}
+	c.requests[r.id] = r
+	c.open[in.ID] = struct{}{}
+	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
+	c.arrive(r)
+	return r.id, true
+}
+
+// settle tells what a request with leave came to. c.mu is held.
+func (c *Core) settle(r *Held, a *request.Answer) {
+	if r.stage != given {
+		return
+	}
+	r.stage = free
+	if c.desk == nil { // it ended meanwhile
+		return
+	}
+	switch a.Kind {
+	case request.Stored:
+		c.desk.Settle(r.id, takeover.Served, a.Receipt)
+	case request.Busy, request.Bad:
+		c.desk.Settle(r.id, takeover.NotRun, "")
+	default:
+		c.desk.Settle(r.id, takeover.Unknown, "")
+	}
+}
+
+// outlives has a work with leave go on without its client, and tells whether it does: who asks again for it, anywhere,
+// wants to know what came of it. c.mu is held.
+func (c *Core) outlives(r *Held) bool {
+	if r.stage != given {
+		return false
+	}
+	r.reply = nobody{r.reply.Release}
+	return true
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -272,7 +272,7 @@
 	var ready sync.WaitGroup
 	ready.Go(func() { d.awaitNodes(ctx, server, c, log) })
 	leave := d.register(ctx, server, c, log)
-	d.peers.begin(c, log)
+	d.peers.begin(c, server.Core(), log)
 	server.Serve(ctx)
 	ready.Wait()
 	d.peers.end()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"reflect"
 	"sync"
@@ -12,10 +13,13 @@
 	"time"
 
 	"mulleinpier/internal/config"
+	"mulleinpier/internal/core"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/peer"
 	"mulleinpier/internal/peer/link"
+	"mulleinpier/internal/takeover"
+	"mulleinpier/internal/takeover/desk"
 )
 
 // peers is this process's part in the fleet: it beats at the watchers, votes if it is to, and asks for permits. No
@@ -24,6 +28,7 @@
 	mu     sync.Mutex
 	config *config.Peers // nil for none
 	name   string
+	core   *core.Core
 	log    *slog.Logger
 	run    uint64
 	client *agent.Client
@@ -43,9 +48,10 @@
 type permit struct{ holder *agent.Holder }
 
 // begin joins the fleet.
-func (p *peers) begin(c *config.Config, log *slog.Logger) {
+func (p *peers) begin(c *config.Config, core *core.Core, log *slog.Logger) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.core = core
 	p.log, p.name, p.run = log, c.Proxy.Name, rand.Uint64()|1
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.asking, p.hurry = context.WithCancel(p.ctx)
@@ -71,7 +77,7 @@
 	for _, v := range c.Peers.Fleet.Voters {
 		watchers = append(watchers, link.Watcher{Name: v.Name, Address: v.Address})
 	}
-	member := peer.Member{Name: p.name, Run: p.run, Address: c.Proxy.Listen}
+	member := peer.Member{Name: p.name, Run: p.run, Address: c.Peers.Listen}
 	if set := &c.Proxy.Policy; set.Zone < len(set.Zones) {
 		member.Zone = set.Zones[set.Zone]
 	}
@@ -80,8 +86,10 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { self.Run(ctx) })
 	endVoting := vote(c.Peers, p.log)
+	endHolding := p.hold(c.Peers, member, self)
 	p.client, p.self = client, self
 	p.stop = func() {
+		endHolding()
 		stop()
 		tasks.Wait()
 		endVoting()
@@ -89,6 +97,31 @@
 	}
 }
 
+// hold has works in hand be held with other proxies, until what it returns is called. Where it can't, it says so, and they
+// go out as without.
+func (p *peers) hold(c *config.Peers, self peer.Member, fleet *link.Instance) (end func()) {
+	if !c.Takeover.On {
+		return func() {}
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		p.log.Error("takeover: this process holds no works", "error", err)
+		return func() {}
+	}
+	t := desk.New(p.core, desk.Options{Fleet: c.Fleet.Name, Self: takeover.Owner{Name: self.Name, Run: self.Run}, Zone: self.Zone, Others: c.Takeover.Holders,
+		Strict: c.Takeover.Strict, Clock: agent.Now, Log: p.log})
+	ctx, stop := context.WithCancel(p.ctx)
+	var task sync.WaitGroup
+	task.Go(func() { t.Run(ctx, listener, fleet) })
+	p.core.SetDesk(t)
+	return func() {
+		p.core.SetDesk(nil)
+		stop()
+		task.Wait()
+		p.log.Info("takeover", "counts", t.Counts())
+	}
+}
+
 // follow goes on by a new configuration: a voter starts anew with what it remembers, as after a crash.
 func (p *peers) follow(c *config.Config) {
 	p.mu.Lock()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -117,6 +117,9 @@
 	return s, nil
 }
 
+// Core is what decides on requests.
+func (s *Server) Core() *core.Core { return s.core }
+
 // Known is closed once the source has told its list of nodes.
 func (s *Server) Known() <-chan struct{} { return s.core.Known() }
 
--- a/internal/rehearse/client.go
+++ b/internal/rehearse/client.go
@@ -28,6 +28,7 @@
 	slack = 250 * time.Millisecond
 	// How long a try is watched after its deadline for what comes late.
 	watchTime = time.Second
+	leastWait = 50 * time.Millisecond // a try that has less left is not made
 	// A kept connection that ends so soon after a request went out was closed
 	// between requests; the request crossed that, unless a node has seen it.
 	crossTime = 300 * time.Millisecond
@@ -306,11 +307,18 @@
 	if d == nil {
 		return unopened, 0
 	}
+	began := time.Now()
 	l, err := c.connect(d, e.binary)
 	if err != nil {
 		c.tally.unopened()
 		return unopened, 0
 	}
+	// A connection that took long to come up has taken it from the try: of a write whose window it outlasted nothing is
+	// sent any more.
+	if wait -= time.Since(began); wait < leastWait {
+		c.keep(d, l)
+		return unopened, 0
+	}
 	if e.binary && e.kind.write && e.ticket == 0 {
 		if as := c.fetchTicket(d, l, e, wait); as != served {
 			return as, 0
--- a/internal/rehearse/plan.go
+++ b/internal/rehearse/plan.go
@@ -71,7 +71,7 @@
 	if p.kind.write && p.mayRun {
 		most = min(most, p.firstOut+p.kind.window-margin-now-pause)
 	}
-	if most < 50*time.Millisecond {
+	if most < leastWait {
 		return false, 0, 0
 	}
 	return true, pause, most
--- /dev/null
+++ b/internal/takeover/desk/desk.go
@@ -0,0 +1,682 @@
+// Package desk carries out what package takeover decides, in a real process: it asks other proxies for leave, holds
+// works for them, takes over what was lost, and tells what came of it. One goroutine owns the register and all errands;
+// one for each other proxy carries messages to it, as many at a time as there are.
+package desk
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulleinpier/internal/peer"
+	"mulleinpier/internal/peer/talk"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/takeover"
+)
+
+// Core is what a desk asks of the proxy it belongs to.
+type Core interface {
+	Permit(id uint64, verdict takeover.Verdict, within time.Duration, receipt string) bool
+	Adopt(in *request.Request, within time.Duration) (id uint64, ok bool)
+}
+
+// Fleet is who else there is.
+type Fleet interface {
+	Members() (list []peer.Seen, blind bool, changed <-chan struct{})
+}
+
+// Options say how works are held.
+type Options struct {
+	Fleet  string
+	Self   takeover.Owner
+	Zone   string
+	Others int  // holders beside this proxy
+	Strict bool // refused where none can be had
+	Clock  func() time.Duration
+	Log    *slog.Logger
+}
+
+// Bounds and times.
+const (
+	path       = "/v1/work"
+	mostInbox  = 16384 // what waits for the desk; settles of open works come beside
+	mostOut    = 8192  // what waits for another proxy
+	mostLetter = 256   // in one message
+	answerTime = 150 * time.Millisecond
+	settleTime = 5 * time.Second // a holder that is not reached for so long learns no outcome
+	tickTime   = 20 * time.Millisecond
+	beforeLate = 30 * time.Millisecond // a client is answered so long before its time is over
+	retryPause = 20 * time.Millisecond
+)
+
+// letter is what proxies say to one another. All of it may be lost.
+type letter struct {
+	talk.Head
+	From    takeover.Owner `cbor:"3,keyasint"`
+	To      takeover.Owner `cbor:"4,keyasint"`
+	Asks    []ask          `cbor:"5,keyasint,omitempty"`
+	Settles []settle       `cbor:"6,keyasint,omitempty"`
+	Answers []answer       `cbor:"7,keyasint,omitempty"`
+}
+
+type ask struct {
+	Errand uint64        `cbor:"1,keyasint"` // of the asker's
+	Work   takeover.Work `cbor:"2,keyasint"`
+	Rank   int           `cbor:"3,keyasint,omitempty"`
+	Number uint64        `cbor:"4,keyasint,omitempty"`
+	Age    time.Duration `cbor:"5,keyasint,omitempty"`
+	Retry  bool          `cbor:"6,keyasint,omitempty"`
+}
+
+type settle struct {
+	ID      string           `cbor:"1,keyasint"`
+	Digest  uint64           `cbor:"2,keyasint"`
+	Number  uint64           `cbor:"3,keyasint"`
+	Outcome takeover.Outcome `cbor:"4,keyasint"`
+	Receipt string           `cbor:"5,keyasint,omitempty"`
+}
+
+type answer struct {
+	Errand  uint64         `cbor:"1,keyasint"`
+	Word    takeover.Word  `cbor:"2,keyasint"`
+	Number  uint64         `cbor:"3,keyasint,omitempty"`
+	Age     time.Duration  `cbor:"4,keyasint,omitempty"`
+	Receipt string         `cbor:"5,keyasint,omitempty"`
+	Young   bool           `cbor:"6,keyasint,omitempty"`
+	Was     takeover.Owner `cbor:"7,keyasint,omitempty"`
+}
+
+// text is a write as it can be sent again.
+type text struct {
+	Key         string `cbor:"1,keyasint"`
+	Class       string `cbor:"2,keyasint"`
+	Tenant      string `cbor:"3,keyasint,omitempty"`
+	Idempotency string `cbor:"4,keyasint"`
+	Value       []byte `cbor:"5,keyasint"`
+	Flags       uint32 `cbor:"6,keyasint,omitempty"`
+}
+
+// Desk is one at work. It is safe for concurrent use.
+type Desk struct {
+	o    Options
+	core Core
+	http *http.Client
+
+	mu     sync.Mutex
+	inbox  []any
+	wake   chan struct{}
+	counts Counts
+
+	// All else is of Run's goroutine.
+	register *takeover.Register
+	actions  []takeover.Action
+	errands  map[uint64]*errand
+	last     uint64             // errand, or tag of another proxy's ask
+	asked    map[uint64]asker   // asks of others that the register has not answered
+	works    map[uint64]*errand // sent, by the core's id
+	members  map[string]*member // that live, by name
+	gone     map[takeover.Owner]bool
+	taken    uint64
+}
+
+// Counts are of what went through.
+type Counts struct {
+	Asked, Sent, Joined, Served, Unsure, Refused, Plainly, Taken, Spent, Missed, Letters, Parts int
+}
+
+// asker is whose ask a tag is: another proxy's errand, or one of this one's.
+type asker struct {
+	to     takeover.Owner
+	errand uint64
+	own    bool
+}
+
+// errand is a work that this proxy is the owner of, or wants to be.
+type errand struct {
+	takeover.Errand
+	number  uint64 // of the errand
+	core    uint64 // the core's id; 0 for one that is taken over
+	work    takeover.Work
+	kind    takeover.Kind
+	grant   uint64 // under which it settles
+	holders []takeover.Owner
+	waits   map[string]time.Duration // holders that have not said a word, until when
+	late    time.Duration            // when its client's time is over
+	began   bool                     // others were asked
+}
+
+// member is another proxy, and what is to be told it.
+type member struct {
+	takeover.Place
+	address string
+	stop    context.CancelFunc
+
+	mu   sync.Mutex
+	asks []ask
+	tell []settle
+	say  []answer
+	wake chan struct{}
+}
+
+// asking and settled are what the core brings.
+type asking struct {
+	id      uint64
+	work    takeover.Work
+	retry   bool
+	expires time.Time
+}
+
+type settled struct {
+	id      uint64
+	outcome takeover.Outcome
+	receipt string
+}
+
+// New returns a desk; Run puts it to work.
+func New(core Core, o Options) *Desk {
+	return &Desk{o: o, core: core, wake: make(chan struct{}, 1), errands: make(map[uint64]*errand), asked: make(map[uint64]asker),
+		works: make(map[uint64]*errand), members: make(map[string]*member), gone: make(map[takeover.Owner]bool),
+		register: takeover.NewRegister(takeover.Usual, o.Self, o.Clock()),
+		http:     &http.Client{Timeout: talk.LinkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: talk.IdleTime}}}
+}
+
+// Strict tells whether a work is refused where no holder can be had.
+func (d *Desk) Strict() bool { return d.o.Strict }
+
+// put hands something to the desk's goroutine, unless there is no room.
+func (d *Desk) put(item any, always bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.inbox) >= mostInbox && !always {
+		return false
+	}
+	d.inbox = append(d.inbox, item)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Ask implements core.Desk.
+func (d *Desk) Ask(id uint64, in *request.Request, window time.Duration, expires time.Time) bool {
+	body, err := cbor.Marshal(text{in.Key, in.Class, in.Tenant, in.Idempotency, in.Value, in.Flags})
+	if err != nil {
+		return false
+	}
+	h := fnv.New64a()
+	h.Write(body)
+	w := takeover.Work{ID: in.Class + "\x00" + in.Tenant + "\x00" + in.Idempotency, Digest: h.Sum64(), Window: window, Text: body}
+	return d.put(asking{id, w, in.Retry, expires}, false)
+}
+
+// Settle implements core.Desk. There are no more of them than works that were asked for.
+func (d *Desk) Settle(id uint64, outcome takeover.Outcome, receipt string) {
+	d.put(settled{id, outcome, receipt}, true)
+}
+
+// Counts returns what went through so far.
+func (d *Desk) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts
+}
+
+func (d *Desk) count(change func(*Counts)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(&d.counts)
+}
+
+// Run keeps the desk at work until ctx ends, on a listener of its own.
+func (d *Desk) Run(ctx context.Context, listener net.Listener, fleet Fleet) {
+	var tasks sync.WaitGroup
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+path, d.take)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: talk.IdleTime,
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	tasks.Go(func() { server.Serve(listener) })
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	list, _, changed := fleet.Members()
+	d.meet(ctx, list, &tasks)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+			list, _, changed = fleet.Members()
+			d.meet(ctx, list, &tasks)
+		case <-d.wake:
+			d.mu.Lock()
+			items := d.inbox
+			d.inbox = nil
+			d.mu.Unlock()
+			for _, item := range items {
+				d.handle(item)
+			}
+		case <-tick.C:
+			d.tick()
+		}
+	}
+	server.Close()
+	d.mu.Lock()
+	items := d.inbox
+	d.mu.Unlock()
+	for _, item := range items { // nobody is left waiting
+		if x, ok := item.(asking); ok {
+			d.core.Permit(x.id, takeover.Refuse, 0, "")
+		}
+	}
+	for _, e := range d.errands {
+		if e.Over(); e.core != 0 {
+			verdict, _ := e.Verdict()
+			d.core.Permit(e.core, verdict, 0, e.Receipt())
+		}
+	}
+	for _, m := range d.members {
+		m.stop()
+	}
+	tasks.Wait()
+	d.http.CloseIdleConnections()
+}
+
+// take takes a letter of another proxy.
+func (d *Desk) take(w http.ResponseWriter, r *http.Request) {
+	var l letter
+	if !talk.Read(w, r, d.o.Fleet, &l) {
+		return
+	}
+	if l.To != d.o.Self { // for a process that was here before
+		http.Error(w, "another process", http.StatusGone)
+		return
+	}
+	if !d.put(&l, false) {
+		http.Error(w, "no room", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// meet takes the fleet's members as they are now.
+func (d *Desk) meet(ctx context.Context, list []peer.Seen, tasks *sync.WaitGroup) {
+	for _, s := range list {
+		o := takeover.Owner{Name: s.Name, Run: s.Run}
+		if o.Name == d.o.Self.Name {
+			continue
+		}
+		m := d.members[s.Name]
+		if m != nil && m.Run != s.Run { // another process of that name: the one before is lost
+			d.lose(m.Owner)
+			m.stop()
+			delete(d.members, s.Name)
+			m = nil
+		}
+		switch {
+		case s.State == peer.Gone && m != nil && !d.gone[o]:
+			d.gone[o] = true
+			d.lose(o)
+		case s.State == peer.Alive && d.gone[o]:
+			delete(d.gone, o)
+			d.tell(takeover.Back{Owner: o})
+		}
+		if m == nil && s.State != peer.Gone && s.Address != "" {
+			life, stop := context.WithCancel(ctx)
+			m = &member{Place: takeover.Place{Owner: o, Zone: s.Zone}, address: s.Address, stop: stop, wake: make(chan struct{}, 1)}
+			d.members[s.Name] = m
+			tasks.Go(func() { d.carry(life, m) })
+		}
+	}
+}
+
+// lose takes that a process is gone: no answer of it is waited for, and its works are to be taken over.
+func (d *Desk) lose(o takeover.Owner) {
+	for _, e := range d.errands {
+		if _, waits := e.waits[o.Name]; waits {
+			delete(e.waits, o.Name)
+			e.Missed(o.Name)
+			d.decide(e)
+		}
+	}
+	d.tell(takeover.Lost{Owner: o})
+}
+
+// tell gives the register an event and does what it asks.
+func (d *Desk) tell(event takeover.Event) {
+	d.actions = d.register.Handle(d.o.Clock(), event, d.actions[:0])
+	todo := d.actions
+	d.actions = nil // what is done may bring more
+	for _, action := range todo {
+		switch a := action.(type) {
+		case takeover.Answer:
+			d.answered(a)
+		case takeover.Take:
+			d.takeOver(a)
+		}
+	}
+}
+
+// answered takes a register's answer to whoever asked.
+func (d *Desk) answered(a takeover.Answer) {
+	who, ok := d.asked[a.Tag]
+	if !ok {
+		return
+	}
+	if a.Word != takeover.Parked {
+		delete(d.asked, a.Tag)
+	}
+	if who.own {
+		if e := d.errands[who.errand]; e != nil {
+			d.heard(e, d.o.Self.Name, a)
+		}
+		return
+	}
+	if m := d.members[who.to.Name]; m != nil && m.Owner == who.to {
+		m.push(func() bool {
+			m.say = append(m.say, answer{who.errand, a.Word, a.Number, a.Age, a.Receipt, a.Young, a.Was})
+			return len(m.say) < mostOut
+		})
+	}
+}
+
+func (d *Desk) handle(item any) {
+	switch x := item.(type) {
+	case asking:
+		d.begin(&x)
+	case settled:
+		if e := d.works[x.id]; e != nil {
+			delete(d.works, x.id)
+			d.settle(e, x.outcome, x.receipt)
+		}
+	case *letter:
+		for _, a := range x.Asks {
+			d.last++
+			d.asked[d.last] = asker{to: x.From, errand: a.Errand}
+			d.tell(takeover.Ask{Tag: d.last, Work: a.Work, Owner: x.From, Rank: a.Rank, Number: a.Number, Age: a.Age, Retry: a.Retry})
+		}
+		for _, s := range x.Settles {
+			d.tell(takeover.Settle{ID: s.ID, Digest: s.Digest, Owner: x.From, Number: s.Number, Outcome: s.Outcome, Receipt: s.Receipt})
+		}
+		for _, a := range x.Answers {
+			if e := d.errands[a.Errand]; e != nil {
+				d.heard(e, x.From.Name, takeover.Answer{Word: a.Word, Number: a.Number, Age: a.Age, Receipt: a.Receipt, Young: a.Young, Was: a.Was})
+			}
+		}
+	}
+}
+
+// others are the holders of a work beside this proxy, the first ones of its order that live.
+func (d *Desk) others(id string) (list []*member) {
+	var places []takeover.Place
+	for _, m := range d.members {
+		if !d.gone[m.Owner] {
+			places = append(places, m.Place)
+		}
+	}
+	for _, p := range takeover.Order(id, places) {
+		if len(list) < d.o.Others {
+			list = append(list, d.members[p.Name])
+		}
+	}
+	return list
+}
+
+// begin asks for a write of a client's: the own register first.
+func (d *Desk) begin(x *asking) {
+	d.count(func(c *Counts) { c.Asked++ })
+	kind := takeover.New
+	if x.retry {
+		kind = takeover.Retry
+	}
+	now := d.o.Clock()
+	d.last++
+	e := &errand{number: d.last, core: x.id, work: x.work, kind: kind, waits: make(map[string]time.Duration), late: now + time.Until(x.expires) - beforeLate}
+	list := d.others(x.work.ID)
+	e.Errand = *takeover.NewErrand(takeover.Usual, x.work.Window, now, len(list)+1, d.options(), kind)
+	for _, m := range list {
+		e.holders = append(e.holders, m.Owner)
+	}
+	d.errands[e.number] = e
+	d.asked[e.number] = asker{errand: e.number, own: true}
+	d.decide(e) // where there are no others
+	if d.errands[e.number] == e {
+		d.tell(takeover.Ask{Tag: e.number, Work: x.work, Owner: d.o.Self, Rank: len(list), Retry: x.retry})
+	}
+}
+
+func (d *Desk) options() takeover.Options {
+	return takeover.Options{Others: d.o.Others, Strict: d.o.Strict}
+}
+
+// heard takes a holder's answer to an errand.
+func (d *Desk) heard(e *errand, holder string, a takeover.Answer) {
+	if a.Word == takeover.Parked {
+		d.count(func(c *Counts) { c.Joined++ })
+	}
+	if holder != d.o.Self.Name {
+		if _, waits := e.waits[holder]; !waits && !e.Joined() {
+			return // it was missed already
+		}
+	}
+	delete(e.waits, holder)
+	e.Heard(holder, a)
+	if holder == d.o.Self.Name && a.Word == takeover.Leave && !e.began {
+		d.askOthers(e, 0, 0)
+	}
+	d.decide(e)
+}
+
+// askOthers asks the other holders, of which one that has ended meanwhile is missed.
+func (d *Desk) askOthers(e *errand, number uint64, age time.Duration) {
+	e.began = true
+	until := d.o.Clock() + answerTime
+	for rank, o := range e.holders {
+		m := d.members[o.Name]
+		if m == nil || m.Owner != o || d.gone[o] {
+			e.Missed(o.Name)
+			continue
+		}
+		e.waits[o.Name] = until
+		m.push(func() bool {
+			m.asks = append(m.asks, ask{e.number, e.work, rank, number, age, e.kind != takeover.New})
+			return len(m.asks) < mostOut
+		})
+	}
+}
+
+// decide does what follows once an errand's verdict stands.
+func (d *Desk) decide(e *errand) {
+	verdict, until := e.Verdict()
+	if verdict == takeover.Waiting || d.errands[e.number] != e {
+		return
+	}
+	delete(d.errands, e.number)
+	delete(d.asked, e.number)
+	if e.core == 0 {
+		d.decideTaken(e, verdict, until)
+		return
+	}
+	within := until - d.o.Clock()
+	wanted := true
+	if verdict == takeover.Send {
+		e.grant = max(e.Number(), 1)
+		d.works[e.core] = e
+		if wanted = d.core.Permit(e.core, verdict, within, ""); !wanted {
+			delete(d.works, e.core)
+		}
+	} else {
+		d.core.Permit(e.core, verdict, 0, e.Receipt())
+	}
+	d.count(func(c *Counts) {
+		switch verdict {
+		case takeover.Send:
+			c.Sent++
+		case takeover.Receipt:
+			c.Served++
+		case takeover.Unsure:
+			c.Unsure++
+		case takeover.Plainly:
+			c.Plainly++
+		default:
+			c.Refused++
+		}
+	})
+	switch {
+	case verdict == takeover.Receipt:
+		e.grant = e.Number()
+		d.settle(e, takeover.Served, e.Receipt())
+	case verdict != takeover.Send && verdict != takeover.Clash || !wanted: // this owner sends nothing
+		e.grant = max(e.Number(), 1)
+		d.settle(e, takeover.NotRun, "")
+	}
+}
+
+// settle tells all holders what came of a work, this proxy's own register first.
+func (d *Desk) settle(e *errand, outcome takeover.Outcome, receipt string) {
+	d.tell(takeover.Settle{ID: e.work.ID, Digest: e.work.Digest, Owner: d.o.Self, Number: e.grant, Outcome: outcome, Receipt: receipt})
+	for _, o := range e.holders {
+		if m := d.members[o.Name]; m != nil && m.Owner == o {
+			m.push(func() bool {
+				m.tell = append(m.tell, settle{e.work.ID, e.work.Digest, e.grant, outcome, receipt})
+				return len(m.tell) < 4*mostOut
+			})
+		}
+	}
+}
+
+// takeOver begins to go on with a lost work: the other holders are heard before anything is sent.
+func (d *Desk) takeOver(a takeover.Take) {
+	now := d.o.Clock()
+	list := d.others(a.Work.ID)
+	d.last++
+	e := &errand{number: d.last, work: a.Work, kind: takeover.Taken, grant: a.Number, waits: make(map[string]time.Duration), late: now + a.Work.Window}
+	for _, m := range list {
+		e.holders = append(e.holders, m.Owner)
+	}
+	e.Errand = *takeover.NewErrand(takeover.Usual, a.Work.Window, now, len(list)+1, d.options(), takeover.Taken)
+	d.errands[e.number] = e
+	e.Heard(d.o.Self.Name, takeover.Answer{Word: takeover.Leave, Number: a.Number, Age: a.Age, Was: a.Was})
+	d.askOthers(e, a.Number, a.Age)
+	d.decide(e)
+}
+
+// decideTaken goes on with a work that was taken over, or settles it.
+func (d *Desk) decideTaken(e *errand, verdict takeover.Verdict, until time.Duration) {
+	outcome := takeover.Unknown
+	switch verdict {
+	case takeover.Send:
+		var t text
+		d.taken++
+		if cbor.Unmarshal(e.work.Text, &t) != nil {
+			break
+		}
+		in := &request.Request{Verb: request.Set, Key: t.Key, ID: fmt.Sprintf("%s.%x.%d", d.o.Self.Name, d.o.Self.Run, d.taken), Value: t.Value, Class: t.Class,
+			Tenant: t.Tenant, Idempotency: t.Idempotency, Wait: -1, Retry: true, Flags: t.Flags}
+		if id, ok := d.core.Adopt(in, until-d.o.Clock()); ok {
+			e.core = id
+			d.works[id] = e
+			d.count(func(c *Counts) { c.Taken++ })
+			d.o.Log.Info("work taken over", "key", t.Key, "k", t.Idempotency, "left", until-d.o.Clock())
+			return
+		}
+	case takeover.Receipt:
+		outcome = takeover.Served
+	}
+	if outcome == takeover.Unknown {
+		d.count(func(c *Counts) { c.Spent++ })
+		d.o.Log.Warn("work unknown", "id", e.work.ID, "verdict", int(verdict))
+	}
+	d.settle(e, outcome, e.Receipt())
+}
+
+// tick lets time pass: for the register, for holders that say nothing, and for clients whose time is over.
+func (d *Desk) tick() {
+	now := d.o.Clock()
+	d.tell(takeover.Tick{})
+	for _, e := range d.errands {
+		for holder, until := range e.waits {
+			if now >= until {
+				delete(e.waits, holder)
+				e.Missed(holder)
+				d.count(func(c *Counts) { c.Missed++ })
+			}
+		}
+		if now >= e.late {
+			e.Over()
+			d.tell(takeover.Left{ID: e.work.ID, Tag: e.number})
+		}
+		d.decide(e)
+	}
+}
+
+// push changes what is to be told a member, and wakes its carrier. What has no room is dropped by the change itself.
+func (m *member) push(change func() bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !change() {
+		m.asks = m.asks[:min(len(m.asks), mostOut)]
+		m.say = m.say[:min(len(m.say), mostOut)]
+		m.tell = m.tell[:min(len(m.tell), 4*mostOut)]
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// carry takes what is to be told a member to it, as much as there is at a time. Outcomes are told until they are heard, or
+// for settleTime; the rest makes up for its loss by itself.
+func (d *Desk) carry(ctx context.Context, m *member) {
+	var since time.Time // that outcomes can't be told
+	for {
+		m.mu.Lock()
+		l := letter{Head: talk.In(d.o.Fleet), From: d.o.Self, To: m.Owner}
+		l.Asks, m.asks = cut(m.asks)
+		l.Answers, m.say = cut(m.say)
+		l.Settles, m.tell = cut(m.tell)
+		m.mu.Unlock()
+		parts := len(l.Asks) + len(l.Answers) + len(l.Settles)
+		if parts == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-m.wake:
+			}
+			continue
+		}
+		d.count(func(c *Counts) { c.Letters, c.Parts = c.Letters+1, c.Parts+parts })
+		if err := talk.Post(ctx, d.http, m.address, path, l, nil); err == nil {
+			since = time.Time{}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		if len(l.Settles) > 0 && time.Since(since) < settleTime {
+			m.push(func() bool {
+				m.tell = append(l.Settles, m.tell...)
+				return len(m.tell) < 4*mostOut
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// cut takes what one letter holds from a list.
+func cut[T any](list []T) (now, later []T) {
+	n := min(len(list), mostLetter)
+	return list[:n:n], list[n:]
+}
