Rehearse takeover; leave from all living holders, youth and absence of holders told

Now leave is taken from every living holder (one that is silent is replaced by another), a holder is young for 15 s and after it was away, and one of two may be.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -87,6 +87,15 @@
 	Gaps     int    `help:"Measure so many times of each kind how long a task is without a holder, instead."`
 }
 
+type takeoverCommand struct {
+	Short   bool          `help:"25 s of faults in place of two minutes, at a quarter of the rate."`
+	Holders int           `default:"1" help:"Other proxies that hold a work, 0 to 2."`
+	Mode    string        `default:"plain" enum:"plain,strict"`
+	Rate    float64       `default:"1700" help:"Requests a second."`
+	For     time.Duration `default:"2m" help:"How long faults are put in."`
+	Seed    uint64        `default:"1"`
+}
+
 type peersCommand struct {
 	Instances int `default:"12" help:"4 to 99, three of which vote."`
 	Times     int `default:"20" help:"Of each trouble; 0 for rest alone."`
@@ -134,23 +143,24 @@
 	everywhere
 	List listFlag `help:"List the built-in scenarios."`
 
-	Wave     waveCommand    `cmd:"" help:"Twenty proxies in rolling waves."`
-	Play     playCommand    `cmd:"" help:"Any scenario."`
-	Up       upCommand      `cmd:"" help:"Hold a small fleet until interrupted."`
-	Cost     costCommand    `cmd:"" help:"CPU of a proxy beside a byte relay."`
-	Times    timesCommand   `cmd:"" help:"From exec to ready, from SIGTERM to exit."`
-	Agents   struct{}       `cmd:"" name:"consul" help:"A fleet whose list comes from Consul agents, which fail in every way."`
-	Degrade  degradeCommand `cmd:"" help:"Overloads without and with levels of reduced service, same seeds."`
-	Clients  clientsCommand `cmd:"" help:"Tills that use the library beside such as the operators describe, in five troubles."`
-	Still    stillCommand   `cmd:"" help:"Processes that stand still, links that are cut: each trouble at some of twelve proxies."`
-	Lease    leaseCommand   `cmd:"" help:"One task among eight processes, with faults between them, two minutes."`
-	Peers    peersCommand   `cmd:"" help:"Instances that know each other: when ends, stops and cuts are known, what rest costs."`
-	Members  struct{}       `cmd:"" help:"What following 2,000 nodes with 50 changes a second costs."`
-	Conform  struct{}       `cmd:"" help:"The conformance suite: both dialects of clients by both of nodes."`
-	Sight    sightCommand   `cmd:"" help:"Play a proxy with a fault put in."`
-	AsDouble doubleCommand  `cmd:"" name:"double" hidden:"" help:"Be a proxy with a fault put in."`
-	AsRelay  relayCommand   `cmd:"" name:"relay" hidden:"" help:"Be a byte relay."`
-	AsHolder holderCommand  `cmd:"" name:"holder" hidden:"" help:"Hold a task over and over."`
+	Wave     waveCommand     `cmd:"" help:"Twenty proxies in rolling waves."`
+	Play     playCommand     `cmd:"" help:"Any scenario."`
+	Up       upCommand       `cmd:"" help:"Hold a small fleet until interrupted."`
+	Cost     costCommand     `cmd:"" help:"CPU of a proxy beside a byte relay."`
+	Times    timesCommand    `cmd:"" help:"From exec to ready, from SIGTERM to exit."`
+	Agents   struct{}        `cmd:"" name:"consul" help:"A fleet whose list comes from Consul agents, which fail in every way."`
+	Degrade  degradeCommand  `cmd:"" help:"Overloads without and with levels of reduced service, same seeds."`
+	Clients  clientsCommand  `cmd:"" help:"Tills that use the library beside such as the operators describe, in five troubles."`
+	Still    stillCommand    `cmd:"" help:"Processes that stand still, links that are cut: each trouble at some of twelve proxies."`
+	Lease    leaseCommand    `cmd:"" help:"One task among eight processes, with faults between them, two minutes."`
+	Takeover takeoverCommand `cmd:"" help:"Proxies killed, stopped and cut off with handovers in hand."`
+	Peers    peersCommand    `cmd:"" help:"Instances that know each other: when ends, stops and cuts are known, what rest costs."`
+	Members  struct{}        `cmd:"" help:"What following 2,000 nodes with 50 changes a second costs."`
+	Conform  struct{}        `cmd:"" help:"The conformance suite: both dialects of clients by both of nodes."`
+	Sight    sightCommand    `cmd:"" help:"Play a proxy with a fault put in."`
+	AsDouble doubleCommand   `cmd:"" name:"double" hidden:"" help:"Be a proxy with a fault put in."`
+	AsRelay  relayCommand    `cmd:"" name:"relay" hidden:"" help:"Be a byte relay."`
+	AsHolder holderCommand   `cmd:"" name:"holder" hidden:"" help:"Hold a task over and over."`
 }
 
 var (
@@ -323,6 +333,15 @@
 			return nil, err
 		}
 		return rehearse.Peers(ctx, rehearse.PeersOptions{Options: o, Instances: c.Peers.Instances, Times: c.Peers.Times})
+	case "takeover":
+		if err := within("holders", c.Takeover.Holders, 0, 2); err != nil {
+			return nil, err
+		}
+		length, rate := c.Takeover.For, c.Takeover.Rate
+		if c.Takeover.Short {
+			length, rate = 25*time.Second, rate/4
+		}
+		return rehearse.Takeover(ctx, rehearse.TakeoverOptions{Options: o, For: length, Rate: rate, Holders: c.Takeover.Holders, Mode: c.Takeover.Mode, Seed: c.Takeover.Seed})
 	case "conform":
 		return rehearse.Conform(ctx, o)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,9 +48,10 @@
 	Memory string // path of what it must remember
 	Permit Permit
 	// Listen is where other proxies bring works in hand, "" for where none do.
-	Listen   string
-	Takeover Takeover
-	Ahead    func() time.Duration // how far the clock that counts sleep is ahead, in rehearsals; nil for the machine's
+	Listen    string
+	Advertise string // as others find it
+	Takeover  Takeover
+	Ahead     func() time.Duration // how far the clock that counts sleep is ahead, in rehearsals; nil for the machine's
 }
 
 // Takeover says how keyed writes survive the loss of this proxy.
@@ -383,6 +384,7 @@
 	takeover := t.text("takeover", "off", oneOf("off", "plain", "strict"))
 	p.Takeover = Takeover{On: takeover != "off", Strict: takeover == "strict", Holders: t.whole("holders", 1, 1, 2)}
 	p.Listen = t.text("listen", "", isAddress)
+	p.Advertise = t.text("advertise", p.Listen, isAddress)
 	if p.Takeover.On != t.has("listen") {
 		t.d.add(t.key("listen"), "goes with %s = \"plain\" or \"strict\"", t.key("takeover"))
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -77,7 +77,7 @@
 	for _, v := range c.Peers.Fleet.Voters {
 		watchers = append(watchers, link.Watcher{Name: v.Name, Address: v.Address})
 	}
-	member := peer.Member{Name: p.name, Run: p.run, Address: c.Peers.Listen}
+	member := peer.Member{Name: p.name, Run: p.run, Address: c.Peers.Advertise}
 	if set := &c.Proxy.Policy; set.Zone < len(set.Zones) {
 		member.Zone = set.Zones[set.Zone]
 	}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/rehearse/rig"
 	"mulleinpier/internal/standin/list"
 	"mulleinpier/internal/standin/node"
 	"mulleinpier/internal/standin/origin"
@@ -33,14 +34,15 @@
 	folder   string
 	say      func(format string, a ...any)
 
-	origin  *origin.Origin
-	group   *node.Group
-	nodes   []*node.Node
-	list    directory
-	proxies []*proxyDoor
-	links   links
-	voters  agent.Fleet                  // of permits, if there are any
-	found   func(proxy int) []agent.Peer // them, by each proxy; nil for as they are
+	origin    *origin.Origin
+	group     *node.Group
+	nodes     []*node.Node
+	list      directory
+	proxies   []*proxyDoor
+	links     links
+	workLinks map[int]*rig.Link            // before where proxies take works in hand
+	voters    agent.Fleet                  // of permits, if there are any
+	found     func(proxy int) []agent.Peer // them, by each proxy; nil for as they are
 
 	mu       sync.Mutex
 	entries  []list.Entry // of nodes, as last told
@@ -58,12 +60,14 @@
 
 // proxyDoor is one proxy of the fleet, through all its processes.
 type proxyDoor struct {
-	fleet    *fleet
-	index    int
-	address  string
-	front    string // where clients connect: the same, or a link to it
-	config   string
-	listener *os.File // passed to each process, or nil
+	fleet     *fleet
+	index     int
+	address   string
+	front     string // where clients connect: the same, or a link to it
+	works     string // where it takes works in hand, and where others find that
+	worksTold string
+	config    string
+	listener  *os.File // passed to each process, or nil
 
 	change sync.Mutex // held while it is being restarted or reloaded
 
@@ -176,6 +180,11 @@
 	if d.front, err = f.links.toProxy(d); err != nil {
 		return nil, err
 	}
+	if f.scenario.Fleet.Takeover != "" {
+		if err := d.openWorks(); err != nil {
+			return nil, err
+		}
+	}
 	text, err := d.text("same")
 	if err != nil {
 		return nil, err
@@ -542,6 +551,9 @@
 		f.list.close()
 	}
 	f.links.close()
+	for _, l := range f.workLinks {
+		l.Close()
+	}
 	f.origin.Close()
 	for _, n := range f.nodes {
 		n.Close()
--- a/internal/rehearse/permits.go
+++ b/internal/rehearse/permits.go
@@ -80,6 +80,9 @@
 		voter = -1
 	}
 	io.WriteString(b, peersText(list, d.fleet.folder, voter))
+	if f := &d.fleet.scenario.Fleet; f.Takeover != "" {
+		fmt.Fprintf(b, "listen = %q\nadvertise = %q\ntakeover = %q\nholders = %d\n", d.works, d.worksTold, f.Takeover, f.Holders)
+	}
 }
 
 // allowRestarts has the voters give so many permits at a time.
--- a/internal/rehearse/report.go
+++ b/internal/rehearse/report.go
@@ -38,6 +38,7 @@
 	Excused     int      `json:"excused"`
 	Stops       bool     `json:"stops"`   // processes were stopped
 	Stood       int      `json:"stopped"` // requests out at them to beyond their deadlines
+	Unsure      int      `json:"unsure"`  // handovers whose tills never learnt what came of them
 	Severed     int      `json:"severed"`
 	Overdue     int      `json:"overdue"`
 	OverdueBy   float64  `json:"overdue_by_ms"`
@@ -92,7 +93,7 @@
 	}
 	o := f.origin.Stats()
 	r.Requests, r.Lost, r.Wrong, r.Crossed, r.Excused = rules.requests, rules.lost, rules.wrong, rules.crossed, rules.excused
-	r.Stood, r.Severed = rules.stood, rules.severed
+	r.Stood, r.Severed, r.Unsure = rules.stood, rules.severed, rules.unsure
 	r.Overdue, r.OverdueBy = rules.overdue, millis(rules.overBy)
 	r.Lag = millis(t.most)
 	r.Unopened, r.NotOffered = t.refuse, t.unsent
--- a/internal/rehearse/scenario.go
+++ b/internal/rehearse/scenario.go
@@ -72,6 +72,9 @@
 	// Permits is how many proxies may restart at once, by leave of the fleet, of which the first three are voters; 0 for
 	// proxies that know nothing of each other.
 	Permits int
+	// Takeover, plain or strict, has such a fleet's proxies hold works in hand at Holders others.
+	Takeover string
+	Holders  int
 	// Leaderless has proxies of such a fleet find no voter at all.
 	Leaderless bool
 	Lacks      string // the origin has no key that begins so
@@ -92,6 +95,8 @@
 	Tenants   []string
 	Quota     int     // of a tenant, requests a second over all proxies; 1000
 	Binary    float64 // share of requests from binary clients; every other pipeline is theirs too
+	Again     int     // how often a till asks again for a handover whose outcome it doesn't know, 2 to 10 s later each time
+	Late      float64 // share of tills that ask again only then
 	Library   float64 // share of the others that come through the client library
 }
 
@@ -245,6 +250,10 @@
 		return fmt.Errorf("fleet.permits cannot be %d: want 0 or more, and %d proxies", f.Permits, permitVoters)
 	case f.Drift < 0 || f.Drift > 0.5:
 		return fmt.Errorf("fleet.drift cannot be %v: want 0 to 0.5", f.Drift)
+	case f.Takeover != "" && (f.Permits == 0 || f.Takeover != "plain" && f.Takeover != "strict" || f.Holders < 1 || f.Holders > 2):
+		return fmt.Errorf("fleet.takeover cannot be %q with %d holders: want plain or strict, 1 or 2, and permits", f.Takeover, f.Holders)
+	case l.Again < 0 || l.Again > 10 || l.Late < 0 || l.Late > 1:
+		return errors.New("load: want again 0 to 10, late 0 to 1")
 	case len(f.Zones) == 0:
 		return errors.New("fleet.zones cannot be empty")
 	case len(s.Phases) == 0:
--- /dev/null
+++ b/internal/rehearse/takeover.go
@@ -0,0 +1,204 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"mulleinpier/internal/rehearse/rig"
+)
+
+// This file plays proxies that are killed, stopped and cut off with handovers in hand, and counts how many of those were
+// carried out twice, and of how many nobody ever learnt what came.
+
+// TakeoverOptions say what to play.
+type TakeoverOptions struct {
+	Options
+	For     time.Duration
+	Rate    float64
+	Holders int    // 0 for works that are each proxy's own
+	Mode    string // plain or strict
+	Seed    uint64
+}
+
+// TakeoverReport is what was found.
+type TakeoverReport struct {
+	Play      *Report        `json:"play"`
+	Handovers int            `json:"handovers"`
+	Taken     int            `json:"taken"`
+	Faults    map[string]int `json:"faults"`
+	P50       float64        `json:"handovers_p50_ms"`
+	Closing   string         `json:"verdict"`
+}
+
+// OK tells whether all rules held.
+func (r *TakeoverReport) OK() bool { return r.Play.OK() && r.Handovers > 0 }
+
+// Verdict is the closing line.
+func (r *TakeoverReport) Verdict() string {
+	word := "ok"
+	if !r.OK() {
+		word = "BROKEN"
+	}
+	p := r.Play
+	return fmt.Sprintf("verdict: %s requests=%d handovers=%d taken=%d unknown=%d lost=%d doubled=%d late_drains=%d crashes=%d", word, p.Requests, r.Handovers, r.Taken,
+		p.Unsure, p.Lost, p.Doubled, p.LateDrains, p.Crashes)
+}
+
+// Print writes the report, its verdict last.
+func (r *TakeoverReport) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "phase\toffered\tin time\tlate\trefused\tfailed\thandovers\tin time")
+	for _, p := range r.Play.Phases {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Name, p.Offered, p.InTime, p.Late, p.Refused, p.Failed, p.Handovers, p.HandoversInTime)
+	}
+	w.Flush()
+	fmt.Fprintf(out, "faults %v; %d out at killed proxies, %d at stopped ones, %d over cut links; the rehearsal itself was %.0f ms late at the most\n", r.Faults,
+		r.Play.Excused, r.Play.Stood, r.Play.Severed, r.Play.Lag)
+	for _, p := range r.Play.Problems {
+		fmt.Fprintln(out, "  "+p)
+	}
+	fmt.Fprintln(out, r.Verdict())
+}
+
+// openWorks reserves where a proxy takes works in hand, behind a link.
+func (d *proxyDoor) openWorks() error {
+	l, err := net.Listen("tcp", proxyHost+":0")
+	if err != nil {
+		return err
+	}
+	d.works = l.Addr().String()
+	l.Close()
+	if d.fleet.workLinks == nil {
+		d.fleet.workLinks = make(map[int]*rig.Link)
+	}
+	link, err := rig.NewLink(linkHost, d.works)
+	if err != nil {
+		return err
+	}
+	d.fleet.workLinks[d.index] = link
+	d.worksTold = link.Address()
+	return nil
+}
+
+// slowStretch is every third stretch of so long, in which the origin is slow.
+const slowStretch = 15 * time.Second
+
+// Takeover plays.
+func Takeover(ctx context.Context, o TakeoverOptions) (*TakeoverReport, error) {
+	s, err := Load("still")
+	if err != nil {
+		return nil, err
+	}
+	s.Name, s.About, s.Seed = "takeover", "proxies killed, stopped and cut off with handovers in hand", max(o.Seed, 1)
+	s.Fleet.Permits, s.Fleet.Takeover, s.Fleet.Holders = 1, o.Mode, o.Holders
+	if o.Holders == 0 {
+		s.Fleet.Takeover = ""
+	}
+	s.Fleet.Slots, s.Fleet.Queue, s.Fleet.OriginSlots, s.Fleet.OriginQueue, s.Fleet.Zones = 64, 512, 4096, 8192, []string{"a", "b", "c"}
+	s.Load.Rate, s.Load.Handovers, s.Load.Again, s.Load.Late = o.Rate, 0.2, 4, 1.0/3
+	const calm, after = 4 * time.Second, 4 * time.Second
+	s.Phases = []Phase{{Name: "calm", For: span(calm)}, {Name: "faults", For: span(o.For)}, {Name: "after", For: span(after)}}
+	// So that there are links between clients and proxies.
+	s.Events = []Event{{At: span(calm), Do: "link", Between: "clients", Kind: "reset", Proxies: []int{0}}}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	var f *fleet
+	if f, err = startFleet(s, o.Program, o.Folder, func(string, ...any) {}); err != nil {
+		return nil, err
+	}
+	defer f.close()
+	sleep(ctx, time.Second)
+	r := &TakeoverReport{Faults: make(map[string]int)}
+	began := time.Now()
+	t := newTally(s.Phases, began)
+	c := newClients(f, t)
+	span, stop := context.WithTimeout(ctx, s.length())
+	defer stop()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.run(span) })
+	tasks.Go(func() { t.watchLag(span) })
+	sleep(span, calm)
+	f.harass(span, began.Add(calm+o.For), rand.New(rand.NewPCG(s.Seed, 11)), r.Faults)
+	f.origin.SetWork(time.Duration(s.Fleet.OriginWork))
+	tasks.Wait() // tills that ask late among them
+	f.stop()
+	settle(func() int { return f.origin.Stats().Writes })
+	r.Play = &Report{Scenario: s.Name, About: s.About, Proxies: s.Fleet.Proxies, Nodes: s.Fleet.Nodes}
+	r.Play.fill(f, t, make([]int, len(s.Phases)+1))
+	for _, p := range r.Play.Phases {
+		r.Handovers += p.Handovers
+	}
+	for i := range f.proxies {
+		text, err := os.ReadFile(filepath.Join(o.Folder, fmt.Sprintf("p%d.log", i)))
+		if err != nil {
+			return nil, err
+		}
+		r.Taken += bytes.Count(text, []byte(`msg="work taken over"`))
+	}
+	r.Closing = r.Verdict()
+	return r, ctx.Err()
+}
+
+// harass kills, stops or cuts off a proxy every 2 s, each while the one before may be in trouble yet, and makes the origin
+// slow now and then.
+func (f *fleet) harass(ctx context.Context, until time.Time, rng *rand.Rand, faults map[string]int) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	begun := time.Now()
+	busy := make(map[int]time.Time)
+	for time.Until(until) > 2*time.Second && ctx.Err() == nil {
+		if stretch := int(time.Since(begun) / slowStretch); stretch%3 == 2 {
+			f.origin.SetWork(1200*time.Millisecond + time.Duration(rng.Int64N(int64(800*time.Millisecond))))
+		} else {
+			f.origin.SetWork(time.Duration(f.scenario.Fleet.OriginWork))
+		}
+		i := rng.IntN(len(f.proxies))
+		for time.Now().Before(busy[i]) {
+			i = rng.IntN(len(f.proxies))
+		}
+		busy[i] = time.Now().Add(4 * time.Second)
+		d := f.proxies[i]
+		kinds := []string{"kill", "stop", "clients cut", "others cut"}
+		if f.workLinks == nil {
+			kinds = kinds[:3]
+		}
+		kind := kinds[rng.IntN(len(kinds))]
+		faults[kind]++
+		tasks.Go(func() {
+			switch kind {
+			case "kill":
+				d.kill()
+			case "stop":
+				if err := d.stop(ctx, rig.Stop{For: 3 * time.Second}); err != nil && ctx.Err() == nil {
+					f.problem("stop of proxy %d: %v", i, err)
+				}
+			case "clients cut":
+				f.cutFor(ctx, f.links.clients[i])
+			case "others cut":
+				f.cutFor(ctx, f.workLinks[i])
+			}
+		})
+		sleep(ctx, 2*time.Second)
+	}
+}
+
+// cutFor cuts a link for three seconds.
+func (f *fleet) cutFor(ctx context.Context, l *rig.Link) {
+	if err := l.Set(rig.Faults["cut"](0)); err != nil {
+		f.problem("link: %v", err)
+	}
+	sleep(ctx, 3*time.Second)
+	if err := l.Set(rig.Fault{}); err != nil {
+		f.problem("link: %v", err)
+	}
+}
--- a/internal/rehearse/tally.go
+++ b/internal/rehearse/tally.go
@@ -97,6 +97,7 @@
 	crossed  int // closed between requests as they went out
 	excused  int // out when their proxy was killed outright
 	stood    int // out at a process that stood still to beyond their deadline
+	unsure   int // handovers whose tills never learnt what came of them
 	severed  int // out over a link that was cut
 	overdue  int // answered just after the deadline
 	overBy   time.Duration
@@ -186,6 +187,7 @@
 func (t *tally) sent()       { t.add(func(b *broken) { b.requests++ }) }
 func (t *tally) crossed()    { t.add(func(b *broken) { b.crossed++ }) }
 func (t *tally) stood()      { t.add(func(b *broken) { b.stood++ }) }
+func (t *tally) unsure()     { t.add(func(b *broken) { b.unsure++ }) }
 func (t *tally) severed()    { t.add(func(b *broken) { b.severed++ }) }
 func (t *tally) excused()    { t.add(func(b *broken) { b.excused++ }) }
 func (t *tally) notOffered() { t.add(func(*broken) { t.unsent++ }) }
--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,8 @@
 	answerTime = 150 * time.Millisecond
 	settleTime = 5 * time.Second // a holder that is not reached for so long learns no outcome
 	tickTime   = 20 * time.Millisecond
-	beforeLate = 30 * time.Millisecond // a client is answered so long before its time is over
+	stoodTime  = 300 * time.Millisecond // as package still tells stops
+	beforeLate = 30 * time.Millisecond  // a client is answered so long before its time is over
 	retryPause = 20 * time.Millisecond
 )
 
@@ -124,6 +126,8 @@
 	members  map[string]*member // that live, by name
 	gone     map[takeover.Owner]bool
 	taken    uint64
+	looked   time.Duration // when time passed last
+	blind    bool
 }
 
 // Counts are of what went through.
@@ -150,6 +154,9 @@
 	waits   map[string]time.Duration // holders that have not said a word, until when
 	late    time.Duration            // when its client's time is over
 	began   bool                     // others were asked
+	// What the others are told of one that was taken over.
+	asNumber uint64
+	asAge    time.Duration
 }
 
 // member is another proxy, and what is to be told it.
@@ -245,13 +252,18 @@
 	tasks.Go(func() { server.Serve(listener) })
 	tick := time.NewTicker(tickTime)
 	defer tick.Stop()
-	list, _, changed := fleet.Members()
+	list, blind, changed := fleet.Members()
+	d.blind, d.looked = blind, d.o.Clock()
 	d.meet(ctx, list, &tasks)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-changed:
-			list, _, changed = fleet.Members()
+			list, blind, changed = fleet.Members()
+			if d.blind && !blind {
+				d.tell(takeover.Returned{})
+			}
+			d.blind = blind
 			d.meet(ctx, list, &tasks)
 		case <-d.wake:
 			d.mu.Lock()
@@ -340,7 +352,7 @@
 	for _, e := range d.errands {
 		if _, waits := e.waits[o.Name]; waits {
 			delete(e.waits, o.Name)
-			e.Missed(o.Name)
+			e.Gone(o.Name)
 			d.decide(e)
 		}
 	}
@@ -412,7 +424,12 @@
 }
 
 // others are the holders of a work beside this proxy, the first ones of its order that live.
-func (d *Desk) others(id string) (list []*member) {
+func (d *Desk) others(id string) []*member {
+	list := d.ordered(id)
+	return list[:min(len(list), d.o.Others)]
+}
+
+func (d *Desk) ordered(id string) (list []*member) {
 	var places []takeover.Place
 	for _, m := range d.members {
 		if !d.gone[m.Owner] {
@@ -420,9 +437,7 @@
 		}
 	}
 	for _, p := range takeover.Order(id, places) {
-		if len(list) < d.o.Others {
-			list = append(list, d.members[p.Name])
-		}
+		list = append(list, d.members[p.Name])
 	}
 	return list
 }
@@ -438,7 +453,7 @@
 	d.last++
 	e := &errand{number: d.last, core: x.id, work: x.work, kind: kind, waits: make(map[string]time.Duration), late: now + time.Until(x.expires) - beforeLate}
 	list := d.others(x.work.ID)
-	e.Errand = *takeover.NewErrand(takeover.Usual, x.work.Window, now, len(list)+1, d.options(), kind)
+	e.Errand = *takeover.NewErrand(takeover.Usual, x.work.Window, now, len(list), d.options(), kind)
 	for _, m := range list {
 		e.holders = append(e.holders, m.Owner)
 	}
@@ -475,19 +490,40 @@
 // askOthers asks the other holders, of which one that has ended meanwhile is missed.
 func (d *Desk) askOthers(e *errand, number uint64, age time.Duration) {
 	e.began = true
-	until := d.o.Clock() + answerTime
+	e.asNumber, e.asAge = number, age
 	for rank, o := range e.holders {
 		m := d.members[o.Name]
 		if m == nil || m.Owner != o || d.gone[o] {
-			e.Missed(o.Name)
+			e.Gone(o.Name)
 			continue
 		}
-		e.waits[o.Name] = until
-		m.push(func() bool {
-			m.asks = append(m.asks, ask{e.number, e.work, rank, number, age, e.kind != takeover.New})
-			return len(m.asks) < mostOut
-		})
+		d.askOne(e, m, rank)
+	}
+}
+
+func (d *Desk) askOne(e *errand, m *member, rank int) {
+	e.waits[m.Name] = d.o.Clock() + answerTime
+	m.push(func() bool {
+		m.asks = append(m.asks, ask{e.number, e.work, rank, e.asNumber, e.asAge, e.kind != takeover.New})
+		return len(m.asks) < mostOut
+	})
+}
+
+// instead asks another proxy in place of a holder that has not answered in time: it may stand still, and be known to only
+// later. It tells whether there is one.
+func (d *Desk) instead(e *errand, holder string) bool {
+	if len(e.holders) >= 2*d.o.Others+1 { // a few will do
+		return false
+	}
+	for _, m := range d.ordered(e.work.ID) {
+		if !slices.Contains(e.holders, m.Owner) {
+			e.Instead(holder)
+			e.holders = append(e.holders, m.Owner)
+			d.askOne(e, m, len(e.holders)-1)
+			return true
+		}
 	}
+	return false
 }
 
 // decide does what follows once an errand's verdict stands.
@@ -559,7 +595,7 @@
 	for _, m := range list {
 		e.holders = append(e.holders, m.Owner)
 	}
-	e.Errand = *takeover.NewErrand(takeover.Usual, a.Work.Window, now, len(list)+1, d.options(), takeover.Taken)
+	e.Errand = *takeover.NewErrand(takeover.Usual, a.Work.Window, now, len(list), d.options(), takeover.Taken)
 	d.errands[e.number] = e
 	e.Heard(d.o.Self.Name, takeover.Answer{Word: takeover.Leave, Number: a.Number, Age: a.Age, Was: a.Was})
 	d.askOthers(e, a.Number, a.Age)
@@ -598,13 +634,19 @@
 // tick lets time pass: for the register, for holders that say nothing, and for clients whose time is over.
 func (d *Desk) tick() {
 	now := d.o.Clock()
+	if now-d.looked >= stoodTime { // what the others said meanwhile may be lost
+		d.tell(takeover.Returned{})
+	}
+	d.looked = now
 	d.tell(takeover.Tick{})
 	for _, e := range d.errands {
 		for holder, until := range e.waits {
 			if now >= until {
 				delete(e.waits, holder)
-				e.Missed(holder)
 				d.count(func(c *Counts) { c.Missed++ })
+				if !d.instead(e, holder) {
+					e.Missed(holder)
+				}
 			}
 		}
 		if now >= e.late {
--- a/internal/takeover/errand.go
+++ b/internal/takeover/errand.go
@@ -23,19 +23,20 @@
 
 // Errand is an owner's side of one work. The zero value is not usable.
 type Errand struct {
-	terms  Terms
-	window time.Duration
-	asked  time.Duration // when the asks were sent, by the owner's clock
-	open   int           // answers that have not come
-	need   int           // leaves of others that it takes
-	strict bool
-	kind   Kind
-	joined bool
-	leaves int
-	silent []string // holders that said nothing, or may have forgotten
-	was    string   // whose the work was that a holder knew
-	number uint64
-	age    time.Duration // the most that any holder knows
+	terms   Terms
+	window  time.Duration
+	asked   time.Duration // when the asks were sent, by the owner's clock
+	open    int           // answers that have not come
+	options Options
+	kind    Kind
+	joined  bool
+	own     int
+	leaves  int      // of others
+	missed  int      // others that should have answered
+	silent  []string // holders that said nothing, or may have forgotten
+	was     string   // whose the work was that a holder knew
+	number  uint64
+	age     time.Duration // the most that any holder knows
 
 	verdict Verdict
 	until   time.Duration
@@ -58,14 +59,11 @@
 	Taken             // a holder takes it over
 )
 
-// NewErrand returns that of a work which is asked for at holders, the owner's own register among them. It takes the leave
-// of that and of one other, if there is to be any.
-func NewErrand(terms Terms, window, now time.Duration, holders int, o Options, kind Kind) *Errand {
-	e := &Errand{terms: terms, window: window, asked: now, open: holders, need: 1 + min(o.Others, 1), strict: o.Strict, kind: kind}
-	if kind == Taken { // who has died leaves one less
-		e.need = min(e.need, o.Others)
-	}
-	if holders < e.need {
+// NewErrand returns that of a work which is asked for at the owner's own register and at so many others. It takes the leave
+// of all of them that live: so each of them knows of whatever was sent.
+func NewErrand(terms Terms, window, now time.Duration, others int, o Options, kind Kind) *Errand {
+	e := &Errand{terms: terms, window: window, asked: now, open: 1 + others, options: o, kind: kind}
+	if others == 0 && kind != Taken {
 		e.without()
 	}
 	return e
@@ -85,7 +83,7 @@
 	switch {
 	case e.kind != New || e.age > 0: // it may have run, as far as those can tell who answer
 		e.verdict = Unsure
-	case e.strict:
+	case e.options.Strict:
 		e.verdict = Refuse
 	default:
 		e.verdict = Plainly
@@ -111,8 +109,12 @@
 		e.verdict = Clash
 	case Again:
 		e.verdict = Refuse
+	case Full:
+		e.missed++
 	case Leave:
-		e.leaves++
+		if e.own++; e.own > 1 { // the first is the owner's own
+			e.leaves++
+		}
 		if a.Young {
 			e.silent = append(e.silent, holder)
 		}
@@ -138,8 +140,20 @@
 	}
 }
 
-// Missed takes that a holder will not answer.
+// Instead has another holder be asked in place of one that does not answer.
+func (e *Errand) Instead(holder string) { e.silent = append(e.silent, holder) }
+
+// Missed takes that a holder has not answered, and that there is no other to ask. Gone takes that one has ended or can't be
+// heard.
 func (e *Errand) Missed(holder string) {
+	if e.verdict == Waiting {
+		e.missed++
+	}
+	e.Gone(holder)
+}
+
+// Gone is described at Missed.
+func (e *Errand) Gone(holder string) {
 	e.open--
 	e.silent = append(e.silent, holder)
 	if e.verdict == Waiting {
@@ -161,10 +175,10 @@
 func (e *Errand) decide() {
 	switch {
 	case e.verdict != Waiting || e.open > 0:
-	case e.leaves < e.need:
+	case e.missed > 0 || e.leaves == 0 && e.kind != Taken:
 		e.without()
-	case e.kind != New && e.untold() > 0: // it may have run longer ago than those know who answered
-		e.verdict = Unsure
+	case e.kind == Retry && e.untold() >= e.options.Others, e.kind == Taken && e.options.Others > 1 && e.untold() >= e.options.Others:
+		e.verdict = Unsure // it may have run longer ago than those know who answered
 	default:
 		e.verdict, e.until = Send, e.asked+e.terms.short(e.terms.Leave)
 		if e.age > 0 { // it may have run: only while its repeats are dropped
--- a/internal/takeover/register.go
+++ b/internal/takeover/register.go
@@ -31,6 +31,7 @@
 	Leave  time.Duration // how long leave to send lasts
 	Step   time.Duration // between the turns in which holders take a lost work over
 	Keep   time.Duration // how long outcomes are kept
+	Young  time.Duration // who has begun, or come back, not longer ago may not know what it should: tills that ask again do so sooner
 	Open   time.Duration // after so long a work that nobody has settled is unknown
 	Works  int           // in a register
 	Bytes  int           // of their texts
@@ -38,7 +39,7 @@
 }
 
 // Usual are the terms in service.
-var Usual = Terms{Drift: 0.05, Margin: 100 * time.Millisecond, Leave: 2 * time.Second, Step: 150 * time.Millisecond, Keep: 2 * time.Minute,
+var Usual = Terms{Drift: 0.05, Margin: 100 * time.Millisecond, Leave: 2 * time.Second, Step: 150 * time.Millisecond, Keep: 2 * time.Minute, Young: 15 * time.Second,
 	Open: 30 * time.Second, Works: 100_000, Bytes: 16 << 20, Parked: 8}
 
 // Owner is a proxy's process.
@@ -98,6 +99,8 @@
 		ID  string
 		Tag uint64
 	}
+	// Returned tells that this process was out of the others' reach, or stood still: it may lack what it was told.
+	Returned struct{}
 	// Tick lets time pass.
 	Tick struct{}
 )
@@ -109,6 +112,8 @@
 func (Left) event()   {}
 func (Tick) event()   {}
 
+func (Returned) event() {}
+
 // Word is what a register answers.
 type Word uint8
 
@@ -134,7 +139,7 @@
 		Number  uint64        // with Leave
 		Age     time.Duration // with Leave: since it may have run first; 0 for never
 		Receipt string        // with Known
-		Young   bool          // with Leave of a work that this holder did not know: it may have forgotten it as its process began
+		Young   bool          // with Leave: the work may have run before, unknown to this holder, as it has begun or come back lately
 		Was     Owner         // with Leave of a work that it knew: whose it was
 	}
 	// Take has this process be the owner of a work from now on, which nobody asks for. The other holders are to be heard
@@ -164,6 +169,7 @@
 	receipt string
 	since   time.Duration // of the outcome, or of the entry
 	parked  []Ask
+	weak    bool // it came as a retry, while this register was young: it may have run longer ago than is known here
 }
 
 // Register is what a holder knows. The zero value is not usable.
@@ -211,6 +217,8 @@
 		if w := r.works[e.ID]; w != nil {
 			w.parked = slices.DeleteFunc(w.parked, func(a Ask) bool { return a.Tag == e.Tag })
 		}
+	case Returned:
+		r.born = now
 	case Tick:
 		return r.tick(now, out)
 	}
@@ -240,11 +248,12 @@
 		if e.Number > 0 { // a taker tells
 			age = r.terms.long(e.Age)
 		}
-		w = &entry{work: e.Work, owner: e.Owner, number: max(e.Number, 1), owners: 1, rank: e.Rank, first: now - age, since: now}
+		young := now-r.born < r.terms.Young
+		w = &entry{weak: young && e.Retry, work: e.Work, owner: e.Owner, number: max(e.Number, 1), owners: 1, rank: e.Rank, first: now - age, since: now}
 		r.works[e.Work.ID] = w
 		r.order = append(r.order, e.Work.ID)
 		r.bytes += len(e.Work.Text)
-		return append(out, Answer{Tag: e.Tag, Word: Leave, Number: w.number, Age: age, Young: now-r.born < r.terms.Keep})
+		return append(out, Answer{Tag: e.Tag, Word: Leave, Number: w.number, Age: age, Young: young})
 	}
 	if w.work.Digest != e.Work.Digest {
 		return append(out, Answer{Tag: e.Tag, Word: Conflict})
@@ -277,7 +286,7 @@
 	}
 	w.owner, w.number, w.gone = e.Owner, number, false
 	delete(r.turns, w.work.ID)
-	return append(out, Answer{Tag: e.Tag, Word: Leave, Number: number, Age: max(now-w.first, 1), Was: was})
+	return append(out, Answer{Tag: e.Tag, Word: Leave, Number: number, Age: max(now-w.first, 1), Was: was, Young: w.weak})
 }
 
 // answer says what came of a work.
@@ -361,7 +370,7 @@
 	slices.Sort(due) // the same events bring the same actions
 	for _, id := range due {
 		w := r.works[id]
-		if !r.within(now, w) {
+		if !r.within(now, w) || w.weak {
 			out = r.end(now, w, Unknown, "", out)
 			continue
 		}
