Give each rehearsed fleet a loopback host of its own

Seen: a play ended as 'address already in use', while another rehearsal ran beside: ports are reserved, let go and taken again by processes, and two fleets did so on one address. Each fleet's proxies have an address of their own now.

--- a/internal/rehearse/cost.go
+++ b/internal/rehearse/cost.go
@@ -69,7 +69,7 @@
 
 // startVoters starts three processes that vote and serve nobody.
 func startVoters(program []string, folder string) (list []agent.Peer, end func(), err error) {
-	f, err := newVoters(folder)
+	f, err := newVoters(folder, newHost())
 	if err != nil {
 		return nil, nil, err
 	}
@@ -180,7 +180,7 @@
 // freeAddress returns an address that was free a moment ago, of a host that no
 // connection goes out from.
 func freeAddress() (string, error) {
-	l, err := listenAt(proxyHost)
+	l, err := listenAt(newHost())
 	if err != nil {
 		return "", err
 	}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,9 +21,14 @@
 	"mulleinpier/internal/standin/origin"
 )
 
-// proxyHost is a loopback address that no connection goes out from: while a
-// proxy is down, none can take its port by chance.
-const proxyHost = "127.0.0.3"
+// newHost is a loopback address that no connection goes out from, and no other fleet listens at: while a proxy is down,
+// none can take its port by chance.
+func newHost() string {
+	pid, n := os.Getpid(), int(hosts.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 1+n%250)
+}
+
+var hosts atomic.Int64
 
 // The drain rule, and what the protocol page adds for real sockets.
 const drainGrace = 500*time.Millisecond + 50*time.Millisecond
@@ -89,7 +95,7 @@
 
 // startFleetBy is startFleet with the voters found by each proxy where seen says, once their addresses are known.
 func startFleetBy(s *Scenario, program []string, folder string, say func(string, ...any), seen func(real []agent.Peer) (func(proxy int) []agent.Peer, error)) (*fleet, error) {
-	f := &fleet{scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
+	f := &fleet{host: newHost(), scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
 		seen: [2]map[string]struct{}{{}, {}}}
 	p := s.Fleet
 	f.origin = origin.New(origin.Config{Slots: p.OriginSlots, Queue: p.OriginQueue, Work: time.Duration(p.OriginWork), Seed: s.Seed})
@@ -166,7 +172,7 @@
 
 func (f *fleet) newDoor(i int) (*proxyDoor, error) {
 	d := &proxyDoor{fleet: f, index: i, config: filepath.Join(f.folder, fmt.Sprintf("p%d.toml", i)), quota: f.scenario.Load.Quota}
-	listener, err := net.Listen("tcp", proxyHost+":0")
+	listener, err := net.Listen("tcp", f.host+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rehearse/takeover.go
+++ b/internal/rehearse/takeover.go
@@ -71,7 +71,7 @@
 
 // openWorks reserves where a proxy takes works in hand, behind a link.
 func (d *proxyDoor) openWorks() error {
-	l, err := net.Listen("tcp", proxyHost+":0")
+	l, err := net.Listen("tcp", d.fleet.host+":0")
 	if err != nil {
 		return err
 	}
--- a/internal/rehearse/times.go
+++ b/internal/rehearse/times.go
@@ -45,7 +45,7 @@
 	defer n.Close()
 	r := &TimesReport{OpenFor: millis(work)}
 	one := func(passed, open bool) (ready, exit float64, err error) {
-		l, err := listenAt(proxyHost)
+		l, err := listenAt(newHost())
 		if err != nil {
 			return 0, 0, err
 		}
