--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -46,6 +46,7 @@
 	list      directory
 	proxies   []*proxyDoor
 	links     links
+	host      string                       // of the proxies
 	workLinks map[int]*rig.Link            // before where proxies take works in hand
 	voters    agent.Fleet                  // of permits, if there are any
 	found     func(proxy int) []agent.Peer // them, by each proxy; nil for as they are
