--- /dev/null
+++ b/internal/core/work_test.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/membership"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/takeover"
+	"mulleinpier/internal/testwait"
+	"mulleinpier/internal/upstream"
+	"mulleinpier/policy"
+)
+
+// fakeDesk notes what a core asks and settles.
+type fakeDesk struct {
+	full, strict bool
+
+	mu      sync.Mutex
+	asked   []uint64
+	settled map[uint64]takeover.Outcome
+}
+
+func (d *fakeDesk) Ask(id uint64, _ *request.Request, _ time.Duration, _ time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.full {
+		d.asked = append(d.asked, id)
+	}
+	return !d.full
+}
+
+func (d *fakeDesk) Settle(id uint64, outcome takeover.Outcome, _ string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settled[id] = outcome
+}
+
+func (d *fakeDesk) Strict() bool { return d.strict }
+
+// outcome is what a work was settled as, 0 for not yet.
+func (d *fakeDesk) outcome(id uint64) takeover.Outcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settled[id]
+}
+
+// heard is a Reply that keeps the answer.
+type heard struct{ answers chan request.Answer }
+
+func newHeard() *heard                    { return &heard{make(chan request.Answer, 4)} }
+func (h *heard) Finish(a *request.Answer) { h.answers <- *a }
+func (h *heard) Release()                 {}
+
+// withDesk is a core whose one node stores whatever comes, and the commands that have come to it.
+func withDesk(t *testing.T, d *fakeDesk) (c *Core, came func() []string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var lines []string
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				for in := bufio.NewScanner(socket); in.Scan(); {
+					words := strings.Fields(in.Text())
+					if len(words) == 0 || words[0] != "ms" {
+						continue
+					}
+					mu.Lock()
+					lines = append(lines, in.Text())
+					mu.Unlock()
+					for _, w := range words {
+						if strings.HasPrefix(w, "O") {
+							io.WriteString(socket, fmt.Sprintf("HD %s c7\r\n", w))
+						}
+					}
+				}
+			}()
+		}
+	}()
+	at := listener.Addr().String()
+	c, err = New(&Config{Places: []discovery.Place{{Fixed: at}}, Known: discovery.FixedList(at), Infer: true, Membership: membership.Usual, MostHeld: 100,
+		Policy: policy.Settings{Proxies: 1, Origin: -1, Tick: 5 * time.Millisecond, Limits: policy.Limits{MaxAttempts: 1},
+			Classes: []policy.Class{{Name: "write", Aim: 20 * time.Second, Deadline: time.Minute, Worth: 1, Effect: policy.Keyed, Window: 30 * time.Second}}},
+		Upstream: upstream.Limits{PerNode: 4, All: 4, Streams: 64, Connect: time.Minute, Idle: time.Minute, Silent: time.Minute}}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.settled = make(map[uint64]takeover.Outcome)
+	c.SetDesk(d)
+	ctx, cancel := context.WithCancel(context.Background())
+	var task sync.WaitGroup
+	task.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		task.Wait()
+		listener.Close()
+	})
+	return c, func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(lines)
+	}
+}
+
+func handover(id string) *request.Request {
+	return &request.Request{Verb: request.Set, Key: "order", ID: id, Class: "write", Idempotency: "k" + id, Value: []byte("x\r\n")[:1], Wait: -1}
+}
+
+// TestNothingGoesOutWithoutLeave walks a keyed write through each verdict: only with leave does anything come to a node, and
+// each is answered once.
+func TestNothingGoesOutWithoutLeave(t *testing.T) {
+	d := &fakeDesk{}
+	c, came := withDesk(t, d)
+	for i, x := range []struct {
+		verdict takeover.Verdict
+		want    request.Kind
+	}{{takeover.Receipt, request.Stored}, {takeover.Unsure, request.Failed}, {takeover.Clash, request.Bad}, {takeover.Refuse, request.Busy}} {
+		h := newHeard()
+		c.Arrive(handover(fmt.Sprint(i)), h)
+		if !c.Permit(d.asked[i], x.verdict, 0, "r") {
+			t.Errorf("verdict %d is not wanted", x.verdict)
+		}
+		if a := testwait.Receive(t, "an answer", h.answers); a.Kind != x.want || x.verdict == takeover.Receipt && a.Receipt != "r" {
+			t.Errorf("verdict %d: answered %+v", x.verdict, a)
+		}
+		if c.Permit(d.asked[i], takeover.Send, time.Minute, "") {
+			t.Errorf("verdict %d: it is wanted twice", x.verdict)
+		}
+	}
+	if lines := came(); len(lines) != 0 {
+		t.Errorf("came to the node: %q", lines)
+	}
+	h := newHeard()
+	c.Arrive(handover("sent"), h)
+	id := d.asked[4]
+	c.Permit(id, takeover.Send, time.Minute, "")
+	if a := testwait.Receive(t, "an answer", h.answers); a.Kind != request.Stored || d.outcome(id) != takeover.Served {
+		t.Errorf("answered %+v, settled %d", a, d.outcome(id))
+	}
+	h = newHeard()
+	c.Arrive(handover("late"), h)
+	id = d.asked[5]
+	c.Permit(id, takeover.Send, 0, "") // its leave is over before anything can go out
+	if a := testwait.Receive(t, "an answer", h.answers); a.Kind == request.Stored {
+		t.Errorf("sent after its leave: %+v", a)
+	}
+	testwait.Until(t, "it to be settled", func() bool { return d.outcome(id) != 0 })
+	if lines := came(); len(lines) != 1 {
+		t.Errorf("came to the node: %q", lines)
+	}
+	d.full, d.strict = true, true
+	h = newHeard()
+	c.Arrive(handover("full"), h)
+	if a := testwait.Receive(t, "an answer", h.answers); a.Kind != request.Busy {
+		t.Errorf("no room, strict: %+v", a)
+	}
+	d.strict = false
+	h = newHeard()
+	c.Arrive(handover("plain"), h)
+	if a := testwait.Receive(t, "an answer", h.answers); a.Kind != request.Stored {
+		t.Errorf("no room, plainly: %+v", a)
+	}
+}
+
+// TestWorkOutlivesItsClient has a client leave after its write had leave, and another proxy's work be adopted: both go on,
+// and are settled.
+func TestWorkOutlivesItsClient(t *testing.T) {
+	d := &fakeDesk{}
+	c, came := withDesk(t, d)
+	early := c.Arrive(handover("early"), newHeard())
+	c.Leave([]*Held{early}) // before any leave: nothing is to be sent
+	if c.Permit(d.asked[0], takeover.Send, time.Minute, "") {
+		t.Error("leave for one whose client had left")
+	}
+	h := newHeard()
+	held := c.Arrive(handover("a"), h)
+	c.mu.Lock() // its client leaves before its node can answer
+	held.stage, held.leave = given, c.now()+time.Minute
+	c.mu.Unlock()
+	c.Leave([]*Held{held})
+	c.mu.Lock()
+	c.arrive(held)
+	c.mu.Unlock()
+	testwait.Until(t, "it to be settled", func() bool { return d.outcome(d.asked[1]) == takeover.Served })
+	id, ok := c.Adopt(handover("b"), time.Minute)
+	if !ok {
+		t.Fatal("not adopted")
+	}
+	testwait.Until(t, "the adopted one to be settled", func() bool { return d.outcome(id) == takeover.Served })
+	if lines := came(); len(lines) != 2 || len(h.answers) != 0 {
+		t.Errorf("came to the node: %q; %d answers to a client that had left", lines, len(h.answers))
+	}
+}
