--- a/cmd/mullein/lease.go
+++ b/cmd/mullein/lease.go
@@ -16,6 +16,7 @@
 
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/peer"
 )
 
 // exitTaken and exitLost go on from the exit codes of reads and writes.
@@ -85,14 +86,15 @@
 const mostLook = 500 * time.Millisecond
 
 func (c *fleetListCommand) run(ctx context.Context, out io.Writer) error {
-	client, err := c.client()
-	if err != nil {
+	c.Within = min(c.Within, mostLook)
+	var view []peer.Seen
+	var heard int
+	if err := c.ask(ctx, func(ctx context.Context, client *agent.Client) error {
+		view, heard = client.Members(ctx)
+		return nil
+	}); err != nil {
 		return err
 	}
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, min(c.Within, mostLook))
-	defer cancel()
-	view, heard := client.Members(ctx)
 	if heard == 0 {
 		return errors.New("no voter answers")
 	}
@@ -186,14 +188,7 @@
 	if err := decide(ctx, &c.quorumOf, lease.Command{Kind: lease.Enrol, To: c.Name}); err != nil {
 		return err
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, c.Within)
-	defer cancel()
-	s, err := client.State(ctx)
+	s, err := c.state(ctx)
 	if err != nil {
 		return err
 	}
@@ -201,8 +196,8 @@
 	return nil
 }
 
-// decide has the voters carry out a command.
-func decide(ctx context.Context, q *quorumOf, command lease.Command) error {
+// ask does something with the voters in the time that it may take.
+func (q *quorumOf) ask(ctx context.Context, do func(ctx context.Context, c *agent.Client) error) error {
 	c, err := q.client()
 	if err != nil {
 		return err
@@ -210,19 +205,28 @@
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(ctx, q.Within)
 	defer cancel()
-	_, err = c.Do(ctx, command)
-	return err
+	return do(ctx, c)
 }
 
-func (c *listCommand) run(ctx context.Context, only string, out io.Writer) error {
-	client, err := c.client()
-	if err != nil {
+// decide has the voters carry out a command.
+func decide(ctx context.Context, q *quorumOf, command lease.Command) error {
+	return q.ask(ctx, func(ctx context.Context, c *agent.Client) error {
+		_, err := c.Do(ctx, command)
 		return err
-	}
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(ctx, c.Within)
-	defer cancel()
-	s, err := client.State(ctx)
+	})
+}
+
+// state asks the voters for all that they know.
+func (q *quorumOf) state(ctx context.Context) (s agent.State, err error) {
+	err = q.ask(ctx, func(ctx context.Context, c *agent.Client) error {
+		s, err = c.State(ctx)
+		return err
+	})
+	return s, err
+}
+
+func (c *listCommand) run(ctx context.Context, only string, out io.Writer) error {
+	s, err := c.state(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/mullein/main.go
+++ b/cmd/mullein/main.go
@@ -15,9 +15,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"mulleinpier/client"
+	"mulleinpier/internal/cli"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/load"
@@ -108,7 +107,7 @@
 	Lease leaseCommand `cmd:"" help:"Leases for tasks that one process does for the whole fleet."`
 }
 
-var errUsage = errors.New("bad usage")
+var errUsage = cli.ErrUsage
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -142,38 +141,23 @@
 	return exitFailed
 }
 
-// ended is what the parser panics with after it has printed help.
-type ended struct{}
-
-func run(ctx context.Context, args []string, in io.Reader, out, log io.Writer) (err error) {
+func run(ctx context.Context, args []string, in io.Reader, out, log io.Writer) error {
 	var c commands
-	parser, err := kong.New(&c, kong.Name("mullein"), kong.Description("Reads and writes order keys through mulleinpier proxies."),
-		kong.Writers(out, log), kong.Exit(func(int) { panic(ended{}) }))
-	if err != nil {
+	chosen, err := cli.Parse(&c, "mullein", "Reads and writes order keys through mulleinpier proxies.", args, out, log)
+	if err != nil || chosen == "" {
 		return err
 	}
-	defer func() {
-		if p := recover(); p == (ended{}) {
-			err = nil
-		} else if p != nil {
-			panic(p)
-		}
-	}()
-	chosen, err := parser.Parse(args)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	switch chosen.Command() {
+	switch chosen {
 	case "get <keys>":
 		return c.Get.run(ctx, out, log)
 	case "set <key>", "set <key> <value>":
 		return c.Set.run(ctx, in, out, log)
 	}
-	if verb, ok := strings.CutPrefix(chosen.Command(), "lease "); ok {
+	if verb, ok := strings.CutPrefix(chosen, "lease "); ok {
 		verb, _, _ = strings.Cut(verb, " ")
 		return c.Lease.run(ctx, verb, out, log)
 	}
-	if chosen.Command() == "fleet list" {
+	if chosen == "fleet list" {
 		return c.Fleet.List.run(ctx, out)
 	}
 	return c.Load.run(ctx, out)
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"mulleinpier/internal/cli"
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/notify"
@@ -164,7 +165,7 @@
 }
 
 var (
-	errUsage  = errors.New("bad usage")
+	errUsage  = cli.ErrUsage
 	errBroken = errors.New("a rule broke")
 )
 
@@ -187,29 +188,14 @@
 // printer is a report of any command.
 type printer interface{ Print(io.Writer) }
 
-// ended is what the parser panics with after it has printed what was asked for.
-type ended struct{}
-
-func run(ctx context.Context, args []string, out, progress io.Writer) (err error) {
+func run(ctx context.Context, args []string, out, progress io.Writer) error {
 	var c commands
-	parser, err := kong.New(&c, kong.Name("rehearse"), kong.Writers(out, progress), kong.Exit(func(int) { panic(ended{}) }),
-		kong.Description("Plays a fleet of real proxy processes between stand-ins on loopback, and tells whether the rules held. "+
-			"Exit: 0 they did, 1 one broke or the rehearsal failed, 2 bad usage."))
-	if err != nil {
+	chosen, err := cli.Parse(&c, "rehearse", "Plays a fleet of real proxy processes between stand-ins on loopback, and tells whether the rules held. "+
+		"Exit: 0 they did, 1 one broke or the rehearsal failed, 2 bad usage.", args, out, progress)
+	if err != nil || chosen == "" {
 		return err
 	}
-	defer func() {
-		if p := recover(); p == (ended{}) {
-			err = nil
-		} else if p != nil {
-			panic(p)
-		}
-	}()
-	chosen, err := parser.Parse(args)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	command, _, _ := strings.Cut(chosen.Command(), " ")
+	command, _, _ := strings.Cut(chosen, " ")
 	switch command { // these play a part in a rehearsal
 	case "double":
 		return c.AsDouble.run(ctx, progress)
--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -16,8 +16,7 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"mulleinpier/internal/cli"
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/daemon"
 	"mulleinpier/internal/proxy"
@@ -47,7 +46,7 @@
 const settleTime = 50 * time.Millisecond
 
 // errUsage is the error of words that can't be meant.
-var errUsage = errors.New("bad usage")
+var errUsage = cli.ErrUsage
 
 func main() {
 	// First of all: until they are caught, signals end the program, and so does
@@ -91,10 +90,7 @@
 	return fmt.Errorf("%s: %d wrong", file, len(defects))
 }
 
-// ended is what the parser panics with after it has printed help.
-type ended struct{}
-
-func run(args []string, out io.Writer, o daemon.Options) (err error) {
+func run(args []string, out io.Writer, o daemon.Options) error {
 	if len(args) == 0 { // the platform's start, which needs no parser
 		if o.Getenv("GW_CONFIG") == "" {
 			return fmt.Errorf("%w: no command, and GW_CONFIG is not set", errUsage)
@@ -103,12 +99,7 @@
 		return daemon.Run(o)
 	}
 	var c commands
-	parser, err := kong.New(&c, kong.Name("yarrowspan"), kong.Writers(out, o.Log), kong.Exit(func(int) { panic(ended{}) }),
-		kong.Description("A memcache proxy. With GW_CONFIG set and no command it serves as the platform has it."))
-	if err != nil {
-		return err
-	}
-	chosen, err := parse(parser, args)
+	chosen, err := cli.Parse(&c, "yarrowspan", "A memcache proxy. With GW_CONFIG set and no command it serves as the platform has it.", args, out, o.Log)
 	if err != nil || chosen == "" {
 		return err
 	}
@@ -155,22 +146,6 @@
 	return daemon.Run(o)
 }
 
-// parse tells the command that is meant, "" where help has been printed.
-func parse(parser *kong.Kong, args []string) (chosen string, err error) {
-	defer func() {
-		if p := recover(); p == (ended{}) {
-			chosen, err = "", nil
-		} else if p != nil {
-			panic(p)
-		}
-	}()
-	c, err := parser.Parse(args)
-	if err != nil {
-		return "", fmt.Errorf("%w: %w", errUsage, err)
-	}
-	return c.Command(), nil
-}
-
 // secret prints the line of a user whose secret is the first line of in.
 func secret(user string, in io.Reader, out io.Writer) error {
 	text, err := bufio.NewReader(io.LimitReader(in, sasl.MaxSecret+2)).ReadString('\n')
--- a/internal/rehearse/rig/rig_test.go
+++ b/internal/rehearse/rig/rig_test.go
@@ -38,6 +38,31 @@
 	return listener.Addr().String()
 }
 
+// target hands each line of each connection to take, until the test ends.
+func target(t *testing.T, take func(c net.Conn, line string)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewScanner(c); in.Scan(); {
+					take(c, in.Text())
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
@@ -193,30 +218,14 @@
 
 func comesUpAsCut(t *testing.T, reset bool) {
 	heard := make(chan string, 1000)
-	target, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer target.Close()
-	go func() {
-		for {
-			c, err := target.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewScanner(c); in.Scan(); {
-					if reset || in.Text() == "fresh" || !closing(c) {
-						heard <- in.Text()
-					}
-				}
-			}()
+	target := target(t, func(c net.Conn, line string) {
+		if reset || line == "fresh" || !closing(c) {
+			heard <- line
 		}
-	}()
+	})
 	up := 0
 	for range 10 {
-		l, err := NewLink("127.0.0.1", target.Addr().String())
+		l, err := NewLink("127.0.0.1", target)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -314,27 +323,11 @@
 // TestLinkDeliversTwice has what comes on a new connection come to the target on two.
 func TestLinkDeliversTwice(t *testing.T) {
 	heard := make(chan string, 10)
-	target, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer target.Close()
-	go func() {
-		for {
-			c, err := target.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewScanner(c); in.Scan(); {
-					heard <- in.Text()
-					io.WriteString(c, "ok\n")
-				}
-			}()
-		}
-	}()
-	l, err := NewLink("127.0.0.1", target.Addr().String())
+	target := target(t, func(c net.Conn, line string) {
+		heard <- line
+		io.WriteString(c, "ok\n")
+	})
+	l, err := NewLink("127.0.0.1", target)
 	if err != nil {
 		t.Fatal(err)
 	}
