--- a/internal/rehearse/cost.go
+++ b/internal/rehearse/cost.go
@@ -69,7 +69,7 @@
 
 // startVoters starts three processes that vote and serve nobody.
 func startVoters(program []string, folder string) (list []agent.Peer, end func(), err error) {
-	f, err := newVoters(folder, newHost())
+	f, err := newVoters(folder, newPorts())
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -30,6 +30,30 @@
 
 var hosts atomic.Int64
 
+// ports are what has been reserved at a host, so that none is reserved twice: the system may deal one again as soon as it
+// is let go.
+type ports struct {
+	host  string
+	taken map[string]bool
+}
+
+func newPorts() *ports { return &ports{host: newHost(), taken: make(map[string]bool)} }
+
+// reserve opens an address that was not reserved before. Whoever closes it keeps it for what is to listen there.
+func (p *ports) reserve() (net.Listener, error) {
+	for {
+		l, err := net.Listen("tcp", p.host+":0")
+		if err != nil {
+			return nil, err
+		}
+		if at := l.Addr().String(); !p.taken[at] {
+			p.taken[at] = true
+			return l, nil
+		}
+		defer l.Close() // held until another has come
+	}
+}
+
 // The drain rule, and what the protocol page adds for real sockets.
 const drainGrace = 500*time.Millisecond + 50*time.Millisecond
 
@@ -46,7 +70,7 @@
 	list      directory
 	proxies   []*proxyDoor
 	links     links
-	host      string                       // of the proxies
+	ports     *ports                       // of the proxies
 	workLinks map[int]*rig.Link            // before where proxies take works in hand
 	voters    agent.Fleet                  // of permits, if there are any
 	found     func(proxy int) []agent.Peer // them, by each proxy; nil for as they are
@@ -96,7 +120,7 @@
 
 // startFleetBy is startFleet with the voters found by each proxy where seen says, once their addresses are known.
 func startFleetBy(s *Scenario, program []string, folder string, say func(string, ...any), seen func(real []agent.Peer) (func(proxy int) []agent.Peer, error)) (*fleet, error) {
-	f := &fleet{host: newHost(), scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
+	f := &fleet{ports: newPorts(), scenario: s, program: program, folder: folder, say: say, turned: time.Now(),
 		seen: [2]map[string]struct{}{{}, {}}}
 	p := s.Fleet
 	f.origin = origin.New(origin.Config{Slots: p.OriginSlots, Queue: p.OriginQueue, Work: time.Duration(p.OriginWork), Seed: s.Seed})
@@ -173,7 +197,7 @@
 
 func (f *fleet) newDoor(i int) (*proxyDoor, error) {
 	d := &proxyDoor{fleet: f, index: i, config: filepath.Join(f.folder, fmt.Sprintf("p%d.toml", i)), quota: f.scenario.Load.Quota}
-	listener, err := net.Listen("tcp", f.host+":0")
+	listener, err := f.ports.reserve()
 	if err != nil {
 		return nil, err
 	}
