Hear a proxy's own register where it is the last; mullein work list

Seen by the first test with two real proxies of which one is killed: who asked again at the other got 'failed', though its register knew the receipt: an errand without others was decided before its own register had been heard (NewErrand).

--- a/cmd/mullein/main.go
+++ b/cmd/mullein/main.go
@@ -104,6 +104,7 @@
 	Load loadCommand `cmd:"" help:"Put a load on proxies, and tell what became of it."`
 
 	Fleet fleetCommand `cmd:"" help:"Instances that know each other."`
+	Work  workCommand  `cmd:"" help:"Works in hand, held for other proxies."`
 	Lease leaseCommand `cmd:"" help:"Leases for tasks that one process does for the whole fleet."`
 }
 
@@ -160,6 +161,9 @@
 	if chosen == "fleet list" {
 		return c.Fleet.List.run(ctx, out)
 	}
+	if chosen == "work list" {
+		return c.Work.List.run(ctx, out)
+	}
 	return c.Load.run(ctx, out)
 }
 
--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -247,6 +248,7 @@
 	var tasks sync.WaitGroup
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+path, d.take)
+	mux.HandleFunc("GET "+ListPath, d.list)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: talk.IdleTime,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	tasks.Go(func() { server.Serve(listener) })
@@ -299,6 +301,29 @@
 	d.http.CloseIdleConnections()
 }
 
+// ListPath is where a desk tells its works, in JSON.
+const ListPath = "/v1/works"
+
+// mostListed bounds what is told of works.
+const mostListed = 1000
+
+// listing asks the desk's goroutine for its works.
+type listing struct{ list chan []takeover.Held }
+
+func (d *Desk) list(w http.ResponseWriter, r *http.Request) {
+	l := listing{make(chan []takeover.Held, 1)}
+	if !d.put(l, false) {
+		http.Error(w, "no room", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case list := <-l.list:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(list)
+	}
+}
+
 // take takes a letter of another proxy.
 func (d *Desk) take(w http.ResponseWriter, r *http.Request) {
 	var l letter
@@ -401,6 +426,8 @@
 	switch x := item.(type) {
 	case asking:
 		d.begin(&x)
+	case listing:
+		x.list <- d.register.List(d.o.Clock(), mostListed)
 	case settled:
 		if e := d.works[x.id]; e != nil {
 			delete(d.works, x.id)
--- a/internal/takeover/errand.go
+++ b/internal/takeover/errand.go
@@ -62,11 +62,7 @@
 // NewErrand returns that of a work which is asked for at the owner's own register and at so many others. It takes the leave
 // of all of them that live: so each of them knows of whatever was sent.
 func NewErrand(terms Terms, window, now time.Duration, others int, o Options, kind Kind) *Errand {
-	e := &Errand{terms: terms, window: window, asked: now, open: 1 + others, options: o, kind: kind}
-	if others == 0 && kind != Taken {
-		e.without()
-	}
-	return e
+	return &Errand{terms: terms, window: window, asked: now, open: 1 + others, options: o, kind: kind}
 }
 
 // Verdict is what is decided so far; Until, with Send, is when leave ends, by the owner's clock.
--- a/internal/takeover/register.go
+++ b/internal/takeover/register.go
@@ -20,6 +20,7 @@
 package takeover
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -191,6 +192,37 @@
 // Len is how many works are known.
 func (r *Register) Len() int { return len(r.works) }
 
+// Held is a work as a holder knows it, for those who ask.
+type Held struct {
+	ID      string        `json:"id"`
+	Owner   string        `json:"owner"`
+	Number  uint64        `json:"number"`
+	Owners  int           `json:"owners"` // that have had leave
+	State   string        `json:"state"`  // open, lost, served or unknown
+	Age     time.Duration `json:"age"`    // since it may have run first
+	Receipt string        `json:"receipt,omitempty"`
+}
+
+// List are the works that are known, the unknown and the lost ones first, then those that are open, most at the most.
+func (r *Register) List(now time.Duration, most int) []Held {
+	ranks := map[string]int{"unknown": 0, "lost": 1, "open": 2, "served": 3}
+	var list []Held
+	for id, w := range r.works {
+		h := Held{ID: id, Owner: w.owner.Name, Number: w.number, Owners: w.owners, State: "open", Age: now - w.first, Receipt: w.receipt}
+		switch {
+		case w.outcome == Served:
+			h.State = "served"
+		case w.outcome == Unknown:
+			h.State = "unknown"
+		case w.gone:
+			h.State = "lost"
+		}
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b Held) int { return cmp.Or(ranks[a.State]-ranks[b.State], cmp.Compare(a.ID, b.ID)) })
+	return list[:min(len(list), most)]
+}
+
 // Handle takes an event at a time and appends what is to be done to out.
 func (r *Register) Handle(now time.Duration, event Event, out []Action) []Action {
 	switch e := event.(type) {
--- a/internal/takeover/register_test.go
+++ b/internal/takeover/register_test.go
@@ -32,6 +32,9 @@
 	if got := ask(0, a, 1); got.Word != Leave || got.Age != 0 || got.Young || got.Number != 1 {
 		t.Errorf("new: %+v", got)
 	}
+	if list := r.List(50*ms, 10); len(list) != 1 || list[0].State != "open" || list[0].Owner != "a" || list[0].Age != 50*ms {
+		t.Errorf("listed as %+v", list)
+	}
 	if got := ask(ms, b, 2); got.Word != Parked {
 		t.Errorf("in another's hand: %+v", got)
 	}
@@ -53,6 +56,9 @@
 			t.Errorf("served: %+v", got)
 		}
 	}
+	if list := r.List(time.Second, 10); len(list) != 1 || list[0].State != "served" || list[0].Receipt != "r" || list[0].Owners != 2 {
+		t.Errorf("listed as %+v", list)
+	}
 	r.Handle(Usual.Keep+201*ms, Tick{}, nil)
 	if r.Len() != 0 || r.bytes != 0 {
 		t.Errorf("%d works of %d bytes are kept", r.Len(), r.bytes)
@@ -167,6 +173,13 @@
 			t.Errorf("%s: until %v", c.name, until)
 		}
 	}
+	alone := NewErrand(Usual, window, 0, 0, Options{Others: 1, Strict: true}, Retry)
+	if v, _ := alone.Verdict(); v != Waiting {
+		t.Errorf("alone, before its own register has been heard: %v", v)
+	}
+	if alone.Heard("own", known); alone.Receipt() != "r" {
+		t.Error("alone, its own register knows the receipt in vain")
+	}
 	e := NewErrand(Usual, window, 0, 2, Options{Others: 2, Strict: true}, Retry)
 	e.Heard("own", leave)
 	e.Heard("y", Answer{Word: Parked})
