Settle what went out plainly with what came of it; takeover rehearsed strictly

Cause, by the code: where holders had not answered in time a first try went out plainly and was settled as not run, so that whoever asked again seconds later passed for new (desk.decide).

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -91,7 +91,7 @@
 type takeoverCommand struct {
 	Short   bool          `help:"25 s of faults in place of two minutes, at a quarter of the rate."`
 	Holders int           `default:"1" help:"Other proxies that hold a work, 0 to 2."`
-	Mode    string        `default:"plain" enum:"plain,strict"`
+	Mode    string        `default:"strict" enum:"plain,strict" help:"plain, where tills that ask again late are not safe, or strict."`
 	Rate    float64       `default:"1700" help:"Requests a second."`
 	For     time.Duration `default:"2m" help:"How long faults are put in."`
 	Seed    uint64        `default:"1"`
--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -567,10 +567,13 @@
 	}
 	within := until - d.o.Clock()
 	wanted := true
-	if verdict == takeover.Send {
+	if verdict == takeover.Plainly { // who knows of it, were it the own register alone, is to hear what came of it
+		within = takeover.Usual.Leave
+	}
+	if verdict == takeover.Send || verdict == takeover.Plainly {
 		e.grant = max(e.Number(), 1)
 		d.works[e.core] = e
-		if wanted = d.core.Permit(e.core, verdict, within, ""); !wanted {
+		if wanted = d.core.Permit(e.core, takeover.Send, within, ""); !wanted {
 			delete(d.works, e.core)
 		}
 	} else {
@@ -594,7 +597,7 @@
 	case verdict == takeover.Receipt:
 		e.grant = e.Number()
 		d.settle(e, takeover.Served, e.Receipt())
-	case verdict != takeover.Send && verdict != takeover.Clash || !wanted: // this owner sends nothing
+	case verdict != takeover.Send && verdict != takeover.Plainly && verdict != takeover.Clash || !wanted: // this owner sends nothing
 		e.grant = max(e.Number(), 1)
 		d.settle(e, takeover.NotRun, "")
 	}
