Let doubt about a retry stay, and count holders that are gone or were away

At its first repeats holders were young and the work failed as unknown; that was settled as not run, and 15 s later the same holders were old and knew nothing. Now it stays unknown (desk.decide), unless its owner tells what came of it.

--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -126,6 +126,8 @@
 	works    map[uint64]*errand // sent, by the core's id
 	members  map[string]*member // that live, by name
 	gone     map[takeover.Owner]bool
+	away     map[string]time.Duration // by name, when one that was gone was heard again, or was lost
+	selfGone bool                     // the others take this process for gone
 	taken    uint64
 	looked   time.Duration // when time passed last
 	blind    bool
@@ -190,7 +192,7 @@
 // New returns a desk; Run puts it to work.
 func New(core Core, o Options) *Desk {
 	return &Desk{o: o, core: core, wake: make(chan struct{}, 1), errands: make(map[uint64]*errand), asked: make(map[uint64]asker),
-		works: make(map[uint64]*errand), members: make(map[string]*member), gone: make(map[takeover.Owner]bool),
+		works: make(map[uint64]*errand), members: make(map[string]*member), gone: make(map[takeover.Owner]bool), away: make(map[string]time.Duration),
 		register: takeover.NewRegister(takeover.Usual, o.Self, o.Clock()),
 		http:     &http.Client{Timeout: talk.LinkTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: talk.IdleTime}}}
 }
@@ -345,7 +347,12 @@
 func (d *Desk) meet(ctx context.Context, list []peer.Seen, tasks *sync.WaitGroup) {
 	for _, s := range list {
 		o := takeover.Owner{Name: s.Name, Run: s.Run}
-		if o.Name == d.o.Self.Name {
+		if o.Name == d.o.Self.Name { // who was held for gone was passed over meanwhile
+			gone := s.State == peer.Gone
+			if d.selfGone && !gone {
+				d.tell(takeover.Returned{})
+			}
+			d.selfGone = gone
 			continue
 		}
 		m := d.members[s.Name]
@@ -358,9 +365,11 @@
 		switch {
 		case s.State == peer.Gone && m != nil && !d.gone[o]:
 			d.gone[o] = true
+			d.away[o.Name] = d.o.Clock()
 			d.lose(o)
 		case s.State == peer.Alive && d.gone[o]:
 			delete(d.gone, o)
+			d.away[o.Name] = d.o.Clock()
 			d.tell(takeover.Back{Owner: o})
 		}
 		if m == nil && s.State != peer.Gone && s.Address != "" {
@@ -450,18 +459,26 @@
 	}
 }
 
-// others are the holders of a work beside this proxy, the first ones of its order that live.
-func (d *Desk) others(id string) []*member {
-	list := d.ordered(id)
-	return list[:min(len(list), d.o.Others)]
+// others are the holders of a work beside this proxy: the first ones of its order that live; and those before them that
+// are gone, which might know more.
+func (d *Desk) others(id string) (list []*member, gone []string) {
+	for _, m := range d.ordered(id) {
+		switch {
+		case len(list) >= d.o.Others:
+			return list, gone
+		case d.gone[m.Owner]:
+			gone = append(gone, m.Name)
+		default:
+			list = append(list, m)
+		}
+	}
+	return list, gone
 }
 
 func (d *Desk) ordered(id string) (list []*member) {
 	var places []takeover.Place
 	for _, m := range d.members {
-		if !d.gone[m.Owner] {
-			places = append(places, m.Place)
-		}
+		places = append(places, m.Place)
 	}
 	for _, p := range takeover.Order(id, places) {
 		list = append(list, d.members[p.Name])
@@ -479,8 +496,11 @@
 	now := d.o.Clock()
 	d.last++
 	e := &errand{number: d.last, core: x.id, work: x.work, kind: kind, waits: make(map[string]time.Duration), late: now + time.Until(x.expires) - beforeLate}
-	list := d.others(x.work.ID)
+	list, gone := d.others(x.work.ID)
 	e.Errand = *takeover.NewErrand(takeover.Usual, x.work.Window, now, len(list), d.options(), kind)
+	for _, name := range gone {
+		e.Instead(name)
+	}
 	for _, m := range list {
 		e.holders = append(e.holders, m.Owner)
 	}
@@ -507,6 +527,9 @@
 		}
 	}
 	delete(e.waits, holder)
+	if at, ok := d.away[holder]; ok && a.Word == takeover.Leave && a.Age == 0 && d.o.Clock()-at < takeover.Usual.Young {
+		a.Young = true // it was passed over while it was away, whatever it knows of that
+	}
 	e.Heard(holder, a)
 	if holder == d.o.Self.Name && a.Word == takeover.Leave && !e.began {
 		d.askOthers(e, 0, 0)
@@ -543,7 +566,7 @@
 		return false
 	}
 	for _, m := range d.ordered(e.work.ID) {
-		if !slices.Contains(e.holders, m.Owner) {
+		if !slices.Contains(e.holders, m.Owner) && !d.gone[m.Owner] {
 			e.Instead(holder)
 			e.holders = append(e.holders, m.Owner)
 			d.askOne(e, m, len(e.holders)-1)
@@ -599,7 +622,11 @@
 		d.settle(e, takeover.Served, e.Receipt())
 	case verdict != takeover.Send && verdict != takeover.Plainly && verdict != takeover.Clash || !wanted: // this owner sends nothing
 		e.grant = max(e.Number(), 1)
-		d.settle(e, takeover.NotRun, "")
+		outcome := takeover.NotRun
+		if verdict == takeover.Unsure { // and stays so: who asks again later is not to find those that may have forgotten grown old
+			outcome = takeover.Unknown
+		}
+		d.settle(e, outcome, "")
 	}
 }
 
@@ -619,13 +646,16 @@
 // takeOver begins to go on with a lost work: the other holders are heard before anything is sent.
 func (d *Desk) takeOver(a takeover.Take) {
 	now := d.o.Clock()
-	list := d.others(a.Work.ID)
+	list, gone := d.others(a.Work.ID)
 	d.last++
 	e := &errand{number: d.last, work: a.Work, kind: takeover.Taken, grant: a.Number, waits: make(map[string]time.Duration), late: now + a.Work.Window}
 	for _, m := range list {
 		e.holders = append(e.holders, m.Owner)
 	}
 	e.Errand = *takeover.NewErrand(takeover.Usual, a.Work.Window, now, len(list), d.options(), takeover.Taken)
+	for _, name := range gone {
+		e.Instead(name)
+	}
 	d.errands[e.number] = e
 	e.Heard(d.o.Self.Name, takeover.Answer{Word: takeover.Leave, Number: a.Number, Age: a.Age, Was: a.Was})
 	d.askOthers(e, a.Number, a.Age)
--- a/internal/takeover/register_test.go
+++ b/internal/takeover/register_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// TestDoubtStays has a retry fail that a young register can't judge: once the register is old, and knows no more than
+// before, who asks again is told the same.
+func TestDoubtStays(t *testing.T) {
+	r := NewRegister(Usual, Owner{"h", 1}, 0)
+	if got := only(t, r.Handle(ms, Ask{Tag: 1, Work: work("k"), Owner: a, Retry: true}, nil)); got.Word != Leave || !got.Young {
+		t.Errorf("a retry at a young register: %+v", got)
+	}
+	r.Handle(2*ms, Settle{ID: "k", Owner: a, Number: 1, Outcome: Unknown}, nil)
+	if got := only(t, r.Handle(2*Usual.Young, Ask{Tag: 2, Work: work("k"), Owner: b, Retry: true}, nil)); got.Word != Spent {
+		t.Errorf("asked again at an old one: %+v", got)
+	}
+	r.Handle(2*Usual.Young, Settle{ID: "k", Owner: Owner{"c", 1}, Number: 1, Outcome: Served, Receipt: "r"}, nil)
+	if got := only(t, r.Handle(2*Usual.Young, Ask{Tag: 3, Work: work("k"), Owner: b, Retry: true}, nil)); got.Word != Known {
+		t.Errorf("once its owner has told: %+v", got)
+	}
+}
+
 // TestBounds guards guarantee 5.
 func TestBounds(t *testing.T) {
 	terms := Usual
--- a/internal/takeover/world_test.go
+++ b/internal/takeover/world_test.go
@@ -70,7 +70,9 @@
 }
 
 func newWorld(c chooser, d defects, faults int) *world {
-	w := &world{c: c, d: d, terms: Usual, faults: faults, great: 2, begun: -1, work: 2}
+	terms := Usual
+	terms.Young = 4200 * ms // tills ask a second time within it, and a third time after it
+	w := &world{c: c, d: d, terms: terms, faults: faults, great: 2, begun: -1, work: 2}
 	if d.forgetful { // one loss alone is borne by those who know
 		w.great, w.faults = 4, 10
 	}
@@ -252,6 +254,8 @@
 			return
 		case Unsure:
 			answer("unknown")
+			p.settle(others, e.Number(), Unknown)
+			return
 		case Clash:
 			answer("clash")
 			return
