--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -531,7 +531,7 @@
 		a.Young = true // it was passed over while it was away, whatever it knows of that
 	}
 	e.Heard(holder, a)
-	if holder == d.o.Self.Name && a.Word == takeover.Leave && !e.began {
+	if holder == d.o.Self.Name && (a.Word == takeover.Leave || a.Word == takeover.Spent) && !e.began {
 		d.askOthers(e, 0, 0)
 	}
 	d.decide(e)
--- a/internal/takeover/errand.go
+++ b/internal/takeover/errand.go
@@ -30,6 +30,7 @@
 	options Options
 	kind    Kind
 	joined  bool
+	spent   bool // a holder says that it may not be sent any more
 	own     int
 	leaves  int      // of others
 	missed  int      // others that should have answered
@@ -99,8 +100,8 @@
 	switch a.Word {
 	case Known:
 		e.verdict, e.receipt = Receipt, a.Receipt
-	case Spent:
-		e.verdict = Unsure
+	case Spent: // as far as that one knows: another may know that it was served
+		e.spent = true
 	case Conflict:
 		e.verdict = Clash
 	case Again:
@@ -129,7 +130,7 @@
 func (e *Errand) Over() {
 	switch {
 	case e.verdict != Waiting:
-	case e.joined || e.age > 0:
+	case e.joined || e.spent || e.age > 0:
 		e.verdict = Unsure
 	default:
 		e.verdict = Refuse
@@ -171,6 +172,8 @@
 func (e *Errand) decide() {
 	switch {
 	case e.verdict != Waiting || e.open > 0:
+	case e.spent:
+		e.verdict = Unsure
 	case e.missed > 0 || e.leaves == 0 && e.kind != Taken:
 		e.without()
 	case e.kind == Retry && e.untold() >= e.options.Others, e.kind == Taken && e.options.Others > 1 && e.untold() >= e.options.Others:
--- a/internal/takeover/world_test.go
+++ b/internal/takeover/world_test.go
@@ -283,7 +283,7 @@
 		})
 	}
 	ask(len(others), p, func(a Answer) {
-		if a.Word == Leave {
+		if a.Word == Leave || a.Word == Spent {
 			for rank, x := range others {
 				ask(rank, x, func(Answer) {})
 			}
