Forget members that the fleet has forgotten; no verdict that nobody gives

Read again: the desk's members, away times and carriers of names that come and go were never let go of (desk.forget); core.Permit had a case for a verdict that the desk turns into another before. go test ./internal/core, -run 'Receipt|TakenOver' ./cmd/yarrowspan.

--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -69,8 +69,6 @@
 	case takeover.Send:
 		r.stage, r.leave = given, c.now()+within
 		c.arrive(r)
-	case takeover.Plainly:
-		c.arrive(r)
 	case takeover.Receipt:
 		c.counts.served++
 		c.answer(r, &request.Answer{Kind: request.Stored, Receipt: receipt})
--- a/internal/takeover/desk/desk.go
+++ b/internal/takeover/desk/desk.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -345,6 +346,7 @@
 
 // meet takes the fleet's members as they are now.
 func (d *Desk) meet(ctx context.Context, list []peer.Seen, tasks *sync.WaitGroup) {
+	d.forget(list)
 	for _, s := range list {
 		o := takeover.Owner{Name: s.Name, Run: s.Run}
 		if o.Name == d.o.Self.Name { // who was held for gone was passed over meanwhile
@@ -381,6 +383,22 @@
 	}
 }
 
+// forget lets go of those whom the fleet has forgotten, so that names that come and go don't pile up.
+func (d *Desk) forget(list []peer.Seen) {
+	known := make(map[string]bool, len(list))
+	for _, s := range list {
+		known[s.Name] = true
+	}
+	for name, m := range d.members {
+		if !known[name] {
+			m.stop()
+			delete(d.members, name)
+		}
+	}
+	maps.DeleteFunc(d.away, func(name string, _ time.Duration) bool { return !known[name] })
+	maps.DeleteFunc(d.gone, func(o takeover.Owner, _ bool) bool { m := d.members[o.Name]; return m == nil || m.Owner != o })
+}
+
 // lose takes that a process is gone: no answer of it is waited for, and its works are to be taken over.
 func (d *Desk) lose(o takeover.Owner) {
 	for _, e := range d.errands {
