--- a/client/catalogue/catalogue.go
+++ b/client/catalogue/catalogue.go
@@ -47,7 +47,7 @@
 
 // Follow implements client.Source.
 func (s source) Follow(ctx context.Context, tell func([]string)) error {
-	return s.place.Open().Watch(ctx, 0, true, func(l discovery.List) {
+	return s.place.Open().Watch(ctx, 0, func(l discovery.List) {
 		var up []string
 		for _, e := range l.Endpoints {
 			if e.Status == "up" {
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	lists, ended := make(chan discovery.List, 1000), make(chan error, 1)
-	go func() { ended <- p.Open().Watch(ctx, 0, true, func(l discovery.List) { lists <- l }) }()
+	go func() { ended <- p.Open().Watch(ctx, 0, func(l discovery.List) { lists <- l }) }()
 	t.Cleanup(stop)
 	return lists, ended
 }
--- a/internal/consul/source.go
+++ b/internal/consul/source.go
@@ -248,7 +248,7 @@
 // Watch implements discovery.Source. Versions count for one agent only, so it begins with
 // the whole list whatever from is. It waits before it returns an error that says when to
 // come again.
-func (s *source) Watch(ctx context.Context, _ uint64, _ bool, tell func(discovery.List)) error {
+func (s *source) Watch(ctx context.Context, _ uint64, tell func(discovery.List)) error {
 	index, told := uint64(0), false
 	for {
 		a, err := s.query(ctx, index, false, s.wait(index))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,16 +25,14 @@
 	Release()
 }
 
-// Client is a Reply that can tell, without waiting, whether its client has closed behind the request.
+// Client is a Reply that can tell, without waiting, whether its client has gone.
 type Client interface{ Left() bool }
 
 // Config is what a core is told.
 type Config struct {
 	// Places are those of the list of nodes, in order of precedence. On the platform
 	// there is exactly one.
-	Places []discovery.Place
-	// Patient takes silence of the list's source for no news rather than its loss.
-	Patient  bool
+	Places   []discovery.Place
 	Seed     uint64
 	Known    discovery.List
 	Policy   policy.Settings
@@ -77,6 +75,8 @@
 
 type attempt struct {
 	upstream.Attempt
+	client Client // nil where nobody can tell whether it has gone
+	begun  bool   // its first byte may have been written
 	server string
 	sent   time.Duration
 	ended  bool
@@ -87,7 +87,6 @@
 // reach the module through it, one at a time; its lock is never held during I/O.
 type Core struct {
 	askList bool
-	patient bool
 	infer   bool
 	zones   []string // what the list's names are the indices of
 	kinds   []string
@@ -101,6 +100,7 @@
 	rules     *rules
 	heard     bool             // known is closed
 	registry  discovery.Source // without infer
+	settled   discovery.Source // the one that has told something last
 	places    []discovery.Place
 	members   *membership.Module
 	news      []membership.Action // room for them
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{askList: config.Policy.AskList, patient: config.Patient, infer: config.Infer, zones: config.Policy.Zones, kinds: config.Policy.Kinds, binary: config.BinaryNodes,
+	c := &Core{askList: config.Policy.AskList, infer: config.Infer, zones: config.Policy.Zones, kinds: config.Policy.Kinds, binary: config.BinaryNodes,
 		rules: newRules(config), log: log, registry: config.Places[0].Open(), places: config.Places, start: time.Now(), known: make(chan struct{}),
 		balancer: balancer, requests: make(map[uint64]*Held), open: make(map[string]struct{}), wake: make(chan struct{}, 1),
 		subscribe: make(chan struct{}, 1), moved: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
@@ -163,7 +163,7 @@
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
 	c.members = membership.New(membership.Settings{Limits: config.Membership, Sources: sourcesOf(config.Places), Infer: config.Infer})
 	if len(config.Known.Endpoints) > 0 || !config.Infer {
-		c.learn(config.Places[0].String(), c.registry, config.Known, policy.ListStored)
+		c.learn(c.place(), config.Known, policy.ListStored)
 	}
 	c.logLevels(c.adopt(&config.Service, c.now()))
 	return c, nil
@@ -244,6 +244,12 @@
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
+			if !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun }) {
+				// What waits has not begun, and never will now: that is no failure, which would promise nothing.
+				c.counts.refused++
+				c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)})
+				return
+			}
 			c.counts.failed++
 			c.answer(r, &request.Answer{Kind: request.Failed})
 		}
@@ -274,15 +280,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if in.Verb == request.Set {
-		c.seeSleep()
-	}
-	c.seeClocks()
 	rules := c.rules
 	class, known := rules.classes[in.Class]
 	if !known {
 		return bad("unknown class")
 	}
+	if in.Changes = rules.set.Classes[class].Effect != policy.Safe; in.Changes {
+		c.seeSleep()
+	}
+	c.seeClocks()
 	tenant := 0
 	if len(rules.tenants) > 0 {
 		if tenant, known = rules.tenants[in.Tenant]; !known {
@@ -327,6 +333,26 @@
 	return r
 }
 
+// Refuse answers a request that has come too late to be taken: it is never sent.
+func (c *Core) Refuse(in *request.Request, reply Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := &request.Answer{Kind: request.Busy}
+	if class, known := c.rules.classes[in.Class]; known {
+		a.After = c.balancer.Advice(class)
+	}
+	c.counts.refused++
+	reply.Finish(a)
+}
+
+// Keyed tells whether a class is one whose repeats are dropped by their keys.
+func (c *Core) Keyed(class string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i, known := c.rules.classes[class]
+	return known && c.rules.set.Classes[i].Effect == policy.Keyed
+}
+
 // Known is closed once the source has told its list of nodes.
 func (c *Core) Known() <-chan struct{} { return c.known }
 
@@ -361,13 +387,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range unanswered {
-		if !r.over && !c.outlives(r) {
-			r.over = true
-			c.counts.left++
-			c.handle(policy.Departure{ID: r.id})
-			c.drop(r)
+		c.leave(r)
+	}
+}
+
+// leave ends a request whose client has gone. c.mu is held.
+func (c *Core) leave(r *Held) {
+	if r.over || c.outlives(r) {
+		return
+	}
+	r.over = true
+	c.counts.left++
+	c.handle(policy.Departure{ID: r.id})
+	for _, a := range r.attempts { // what has not begun takes no place any more
+		if !a.ended && (a.parked || c.nodes.Withdraw(&a.Attempt)) {
+			c.end(r, a, policy.NotSent, nil)
 		}
 	}
+	c.drop(r)
 }
 
 // answer ends a request, once.
@@ -399,6 +436,8 @@
 	now := c.now()
 	a := &attempt{server: action.Server, sent: now, Attempt: upstream.Attempt{ID: r.id,
 		Number: len(r.attempts), Request: r.request, Deadline: r.expires}}
+	a.Owner = a
+	a.client, _ = r.reply.(Client)
 	r.attempts = append(r.attempts, a)
 	r.open++
 	c.counts.sent++
@@ -420,7 +459,8 @@
 	if a.ended {
 		return
 	}
-	if a.parked || c.nodes.Abandon(&a.Attempt) {
+	// What has not begun never will once it has ended, in whoever's hands it is.
+	if a.parked || c.nodes.Abandon(&a.Attempt) || !a.begun {
 		as = policy.NotSent
 	}
 	c.end(r, a, as, nil)
@@ -495,12 +535,19 @@
 	return r, r.attempts[u.Number]
 }
 
-// Begin implements upstream.Handler. An attempt may have waited for its
-// connection, and what allowed it may be over.
+// Begin implements upstream.Handler. An attempt may have waited, for its connection, between tries,
+// behind others or for this process, and what allowed it may be over: its client, too, may have gone
+// meanwhile, and its reader not have come to that. Whatever its class, nobody waits for its answer then.
 func (c *Core) Begin(batch []*upstream.Attempt) []*upstream.Attempt {
+	changes := false
+	batch = slices.DeleteFunc(batch, func(u *upstream.Attempt) bool {
+		changes = changes || u.Request.Changes
+		a := u.Owner.(*attempt)
+		return a.client != nil && a.client.Left() && c.desert(a)
+	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.ContainsFunc(batch, func(u *upstream.Attempt) bool { return u.Request.Verb == request.Set }) {
+	if changes {
 		c.seeSleep()
 	}
 	c.seeClocks()
@@ -514,23 +561,29 @@
 			c.end(r, a, policy.NotSent, nil)
 			continue
 		}
-		if r.request.Idempotency != "" && !r.over {
-			if client, ok := r.reply.(Client); ok && client.Left() {
-				c.end(r, a, policy.NotSent, nil)
-				continue
-			}
-		}
 		if c.still.module.Stays() && c.park(r, a) {
 			continue
 		}
 		if r.expires.Before(u.Deadline) { // the machine slept
 			u.Deadline = r.expires
 		}
+		a.begun = true
 		kept = append(kept, u)
 	}
 	return kept
 }
 
+// desert ends an attempt that has not begun and whose client has gone, and its request with it.
+func (c *Core) desert(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, _ := c.find(&a.Attempt); r != nil {
+		c.leave(r)
+		c.end(r, a, policy.NotSent, nil)
+	}
+	return true
+}
+
 // Answered implements upstream.Handler.
 func (c *Core) Answered(u *upstream.Attempt, answer *request.Answer) {
 	c.mu.Lock()
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -16,102 +16,21 @@
 // This file follows the sources of the list of nodes, has membership decide what they
 // come to, and gives that to the connections and to the decision module.
 
-// The wait before a lost watch is begun again by the core itself: where lists
-// are pushed, and after discovery has moved.
+// The wait before a lost watch of one of several sources is begun again.
 const watchPause = 500 * time.Millisecond
 
-// watching is one subscription of the list.
-type watching struct {
-	cancel context.CancelFunc
-	news   chan struct{} // it has told something
-	lost   chan struct{} // it has ended
-}
-
-// startWatch begins a subscription after a while; it ends with ctx or by its cancel.
-func (c *Core) startWatch(ctx context.Context, tasks *sync.WaitGroup, after time.Duration) *watching {
-	ctx, cancel := context.WithCancel(ctx)
-	w := &watching{cancel: cancel, news: make(chan struct{}, 1), lost: make(chan struct{})}
-	tasks.Go(func() {
-		defer close(w.lost)
-		defer cancel()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(after):
-		}
-		name, registry, from := c.place()
-		err := registry.Watch(ctx, from, c.patient, func(l discovery.List) {
-			if ctx.Err() == nil {
-				c.learn(name, registry, l, policy.ListChanges)
-				post(w.news)
-			}
-		})
-		if ctx.Err() == nil {
-			c.log.Warn("watch lost", "error", err)
-		}
-	})
-	return w
-}
-
-// watch keeps the one subscription that the module asks for. A new one takes
-// the place of the old. Where lists are pushed none is asked for, and losing
-// one is not told.
-//
-// When discovery moves, the old subscription is kept until the new one has told
-// something: a call may wait its turn for seconds, and a drain that is announced
-// meanwhile must not be missed. This should also cover a new address that
-// is slow or not there yet. It costs one connection more for that time.
-func (c *Core) watch(ctx context.Context) {
-	var tasks sync.WaitGroup
-	defer tasks.Wait()
-	none := &watching{cancel: func() {}} // its nil channels never speak
-	now, before := none, none
-	end := func(w **watching) {
-		(*w).cancel()
-		*w = none
-	}
-	moved := false
-	if !c.askList {
-		now = c.startWatch(ctx, &tasks, 0)
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			end(&now)
-			end(&before)
-			return
-		case <-c.subscribe:
-			end(&now)
-			now = c.startWatch(ctx, &tasks, 0)
-		case <-c.moved:
-			end(&before)
-			before, now = now, c.startWatch(ctx, &tasks, 0)
-			moved = true
-		case <-now.news:
-			end(&before)
-			moved = false
-		case <-before.lost:
-			before = none
-		case <-now.lost:
-			now = none
-			if moved || !c.askList {
-				now = c.startWatch(ctx, &tasks, watchPause)
-				continue
-			}
-			c.mu.Lock()
-			c.counts.lost++
-			c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
-			c.mu.Unlock()
-		}
-	}
+// call is a call of the list's source: what it brings is taken by what was known as it began.
+type call struct {
+	name   string
+	source discovery.Source
+	known  uint64 // the version of its list: none right after a move, as another service may count otherwise
 }
 
-// place returns the discovery service, its name as a source, and the version of its list
-// that is known: none right after a move, as another service may count otherwise.
-func (c *Core) place() (string, discovery.Source, uint64) {
+// place returns a call that begins now.
+func (c *Core) place() call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.places[0].String(), c.registry, c.version
+	return call{name: c.places[0].String(), source: c.registry, known: c.version}
 }
 
 // Move makes places those of the list.
@@ -139,16 +58,16 @@
 		case <-ctx.Done():
 			return
 		case <-c.fetch:
-			name, registry, _ := c.place()
-			l, err := registry.Fetch(ctx)
-			c.fetched(name, registry, l, err)
+			call := c.place()
+			l, err := call.source.Fetch(ctx)
+			c.fetched(call, l, err)
 		}
 	}
 }
 
-func (c *Core) fetched(name string, from discovery.Source, l discovery.List, err error) {
+func (c *Core) fetched(from call, l discovery.List, err error) {
 	if err == nil {
-		c.learn(name, from, l, policy.ListFull)
+		c.learn(from, l, policy.ListFull)
 		return
 	}
 	c.log.Warn("list call failed", "error", err)
@@ -157,18 +76,28 @@
 	c.handle(policy.ListUpdate{Version: c.version, Kind: policy.ListLost})
 }
 
-// learn takes news of the list from one of the platform's places.
-func (c *Core) learn(name string, from discovery.Source, l discovery.List, kind policy.ListKind) {
+// learn takes news of the list from one of the platform's places, unless they are none: a list that was asked
+// for before a change must not undo what a watch has told since, nor the place before what the one now has told. A
+// version below that known as the call began is no older one, but that of a service that has begun anew.
+func (c *Core) learn(from call, l discovery.List, kind policy.ListKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if from == c.registry {
+	switch {
+	case from.source != c.registry && c.settled == c.registry:
+		return
+	case from.source == c.registry:
+		if kind != policy.ListStored && l.Index < c.version && l.Index >= from.known {
+			c.log.Info("an older list is passed over", "index", l.Index, "known", c.version)
+			return
+		}
 		c.version = l.Index
 	}
 	if kind != policy.ListStored {
+		c.settled = from.source
 		c.counts.told++
 		c.hear()
 	}
-	c.member(membership.Told{Source: name, Whole: l.Snapshot || kind != policy.ListChanges, Nodes: l.Nodes()})
+	c.member(membership.Told{Source: from.name, Whole: l.Snapshot || kind != policy.ListChanges, Nodes: l.Nodes()})
 }
 
 // hear notes that a list has come. c.mu is held.
@@ -318,7 +247,7 @@
 func (c *Core) followOne(ctx context.Context, f *follower, told chan<- string) {
 	name, first := f.place.String(), true
 	for ctx.Err() == nil {
-		err := f.source.Watch(ctx, 0, c.patient, func(l discovery.List) {
+		err := f.source.Watch(ctx, 0, func(l discovery.List) {
 			if ctx.Err() != nil {
 				return
 			}
--- a/internal/core/still.go
+++ b/internal/core/still.go
@@ -249,12 +249,13 @@
 	ctx, cancel := context.WithTimeout(ctx, still.Usual.Wake)
 	defer cancel()
 	c.mu.Lock()
-	places, registry := c.places, c.registry
+	places := c.places
 	c.mu.Unlock()
+	call := c.place()
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	for i, p := range places {
-		source := registry
+		source := call.source
 		if c.infer {
 			source = p.Open()
 		} else if i > 0 {
@@ -270,7 +271,7 @@
 				c.member(membership.Told{Source: p.String(), Whole: true, Nodes: l.Nodes()})
 				c.mu.Unlock()
 			default:
-				c.learn(p.String(), source, l, policy.ListFull)
+				c.learn(call, l, policy.ListFull)
 			}
 		})
 	}
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -128,7 +128,7 @@
 		return 0, false
 	}
 	c.last++
-	in.Serial = uint32(c.last)
+	in.Serial, in.Changes = uint32(c.last), true
 	wait := c.rules.set.Classes[class].Deadline
 	r := &Held{id: c.last, request: in, reply: nobody{}, deadline: c.now() + wait, expires: time.Now().Add(wait), stage: given, leave: c.now() + within}
 	c.requests[r.id] = r
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	maxList    = 8 << 20
-	firstWait  = 6 * time.Second         // a call may wait its turn
-	silentWait = 4500 * time.Millisecond // an idle watch writes a line every 2 s
+	maxList   = 8 << 20
+	dialWait  = 1500 * time.Millisecond // well under the 4 s after which a new address counts as heard
+	firstWait = 6 * time.Second         // a call may wait its turn
+	// An idle watch writes a line every 2 s. What one misses that has fallen silent counts as told 6 s later: there must be
+	// time left for the wait before a new call, which spreads those of all proxies, and for that call.
+	silentWait = 3 * time.Second
 )
 
 // List is a list of nodes, or its changes, as discovery tells it.
@@ -95,8 +98,8 @@
 	// Fetch asks for the whole list.
 	Fetch(ctx context.Context) (List, error)
 	// Watch tells each change after version from until it is lost or ctx ends; it
-	// always returns an error. Unless patient, silence is loss too.
-	Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error
+	// always returns an error. Silence is loss too.
+	Watch(ctx context.Context, from uint64, tell func(List)) error
 }
 
 // Place names a source: exactly one of its fields is set.
@@ -154,7 +157,7 @@
 func New(address string) *Client {
 	return &Client{base: "http://" + address + "/api/targets", http: http.Client{
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 16 << 10,
-			DialContext: (&net.Dialer{Timeout: firstWait, KeepAlive: -1}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: dialWait, KeepAlive: -1}).DialContext}}}
 }
 
 // Fetch asks for the whole list.
@@ -176,9 +179,8 @@
 }
 
 // Watch tells each change after version from, until the watch is lost: its end
-// always has an error. Silence is loss too, as a machine cut off says nothing;
-// with patient it is not, for an agent that has nothing to tell.
-func (c *Client) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
+// always has an error. Silence is loss too, as a machine cut off says nothing. Any byte is a sign of life.
+func (c *Client) Watch(ctx context.Context, from uint64, tell func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(firstWait, func() { cancel(errors.New("no word in time")) })
@@ -188,22 +190,71 @@
 		return errors.Join(err, context.Cause(ctx))
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxList)
-	for lines.Scan() {
-		if silence.Reset(silentWait); patient {
-			silence.Stop()
+	in := bufio.NewReaderSize(heard{body, func() { silence.Reset(silentWait) }}, 16<<10)
+	for text := make([]byte, 0, 16<<10); ; {
+		if text, err = object(in, text[:0]); err != nil {
+			return fmt.Errorf("discovery: watch ended: %w", errors.Join(err, context.Cause(ctx)))
 		}
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
-		l, err := Parse(lines.Bytes())
+		l, err := Parse(text)
 		if err != nil {
 			return err
 		}
 		tell(l)
 	}
-	return fmt.Errorf("discovery: watch ended: %w", errors.Join(lines.Err(), context.Cause(ctx), io.EOF))
+}
+
+// heard tells of each read that brings something.
+type heard struct {
+	io.Reader
+	tell func()
+}
+
+// Read implements io.Reader.
+func (h heard) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 {
+		h.tell()
+	}
+	return n, err
+}
+
+var (
+	errNoObject = errors.New("list of nodes: not an object")
+	errTooLong  = errors.New("list of nodes: too long")
+)
+
+// object appends the next JSON object to text, wherever its lines end, and passes over white space before it. It finds where the
+// object ends and no more: whether it can be read is for Parse.
+func object(in *bufio.Reader, text []byte) ([]byte, error) {
+	depth, quoted, escaped := 0, false, false
+	for {
+		b, err := in.ReadByte()
+		if err != nil {
+			return text, err
+		}
+		switch {
+		case depth == 0 && (b == ' ' || b == '\t' || b == '\r' || b == '\n'):
+			continue
+		case depth == 0 && b != '{':
+			return text, errNoObject
+		case len(text) >= maxList:
+			return text, errTooLong
+		case escaped:
+			escaped = false
+		case quoted && b == '\\':
+			escaped = true
+		case b == '"':
+			quoted = !quoted
+		case quoted:
+		case b == '{' || b == '[':
+			depth++
+		case b == '}' || b == ']':
+			depth--
+		}
+		if text = append(text, b); depth == 0 {
+			return text, nil
+		}
+	}
 }
 
 func (c *Client) get(ctx context.Context, query string) (io.ReadCloser, error) {
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -108,7 +108,7 @@
 // Watch implements Source. A file that can't be read or meant changes nothing: it
 // is told by the end of the watch, once until it changes, and what was told before
 // stays in force.
-func (f *file) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
+func (f *file) Watch(ctx context.Context, from uint64, tell func(List)) error {
 	tick := time.NewTicker(filePause)
 	defer tick.Stop()
 	found := looks{told: f.wrong}
@@ -163,7 +163,7 @@
 func (f *fixed) Fetch(context.Context) (List, error) { return f.list, nil }
 
 // Watch implements Source.
-func (f *fixed) Watch(ctx context.Context, from uint64, patient bool, tell func(List)) error {
+func (f *fixed) Watch(ctx context.Context, from uint64, tell func(List)) error {
 	tell(f.list)
 	<-ctx.Done()
 	return ctx.Err()
--- a/internal/discovery/file_test.go
+++ b/internal/discovery/file_test.go
@@ -19,7 +19,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			if err := source.Watch(ctx, 0, false, func(l List) { news <- l }); ctx.Err() == nil {
+			if err := source.Watch(ctx, 0, func(l List) { news <- l }); ctx.Err() == nil {
 				wrong <- err
 			}
 		}
@@ -96,7 +96,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	told := make(chan List, 2)
 	ended := make(chan error, 1)
-	go func() { ended <- source.Watch(ctx, 0, false, func(l List) { told <- l }) }()
+	go func() { ended <- source.Watch(ctx, 0, func(l List) { told <- l }) }()
 	if l := testwait.Receive(t, "the list", told); len(l.Endpoints) != 2 || l.Endpoints[1].Name != "127.0.0.1:2" {
 		t.Errorf("told %+v", l)
 	}
--- a/internal/front/binary/binary.go
+++ b/internal/front/binary/binary.go
@@ -351,10 +351,6 @@
 		s.say(codec.AppendStatus(nil, h, status, 0))
 		return nil
 	}
-	if in.Idempotency != "" && s.conn.Left() {
-		r.Release()
-		return io.EOF
-	}
 	s.arrive(in, r)
 	return nil
 }
@@ -388,9 +384,7 @@
 
 func (s *session) arrive(in *request.Request, r *reply) {
 	in.ID = s.front.prefix + strconv.FormatUint(s.front.serial.Add(1), 36)
-	in.Age = s.conn.Age()
-	s.conn.Add(&r.Slot)
-	if r.Held = s.host.Core.Arrive(in, r); r.Held == nil {
+	if s.conn.Take(in, &r.Slot, r); r.Held == nil {
 		r.Release()
 	}
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -20,8 +20,9 @@
 	"time"
 
 	"mulleinpier/internal/core"
+	"mulleinpier/internal/request"
 	"mulleinpier/internal/service"
-	"mulleinpier/internal/upstream"
+	"mulleinpier/internal/socket"
 )
 
 const (
@@ -97,6 +98,7 @@
 	until    time.Time // when ending: no command is taken after it
 	finished bool      // half closed: nothing more is answered
 	gone     bool      // nothing can be written any more
+	stalled  bool      // the reader waits for something else than the client
 	since    time.Time // of the last answer
 	owed     time.Time // when the first silent answer was had that nothing has followed; zero for none
 	writing  time.Time // since when a write has been out, zero for none
@@ -184,7 +186,10 @@
 	until := time.Now().Add(commandTime)
 	if c.ending {
 		if cutoff := c.cutoff(); cutoff.Before(until) {
-			until = cutoff
+			// One that is to be refused still has to be read.
+			if until = cutoff; c.late() {
+				until = time.Now().Add(LingerTime / 3)
+			}
 		}
 	}
 	c.limit = until
@@ -198,15 +203,42 @@
 	defer c.mu.Unlock()
 	if len(c.replies) >= pipelined && !c.gone {
 		from := c.host.Core.Now()
-		for len(c.replies) >= pipelined && !c.gone {
-			c.changed.Wait()
-		}
+		c.stall(func() bool { return len(c.replies) < pipelined })
 		c.source.paused(from)
 	}
 	c.replies = append(c.replies, r)
 	return r
 }
 
+// stall waits with the reader until done, or until the connection is gone. c.mu is held.
+func (c *Conn) stall(done func() bool) {
+	c.stalled = true
+	for !done() && !c.gone {
+		c.changed.Wait()
+	}
+	c.stalled = false
+}
+
+// Stalled tells whether the reader would not notice that the client leaves: whoever
+// tidies up has to ask [Conn.Left] then.
+func (c *Conn) Stalled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stalled
+}
+
+// Take gives the core a request that has come, with r as the place of its answer. In a drain
+// it may be too late for that: then it is refused at once, as a close would lose it. It is for sessions.
+func (c *Conn) Take(in *request.Request, r *Slot, reply core.Reply) {
+	in.Age = c.Age()
+	c.Add(r)
+	if c.Late() {
+		c.host.Core.Refuse(in, reply)
+		return
+	}
+	r.Held = c.host.Core.Arrive(in, reply)
+}
+
 // await waits for the first byte of a command, and tells whether one is to be taken.
 //
 // The reader alone ends a connection between commands. Whoever else wants it ended
@@ -246,32 +278,33 @@
 
 // rest decides on the connection as the reader comes to its next command. One that
 // has come already, but is not read yet, is taken first, as far as time allows:
-// the proxy may have been short of its core for a while.
+// the proxy may have been short of its core for a while. What comes later in a drain, while
+// others are waited for, is refused: a close over it would lose it.
 func (c *Conn) rest() between {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.limit = false, time.Time{}
-	if !c.closing && !c.ending {
-		c.socket.SetReadDeadline(time.Time{})
-		return resting
-	}
-	switch {
-	case c.late():
-		return ending
-	case c.In.Buffered() > 0 || !c.quiet() || upstream.Pending(c.socket) || c.owing(time.Now()):
-	case c.closing:
-		c.socket.Close() // its last answer has long been taken: nothing to linger for
-		return closed
-	// One that was just opened is spared for a moment: its first command is on its
-	// way, and a client whose new connection closes at once can't tell what
-	// became of it.
-	case c.ending && c.asked:
-		return ending
-	}
-	c.closing = false
-	var until time.Time
-	if c.ending {
-		until = c.cutoff()
+	until := time.Time{}
+	if c.closing || c.ending {
+		waits := c.In.Buffered() > 0 || socket.Pending(c.socket) || !c.quiet()
+		switch late := c.late(); {
+		case waits && late: // the writer wakes the reader when all is answered
+		case late:
+			return ending
+		case waits || c.owing(time.Now()):
+		case c.closing:
+			c.socket.Close() // its last answer has long been taken: nothing to linger for
+			return closed
+		// One that was just opened is spared for a moment: its first command is on its
+		// way, and a client whose new connection closes at once can't tell what
+		// became of it.
+		case c.ending && c.asked:
+			return ending
+		}
+		c.closing = false
+		if c.ending && !c.late() {
+			until = c.cutoff()
+		}
 	}
 	c.socket.SetReadDeadline(until)
 	return resting
@@ -318,7 +351,14 @@
 	c.wake()
 }
 
-// late tells whether commands come too late to be taken. c.mu is held.
+// Late tells whether commands come too late to be taken.
+func (c *Conn) Late() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late()
+}
+
+// late is Late with c.mu held.
 func (c *Conn) late() bool { return c.ending && !time.Now().Before(c.cutoff()) }
 
 // cutoff is when an ending connection takes no more commands. c.mu is held.
@@ -338,9 +378,7 @@
 func (c *Conn) linger() {
 	c.mu.Lock()
 	c.busy = false
-	for !c.quiet() && !c.gone {
-		c.changed.Wait()
-	}
+	c.stall(c.quiet)
 	c.finished = true
 	c.mu.Unlock()
 	c.socket.CloseWrite()
@@ -379,8 +417,22 @@
 	return c.writing
 }
 
-// Left tells whether the client has closed its connection, and all that it sent is read.
-func (r *Slot) Left() bool { return upstream.Ended(r.conn.socket) }
+// Left implements core.Client.
+func (r *Slot) Left() bool { return r.conn.Left() }
+
+// Left tells whether the client has gone: closed, half closed or reset its connection, whatever of what it sent
+// is unread. That ends the connection here too, with all that is open on it.
+func (c *Conn) Left() bool {
+	if !socket.Ended(c.socket) {
+		return false
+	}
+	c.mu.Lock()
+	c.gone = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	c.socket.Close()
+	return true
+}
 
 // Silence answers a command by nothing.
 func (r *Slot) Silence() { r.Finish([]byte{}) }
--- a/internal/front/conn_test.go
+++ b/internal/front/conn_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"mulleinpier/internal/core"
+	"mulleinpier/internal/socket"
 	"mulleinpier/internal/testwait"
-	"mulleinpier/internal/upstream"
 )
 
 // echo is a dialect whose commands are lines, each answered at once.
@@ -55,7 +55,7 @@
 func TestUnreadRequestIsNoIdling(t *testing.T) {
 	c, peer := pair(t)
 	fmt.Fprint(peer, "mn\r\n")
-	testwait.Until(t, "the request to come", func() bool { return upstream.Pending(c.socket) })
+	testwait.Until(t, "the request to come", func() bool { return socket.Pending(c.socket) })
 	c.CloseIdle()
 	if got := c.rest(); got != resting || c.closing {
 		t.Errorf("with a request unread the connection is at %d", got)
@@ -95,7 +95,7 @@
 			}()
 			fmt.Fprint(peer, "mn\r\n")
 			for range 100 {
-				if held = !upstream.Pending(c.socket); held {
+				if held = !socket.Pending(c.socket); held {
 					break
 				}
 				time.Sleep(time.Millisecond)
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -32,11 +32,15 @@
 	front.Slot
 	host *front.Host
 	id   string
-	size int // of its value, as budgeted
+	size int          // of its value, as budgeted
+	kind request.Kind // of its answer
 }
 
 // Finish implements core.Reply.
-func (r *reply) Finish(a *request.Answer) { r.Slot.FinishValue(meta.Append(a, r.id), noRoom) }
+func (r *reply) Finish(a *request.Answer) {
+	r.kind = a.Kind
+	r.Slot.FinishValue(meta.Append(a, r.id), noRoom)
+}
 
 // noRoom is the answer in place of one that finds no room.
 func noRoom() []byte { return []byte("SERVER_ERROR out of memory\r\n") }
@@ -121,7 +125,7 @@
 	var body []byte
 	if command.Verb == request.Set {
 		size := command.Size + 2
-		if !s.host.RoomFor(size, command.Idempotency != "") {
+		if !s.host.RoomFor(size, s.host.Core.Keyed(command.Class)) {
 			if _, err := in.Discard(size); err != nil {
 				return false, err
 			}
@@ -139,18 +143,14 @@
 		}
 		command.Value = body[:command.Size]
 	}
-	if command.Idempotency != "" && s.conn.Left() {
-		s.host.Bodies.Give(len(body))
-		return false, io.EOF
-	}
-	command.Age = s.conn.Age()
 	r := &reply{host: s.host, id: command.ID, size: len(body)}
-	s.conn.Add(&r.Slot)
 	command.Room = meta.Room(command.ID)
-	if r.Held = s.host.Core.Arrive(&command.Request, r); r.Held == nil {
+	s.conn.Take(&command.Request, &r.Slot, r)
+	s.bad++
+	if r.Held == nil {
 		r.Release()
-		s.bad++
-	} else {
+	}
+	if r.Held != nil || r.kind != request.Bad { // one that is refused was well meant
 		s.bad = 0
 	}
 	return false, nil
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 
 	"mulleinpier/internal/core"
+	"mulleinpier/internal/socket"
 	"mulleinpier/internal/still"
-	"mulleinpier/internal/upstream"
 )
 
 // source reads a client's socket, and knows how old what it brings may be. It belongs to the
@@ -74,7 +74,7 @@
 		return k
 	}
 	return still.Kernel{Known: true, Age: time.Duration(info.Last_data_recv) * time.Millisecond,
-		Alone: c.In.Buffered() == 0 && !upstream.Pending(c.socket)}
+		Alone: c.In.Buffered() == 0 && !socket.Pending(c.socket)}
 }
 
 func (c *Conn) info() (info *unix.TCPInfo, ok bool) {
@@ -86,20 +86,6 @@
 	return info, err == nil && info != nil && info.State > 0
 }
 
-// tcpCloseWait is the state of a connection whose other end has closed (RFC 9293).
-const tcpCloseWait = 8
-
-// Left tells whether the client has closed behind the command just read: it has asked elsewhere
-// by now, or will, and nobody waits for the answer. What may change something is not begun then:
-// what was long under way, or waited for a process that stood still, comes with its end behind it.
-func (c *Conn) Left() bool {
-	if c.In.Buffered() == 0 {
-		return upstream.Ended(c.socket)
-	}
-	info, ok := c.info()
-	return ok && info.State == tcpCloseWait
-}
-
 // stoodWithin gives the command under way its time anew if a stop of the process took it, and
 // tells whether.
 func (c *Conn) stoodWithin() bool {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -141,7 +141,6 @@
 	if c.Policy, err = wire.ParseSettings(string(in.Settings)); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c.Patient = !c.Policy.AskList
 	c.Service.Limits = service.Usual
 	bounds, err := platformBounds(in.Settings, c.Policy.Proxies)
 	if err == nil {
--- /dev/null
+++ b/internal/proxy/leave_test.go
@@ -0,0 +1,205 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"mulleinpier/internal/standin/deaf"
+	"mulleinpier/internal/testwait"
+)
+
+// These tests guard what is owed, or not, to clients that leave while their requests wait: nothing of
+// those goes out any more, whatever they waited for and whatever their class.
+
+// classes are requests of each effect, by the id; the effect is the class's, whatever the verb.
+var classes = map[string]func(id string) string{
+	"safe":       func(id string) string { return fmt.Sprintf("mg k%s v O%s Pc=read,t=shops,d=1900\r\n", id, id) },
+	"safe write": func(id string) string { return fmt.Sprintf("ms k%s 2 O%s Pc=read,t=shops,d=1900\r\nhi\r\n", id, id) },
+	"keyed": func(id string) string {
+		return fmt.Sprintf("ms k%s 2 O%s Pc=put,t=shops,d=1900,k=%s\r\nhi\r\n", id, id, id)
+	},
+	"unsafe":      func(id string) string { return fmt.Sprintf("ms k%s 2 O%s Pc=once,t=shops,d=1900\r\nhi\r\n", id, id) },
+	"unsafe read": func(id string) string { return fmt.Sprintf("mg k%s v O%s Pc=once,t=shops,d=1900\r\n", id, id) },
+	"safe with k": func(id string) string { return fmt.Sprintf("mg k%s v O%s Pc=read,t=shops,d=1900,k=%s\r\n", id, id, id) },
+}
+
+// once adds an unsafe class, and has connections come up whenever they do.
+func once(settings map[string]any) {
+	settings["Services"] = append(settings["Services"].([]any), map[string]any{"Name": "once", "Effect": "unsafe", "DedupScope": "all", "Aim": 500,
+		"HardLimit": 2000, "Importance": 2, "LateShare": 0.3, "Window": 0})
+	settings["Limits"].(map[string]any)["ConnectTimeout"] = 30000
+}
+
+// leavings are the ways in which clients go.
+var leavings = map[string]func(net.Conn){
+	"close":      func(c net.Conn) { c.Close() },
+	"half close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	"reset":      func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+}
+
+// everyCase runs a test for each class and each way of leaving.
+func everyCase(t *testing.T, test func(t *testing.T, request func(id string) string, leave func(net.Conn))) {
+	for class, request := range classes {
+		for way, leave := range leavings {
+			t.Run(class+", "+way, func(t *testing.T) {
+				t.Parallel()
+				test(t, request, leave)
+			})
+		}
+	}
+}
+
+// recorder notes the ids that reach a node.
+type recorder struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (r *recorder) note(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ids = append(r.ids, id)
+}
+
+func (r *recorder) all() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.ids...)
+}
+
+// idle waits until nothing is open at the proxy and all budgets are whole.
+func (f *fleet) idle(t *testing.T, bodies int) {
+	t.Helper()
+	testwait.Until(t, "nothing to be open", func() bool { return f.server.core.Open() == 0 })
+	testwait.Until(t, "the bytes of bodies to be free", func() bool { return f.server.doors[0].host.Bodies.Free() == bodies })
+}
+
+// ended passes the server's end on as a value.
+func (f *fleet) ended() <-chan bool {
+	out := make(chan bool, 1)
+	go func() {
+		<-f.served
+		out <- true
+	}()
+	return out
+}
+
+// TestPipelinedBehindWhoLeft: the reader waits for a place among too many commands of its client's, and does not come to the end of
+// the connection behind those unread. What is unread must not follow its client's leaving.
+func TestPipelinedBehindWhoLeft(t *testing.T) {
+	everyCase(t, func(t *testing.T, request func(string) string, leave func(net.Conn)) {
+		const sent, taken = 60, 32
+		var came recorder
+		arrived, goOn := make(chan struct{}, 2*sent), make(chan struct{})
+		f := startFleetWith(t, 256, once, startNode(t, func(c command) {
+			came.note(c.id)
+			arrived <- struct{}{}
+			<-goOn
+			c.serve()
+		}))
+		bodies := f.server.doors[0].host.Bodies.Free()
+		u := f.connect()
+		var text strings.Builder
+		for i := range sent {
+			text.WriteString(request(fmt.Sprint("x", i)))
+		}
+		u.send("%s", text.String())
+		testwait.Until(t, "as many as may be at work to be", func() bool {
+			f.server.mu.Lock()
+			defer f.server.mu.Unlock()
+			for c := range f.server.clients {
+				return c.Stalled()
+			}
+			return false
+		})
+		testwait.Receive(t, "the first", arrived)
+		leave(u.socket)
+		testwait.Until(t, "the proxy to let go of it", func() bool { clients, _ := f.server.Load(); return clients == 0 })
+		close(goOn)
+		f.idle(t, bodies)
+		for _, id := range came.all() {
+			var n int
+			if fmt.Sscanf(id, "x%d", &n); n >= taken {
+				t.Errorf("%s was sent on, which nobody waited for", id)
+			}
+		}
+		other := f.connect() // gates may be shut for what hung
+		for i := 0; ; i++ {
+			if other.read(fmt.Sprint("other", i)); strings.HasPrefix(other.line(), "VA ") {
+				break
+			}
+		}
+	})
+}
+
+// written tells what is written to a node's connections.
+func written(t *testing.T, d *deaf.Node) <-chan string {
+	wrote := make(chan string, 100)
+	go func() {
+		for {
+			c, err := d.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				for in := bufio.NewReader(c); ; {
+					line, err := in.ReadString('\n')
+					if err != nil {
+						return
+					}
+					wrote <- line
+				}
+			}()
+		}
+	}()
+	return wrote
+}
+
+// TestLateConnectionOfWhoLeft: a connection comes up late, in a drain too, when the client of what waited for it has gone.
+func TestLateConnectionOfWhoLeft(t *testing.T) {
+	for _, drain := range []bool{false, true} {
+		t.Run(fmt.Sprint("in a drain ", drain), func(t *testing.T) {
+			everyCase(t, func(t *testing.T, request func(string) string, leave func(net.Conn)) {
+				d, err := deaf.Start()
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(d.Close)
+				f := startFleetWith(t, 256, once, d.Address())
+				bodies := f.server.doors[0].host.Bodies.Free()
+				u := f.connect()
+				u.send("%s", request("x"))
+				testwait.Until(t, "the request to wait", func() bool { return f.server.core.Open() == 1 })
+				if drain {
+					f.stop()
+					f.late()
+				}
+				leave(u.socket)
+				testwait.Until(t, "the proxy to let go of it", func() bool { clients, _ := f.server.Load(); return clients == 0 })
+				f.idle(t, bodies)
+				wrote := written(t, d)
+				if drain {
+					testwait.Receive(t, "the server's end", f.ended())
+					d.Close()
+				} else {
+					other := f.connect()
+					other.read("other")
+					t.Log(other.line())
+					if got := testwait.Receive(t, "the other's request", wrote); !strings.Contains(got, "Oother") {
+						t.Errorf("the node got %q", got)
+					}
+				}
+				for len(wrote) > 0 {
+					if got := <-wrote; strings.Contains(got, "Ox") {
+						t.Errorf("the node got %q", got)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -27,6 +27,8 @@
 type fleet struct {
 	t      *testing.T
 	server *Server
+	stop   func()          // as SIGTERM does
+	served <-chan struct{} // closed once the server has ended
 }
 
 // command is what a node has been sent.
@@ -87,6 +89,12 @@
 
 // startFleet starts a proxy that knows nodes at these addresses as n0, n1 and so on.
 func startFleet(t *testing.T, sockets int, nodes ...string) *fleet {
+	t.Helper()
+	return startFleetWith(t, sockets, nil, nodes...)
+}
+
+// startFleetWith is startFleet with other settings; change may be nil.
+func startFleetWith(t *testing.T, sockets int, change func(settings map[string]any), nodes ...string) *fleet {
 	t.Helper()
 	list := discovery.List{Index: 1, Snapshot: true, Endpoints: []discovery.Endpoint{}}
 	for i, address := range nodes {
@@ -98,14 +106,21 @@
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
-	settings, err := os.ReadFile("testdata/settings.json")
+	text, err := os.ReadFile("testdata/settings.json")
 	if err != nil {
 		t.Fatal(err)
 	}
+	var settings map[string]any
+	if err := json.Unmarshal(text, &settings); err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(settings)
+	}
 	config, err := readConfig(t, map[string]any{"name": "p", "listen": "127.0.0.1:0", "seed": "1",
 		"discovery": strings.TrimPrefix(registry.URL, "http://"), "known": list,
 		"limits":   map[string]any{"cores": 1, "memory_mb": 64, "sockets": sockets},
-		"settings": json.RawMessage(settings)})
+		"settings": settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -125,7 +140,7 @@
 		registry.CloseClientConnections()
 		registry.Close()
 	})
-	return &fleet{t: t, server: server}
+	return &fleet{t: t, server: server, stop: stop, served: served}
 }
 
 // user is a client of the proxy.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -54,6 +54,8 @@
 	longest  time.Duration // deadline of any request that may be open
 	hurried  bool
 	draining bool
+	full     *time.Timer // ends the wait for room
+	accepted bool        // no more connections are waited for
 	late     *time.Timer // ends the drain
 }
 
@@ -268,6 +270,19 @@
 		}
 		d.SetDeadline(until)
 	}
+	s.full = time.AfterFunc(acceptTime, s.stopWaiting)
+	if s.hurried {
+		s.full.Reset(0)
+	}
+}
+
+// stopWaiting ends the wait for room: where all places are taken the drain itself has to begin,
+// or there never will be any.
+func (s *Server) stopWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted = true
+	s.changed.Broadcast()
 }
 
 // closeDoor takes what the backlog still holds and closes at once: what comes up
@@ -311,6 +326,7 @@
 		for _, d := range s.doors {
 			d.SetDeadline(time.Now())
 		}
+		s.full.Reset(0)
 	}
 	for c := range s.clients {
 		c.Hurry()
@@ -321,8 +337,7 @@
 }
 
 func (s *Server) accept(d *door) {
-	for {
-		s.makeRoom()
+	for s.makeRoom() {
 		socket, err := d.AcceptTCP()
 		switch {
 		case err == nil:
@@ -358,10 +373,10 @@
 }
 
 // makeRoom closes the client that has idled longest when descriptors run
-// short, and waits while there are none left: whoever is in the backlog has
+// short, and waits while there are none left, but not into a drain; it tells whether there is room: whoever is in the backlog has
 // been taken, and must not be accepted only to be dropped. Nor must one that was
 // just accepted, whose request may not have been read yet.
-func (s *Server) makeRoom() {
+func (s *Server) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.clients) >= s.most-headroom {
@@ -376,10 +391,14 @@
 			oldest.CloseIdle()
 		}
 		if len(s.clients) < s.most {
-			return
+			return true
+		}
+		if s.accepted {
+			return false
 		}
 		s.changed.Wait()
 	}
+	return true
 }
 
 // sweep closes clients that hold a place for nothing, time and again.
@@ -393,7 +412,9 @@
 			return
 		case now := <-tick.C:
 			s.core.Tick()
-			s.tidy(now)
+			for _, c := range s.tidy(now) {
+				c.Left()
+			}
 		case <-samples.C:
 			s.sample()
 		}
@@ -420,7 +441,9 @@
 // clients than that come back within front.IdleTime.
 //
 // Where handovers go first, half as many idle: a place that is free takes one at once.
-func (s *Server) tidy(now time.Time) {
+//
+// It returns those whose readers would not notice that they leave.
+func (s *Server) tidy(now time.Time) (stalled []*front.Conn) {
 	kept := s.most / idlePart
 	if s.core.Level() >= service.Handovers {
 		kept /= 2
@@ -434,6 +457,9 @@
 	var idlers []idler
 	woke := s.core.At(s.core.Gap().To) // nobody was stuck in a stop of ours
 	for c := range s.clients {
+		if c.Stalled() {
+			stalled = append(stalled, c)
+		}
 		if at := c.StuckSince(); !at.IsZero() && now.Sub(woke) > s.longest && now.Sub(at) > s.longest {
 			c.Close()
 		} else if at, idle := c.IdleSince(); idle && now.Sub(at) > front.IdleTime {
@@ -447,6 +473,7 @@
 		idlers[i].client.CloseIdle()
 	}
 	s.changed.Broadcast() // an idle client may have come up for closing
+	return stalled
 }
 
 // drain closes all clients between requests, and waits for those at work.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -38,6 +38,7 @@
 	Age         still.Age     // when its last byte may have come, by the core's clock; zero for just now
 	Retry       bool          // marked by the client as a repetition
 	Flags       uint32        // of a Set: kept with the value by nodes whose dialect has room for it
+	Changes     bool          // set by the core: a repeat may do harm, as the settings have its class
 	Serial      uint32        // set by the core: tells answers apart where a dialect has no room for the id
 	Room        int           // bytes that the client's front puts before a value, at the most
 	Raw         Raw
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -270,6 +270,9 @@
 	out := json.NewEncoder(w)
 	for first := true; ; first = false {
 		if len(m.Endpoints) > 0 || first {
+			if m.Endpoints == nil { // nothing is new; null would be no list
+				m.Endpoints = []Entry{}
+			}
 			s.tell(proxy, &m)
 			if s.Placed != nil {
 				m.Endpoints = slices.Clone(m.Endpoints) // the log's own hold the real addresses
--- a/internal/standin/list/list_test.go
+++ b/internal/standin/list/list_test.go
@@ -17,7 +17,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		ended <- discovery.New(address).Watch(ctx, from, false, func(l discovery.List) { news <- l })
+		ended <- discovery.New(address).Watch(ctx, from, func(l discovery.List) { news <- l })
 	}()
 	t.Cleanup(func() {
 		stop()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,10 +7,10 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"mulleinpier/internal/request"
+	"mulleinpier/internal/socket"
 )
 
 const (
@@ -26,6 +26,9 @@
 	endTime = 2 * time.Millisecond
 	// A write that ends so long after what allowed it was looked at is told as late.
 	lateWrite = 300 * time.Millisecond
+	// Where a node takes nothing for so long, what has not begun is looked at anew before it is
+	// written: meanwhile its client may leave, or its node begin to drain.
+	writeTime = 100 * time.Millisecond
 )
 
 // conn is one connection to a node. Its fields are guarded by Nodes.mu.
@@ -39,9 +42,11 @@
 	wake    sync.Cond // for the writer
 	out     []*Attempt
 	sent    []*Attempt // written or being written, in order of their answers
+	held    int        // attempts in the writer's hands, whose beginning is being looked at
 	writing bool       // the writer holds a batch
 	partly  int        // attempts at the end of sent that its write has not passed yet
 	retired bool
+	broken  bool // a write failed: what came before that is read yet
 	used    bool // an answer but busy has come; the reader's own
 	spoilt  bool // what came for the first of sent can't be read
 	closed  bool
@@ -59,12 +64,14 @@
 	return c
 }
 
-func (c *conn) outstanding() int { return len(c.out) + len(c.sent) }
+func (c *conn) outstanding() int { return len(c.out) + c.held + len(c.sent) }
 
 // awaited tells whether anybody waits for something on the connection.
-func (c *conn) awaited() bool {
-	live := func(a *Attempt) bool { return !a.abandoned }
-	return c.writing || len(c.out) > 0 || slices.ContainsFunc(c.sent, live)
+func (c *conn) awaited() bool { return c.writing || c.wanted() }
+
+// wanted is awaited, of what is in writing only what somebody waits for.
+func (c *conn) wanted() bool {
+	return len(c.out) > 0 || slices.ContainsFunc(c.sent, func(a *Attempt) bool { return !a.abandoned })
 }
 
 func (c *conn) queue(a *Attempt) {
@@ -75,11 +82,11 @@
 	c.wake.Signal()
 }
 
-// forsake has the kernel forget what the other end has not taken yet of writes that nobody waits for any
+// forsake has the kernel forget what the other end has not taken yet of what may change something and nobody waits for any
 // more: it would deliver them whenever the way is open again, long after the window in which repeats are
 // dropped. It meets cut links. It might hurt a node that would have answered just then: it sees a reset.
 func (c *conn) forsake() {
-	if slices.ContainsFunc(c.sent, func(a *Attempt) bool { return a.Request.Verb == request.Set }) {
+	if slices.ContainsFunc(c.sent, func(a *Attempt) bool { return a.Request.Changes }) {
 		c.socket.SetLinger(0)
 	}
 }
@@ -107,53 +114,107 @@
 	ns := c.ns
 	ns.mu.Lock()
 	for {
-		for len(c.out) == 0 && !c.closed {
+		for (len(c.out) == 0 || c.broken) && !c.closed {
 			c.wake.Wait()
 		}
 		if c.closed {
 			break
 		}
 		batch := c.out
-		c.out, c.writing = nil, true
+		c.out, c.writing, c.held = nil, true, len(batch)
 		ns.mu.Unlock()
 		looked := time.Now()
 		batch = ns.handler.Begin(batch)
 		var parts net.Buffers
 		parts, text = render(c.dialect, batch, text[:0])
 		ns.mu.Lock()
+		c.held = 0
 		if c.closed {
 			c.out, c.writing = append(batch, c.out...), false
 			break
 		}
 		c.sent, c.partly = append(c.sent, batch...), len(batch)
-		if len(batch) > 0 {
-			ns.mu.Unlock()
-			n, err := parts.WriteTo(c.socket)
-			if by := time.Since(looked); by >= lateWrite {
-				ns.handler.Late(batch, by)
-			}
-			ns.mu.Lock()
-			c.partly = 0
-			for _, a := range batch {
-				if int64(a.end) > n {
-					c.partly++
-				}
-			}
-			if err != nil {
-				c.close()
-			}
-		}
+		batch = c.put(parts, batch, looked)
 		c.writing = false
 		if slices.ContainsFunc(batch, func(a *Attempt) bool { return a.abandoned }) {
 			c.retired = true // given up while it was being written
 		}
-		if c.retired && !c.awaited() {
+		if c.retired && !c.broken && !c.awaited() {
 			c.close()
 		}
 	}
 	c.finish()
 }
 
+// put writes a batch, and returns what of it was begun. What was not when the node took nothing for
+// writeTime is queued again. ns.mu is held, but during writes.
+func (c *conn) put(parts net.Buffers, batch []*Attempt, looked time.Time) []*Attempt {
+	for written := 0; written < last(batch); {
+		c.ns.mu.Unlock()
+		c.socket.SetWriteDeadline(time.Now().Add(writeTime))
+		n, err := parts.WriteTo(c.socket)
+		if by := time.Since(looked); by >= lateWrite && written == 0 && n > 0 {
+			c.ns.handler.Late(batch, by)
+		}
+		c.ns.mu.Lock()
+		written += int(n)
+		var broken net.Error
+		timeout := errors.As(err, &broken) && broken.Timeout()
+		if timeout && !c.closed {
+			begun := 0
+			for from := 0; begun < len(batch) && from < written; begun++ {
+				from = batch[begun].end
+			}
+			again := batch[begun:]
+			batch = batch[:begun]
+			c.sent = c.sent[:max(len(c.sent)-len(again), 0)] // nothing has been answered that was not asked
+			c.out = append(slices.Clone(again), c.out...)
+			parts = first(parts, last(batch)-written)
+			if c.retired && !c.wanted() { // the rest of it would be for nobody
+				c.close()
+			}
+		}
+		c.partly = 0
+		for _, a := range batch {
+			if a.end > written {
+				c.partly++
+			}
+		}
+		if err != nil && !timeout || c.closed {
+			c.fail()
+			break
+		}
+	}
+	return batch
+}
+
+// last is how many bytes a batch has.
+func last(batch []*Attempt) int {
+	if len(batch) == 0 {
+		return 0
+	}
+	return batch[len(batch)-1].end
+}
+
+// first returns the first n bytes of parts.
+func first(parts net.Buffers, n int) net.Buffers {
+	for i, p := range parts {
+		if n <= len(p) {
+			return append(parts[:i:i], p[:n])
+		}
+		n -= len(p)
+	}
+	return parts
+}
+
+// fail ends a connection that can't be written to. An answer that came before its end may wait unread: the
+// reader comes to the end behind it, and soon. ns.mu is held.
+func (c *conn) fail() {
+	if c.broken, c.retired = true, true; !c.closed {
+		c.socket.SetReadDeadline(time.Now().Add(answerTime))
+	}
+}
+
 // render lays a batch out as parts to write and notes where each request ends.
 func render(dialect Dialect, batch []*Attempt, text []byte) (net.Buffers, []byte) {
 	var parts net.Buffers
@@ -243,10 +304,12 @@
 // belongs to it and nothing else is out, the connection gets nothing new: what
 // is there could pass for the answer of whatever is sent next.
 func (c *conn) next(in *bufio.Reader) {
-	c.socket.SetReadDeadline(time.Time{})
-	more := in.Buffered() > 0 || Pending(c.socket)
+	more := in.Buffered() > 0 || socket.Pending(c.socket)
 	c.ns.mu.Lock()
 	defer c.ns.mu.Unlock()
+	if !c.broken {
+		c.socket.SetReadDeadline(time.Time{})
+	}
 	if len(c.sent) == 0 {
 		return // closed meanwhile, and its end was told as broken
 	}
@@ -257,7 +320,7 @@
 		c.retired = true
 	}
 	switch {
-	case c.retired && !c.awaited():
+	case c.retired && !c.broken && !c.awaited():
 		c.close()
 	case !c.retired && c.outstanding() == 0 && !c.writing:
 		c.node.take()
@@ -265,31 +328,6 @@
 	c.ns.spare()
 }
 
-// Pending tells whether unread bytes, or a connection's end, wait in the kernel.
-// It may be called while another goroutine waits for them.
-func Pending(socket *net.TCPConn) bool {
-	_, err := peek(socket)
-	return err == nil
-}
-
-// Ended tells whether the other end has closed, or broken, a connection and all that came before
-// is read.
-func Ended(socket *net.TCPConn) bool {
-	n, err := peek(socket)
-	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-}
-
-func peek(socket *net.TCPConn) (n int, err error) {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	failed := raw.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, errors.Join(err, failed)
-}
-
 // ending tells whether the connection has ended behind what was read of it.
 func (c *conn) ending(in *bufio.Reader) bool {
 	c.socket.SetReadDeadline(time.Now().Add(c.ns.end))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/room"
+	"mulleinpier/internal/socket"
 )
 
 // Result is how an attempt ended without a served answer.
@@ -36,9 +37,10 @@
 	Number   int
 	Request  *request.Request // not to be changed any more
 	Deadline time.Time        // when the proxy stops waiting
+	Owner    any              // the handler's own
 
 	node      string
-	end       int  // its place in the batch in writing
+	end       int  // of its bytes among those of the batch in writing
 	moved     bool // it has been taken over from a connection that ended
 	abandoned bool // nobody waits for its answer
 }
@@ -116,6 +118,9 @@
 	budget room.Budget
 	start  time.Time
 	end    time.Duration // endTime, but in tests
+	// Dials end with Run: one to a node that says nothing would hold up the end of the process.
+	dials     context.Context
+	stopDials context.CancelFunc
 }
 
 // Counts are what became of connections since they were last taken.
@@ -161,6 +166,7 @@
 func New(limits Limits, dialect Dialect, handler Handler, log *slog.Logger) *Nodes {
 	ns := &Nodes{limits: limits, dialect: dialect, handler: handler, log: log, nodes: make(map[string]*node), start: time.Now(),
 		end: endTime}
+	ns.dials, ns.stopDials = context.WithCancel(context.Background())
 	ns.budget.Set(limits.Share)
 	return ns
 }
@@ -340,7 +346,7 @@
 	address := n.Address
 	dialer := net.Dialer{Timeout: ns.limits.Connect, KeepAlive: -1}
 	ns.tasks.Go(func() {
-		socket, err := dialer.Dial("tcp", address) // bounded by the dialer's timeout
+		socket, err := dialer.DialContext(ns.dials, "tcp", address) // bounded by the dialer's timeout
 		ns.dialed(n, address, socket, err)
 	})
 }
@@ -404,6 +410,29 @@
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
 	a.abandoned = true
+	if ns.withdraw(a) {
+		return true
+	}
+	if n := ns.nodes[a.node]; n != nil {
+		for _, c := range n.conns {
+			if slices.Contains(c.sent, a) {
+				ns.retire(c)
+				break
+			}
+		}
+	}
+	return false
+}
+
+// Withdraw takes back an attempt that has not begun, and tells whether it could. Nothing else
+// changes: one that is under way goes on.
+func (ns *Nodes) Withdraw(a *Attempt) bool {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	return ns.withdraw(a)
+}
+
+func (ns *Nodes) withdraw(a *Attempt) bool {
 	n := ns.nodes[a.node]
 	if n == nil {
 		return false
@@ -417,10 +446,6 @@
 			c.out = slices.Delete(c.out, i, i+1)
 			return true
 		}
-		if slices.Contains(c.sent, a) {
-			ns.retire(c)
-			return false
-		}
 	}
 	return false
 }
@@ -515,7 +540,7 @@
 	}
 	limit := ns.limits.Idle
 	ns.mu.Unlock()
-	dead := slices.DeleteFunc(idle, func(c *conn) bool { return !Ended(c.socket) && !Pending(c.socket) })
+	dead := slices.DeleteFunc(idle, func(c *conn) bool { return !socket.Ended(c.socket) && !socket.Pending(c.socket) })
 	ns.mu.Lock()
 	for _, c := range dead {
 		if c.outstanding() == 0 {
@@ -533,6 +558,7 @@
 	ns.mu.Lock()
 	defer ns.mu.Unlock()
 	ns.closed = true
+	ns.stopDials()
 	for _, n := range ns.nodes {
 		for _, c := range slices.Clone(n.conns) {
 			c.close()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	zoneMiss     = 0.22  // of reads miss more at a home that only its own zone asks: counted in calm
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
+	lostPause    = 1600 * time.Millisecond // of a first loss: what a silent watch misses counts as told 6 s later
 )
 
 // server is what this balancer knows of one cache server.
@@ -286,7 +287,11 @@
 		b.wake(timerList, 0, b.jitter(b.set.Rules.AskWithin/4))
 	case u.Kind == ListLost:
 		b.asking, b.lostN = false, min(b.lostN+1, 3)
-		b.wake(timerList, 0, b.jitter(b.set.Rules.AskWithin/8<<b.lostN))
+		pause := b.set.Rules.AskWithin / 8 << b.lostN
+		if b.lostN == 1 {
+			pause = min(pause, lostPause)
+		}
+		b.wake(timerList, 0, b.jitter(pause))
 		return
 	default:
 		b.lostN = 0
@@ -919,6 +924,11 @@
 	if e.Result == Cancelled || e.Result == TimedOut {
 		s.given++
 	}
+	if e.Result == NotSent { // its server has not heard of it, and tells nothing by that
+		s.gate.count(b.now, -1, 0, 0)
+		b.gates[a.promise].count(b.now, -1, 0, 0)
+		return
+	}
 	if a.sent < s.Started {
 		return // sent before its restart
 	}
