Answer what can't be finished before the end; settings of others; ends of connections

Cause, read in the code: - proxy.drain closed what was left at the longest deadline and 0.1 s: a request that a process short of its core had not answered by then was cut without an answer. Change: core.GiveUp, put, fail, held; checks of settings in one place, careful figures where none are told. TestDialsEndWithAll passed without its mend: it closed its node first; mended here.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -244,7 +244,7 @@
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
-			if !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun }) {
+			if c.unsent(r) {
 				// What waits has not begun, and never will now: that is no failure, which would promise nothing.
 				c.counts.refused++
 				c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)})
@@ -382,6 +382,29 @@
 	return longest
 }
 
+// GiveUp answers all that is open at once: the process ends before it can be finished.
+func (c *Core) GiveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		if r.over {
+			continue
+		}
+		a := &request.Answer{Kind: request.Failed}
+		if !r.request.Changes || c.unsent(r) {
+			a = &request.Answer{Kind: request.Busy, After: c.advice(r)}
+		}
+		c.log.Warn("given up at the end", "id", r.request.ID, "attempts", len(r.attempts))
+		c.answer(r, a)
+		c.handle(policy.Departure{ID: r.id})
+	}
+}
+
+// unsent tells whether nothing of a request has gone out. Once it is over nothing will.
+func (c *Core) unsent(r *Held) bool {
+	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.begun })
+}
+
 // Leave ends the requests of a client that has gone.
 func (c *Core) Leave(unanswered []*Held) {
 	c.mu.Lock()
--- a/internal/core/still.go
+++ b/internal/core/still.go
@@ -216,15 +216,15 @@
 // Late implements upstream.Handler: what allowed these writes may not have held any more.
 func (c *Core) Late(batch []*upstream.Attempt, by time.Duration) {
 	c.mu.Lock()
-	keyed := 0
+	changing := 0
 	for _, u := range batch {
-		if u.Request.Idempotency != "" {
-			keyed++
+		if u.Request.Changes {
+			changing++
 		}
 	}
 	c.still.late += len(batch)
 	c.mu.Unlock()
-	c.log.Warn("written late", "requests", len(batch), "keyed", keyed, "by", by)
+	c.log.Warn("written late", "requests", len(batch), "changing", changing, "by", by)
 }
 
 // reask has the lists told anew after each stop, until ctx ends: what was told meanwhile counts as
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -99,6 +99,7 @@
 	finished bool      // half closed: nothing more is answered
 	gone     bool      // nothing can be written any more
 	stalled  bool      // the reader waits for something else than the client
+	refused  int       // commands that came late in a drain
 	since    time.Time // of the last answer
 	owed     time.Time // when the first silent answer was had that nothing has followed; zero for none
 	writing  time.Time // since when a write has been out, zero for none
@@ -232,11 +233,19 @@
 func (c *Conn) Take(in *request.Request, r *Slot, reply core.Reply) {
 	in.Age = c.Age()
 	c.Add(r)
-	if c.Late() {
+	c.mu.Lock()
+	late, gone := c.late(), c.gone
+	if late {
+		c.refused++
+	}
+	c.mu.Unlock()
+	switch {
+	case gone:
+	case late:
 		c.host.Core.Refuse(in, reply)
-		return
+	default:
+		r.Held = c.host.Core.Arrive(in, reply)
 	}
-	r.Held = c.host.Core.Arrive(in, reply)
 }
 
 // await waits for the first byte of a command, and tells whether one is to be taken.
@@ -286,11 +295,12 @@
 	c.busy, c.limit = false, time.Time{}
 	until := time.Time{}
 	if c.closing || c.ending {
+		late := c.late()
 		waits := c.In.Buffered() > 0 || socket.Pending(c.socket) || !c.quiet()
-		switch late := c.late(); {
-		case waits && late: // the writer wakes the reader when all is answered
-		case late:
+		switch {
+		case late && (!waits || c.refused >= pipelined):
 			return ending
+		case late: // the writer wakes the reader when all is answered
 		case waits || c.owing(time.Now()):
 		case c.closing:
 			c.socket.Close() // its last answer has long been taken: nothing to linger for
@@ -302,7 +312,7 @@
 			return ending
 		}
 		c.closing = false
-		if c.ending && !c.late() {
+		if c.ending && !late {
 			until = c.cutoff()
 		}
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -3,10 +3,12 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net"
 	"os"
 	"reflect"
@@ -85,6 +87,9 @@
 	// A node takes thirty and some connections from all proxies together, which
 	// it tells nobody; each proxy keeps to its part of so many.
 	nodeTable = 30
+	// Milliseconds for a connection to come up, and for one to stand idle, where the settings tell none.
+	assumedConnect = 1000.0
+	assumedIdle    = 10000.0
 	// Memory set aside for each request that may be held.
 	requestBytes = 16 << 10
 )
@@ -190,9 +195,12 @@
 		return Bounds{}, fmt.Errorf("settings: %w", err)
 	}
 	l := in.Limits
-	if l.ConnectTimeout <= 0 || l.ConnIdle <= 0 || l.StreamsPerConn < 1 || l.MostHeld < 1 {
-		return Bounds{}, errors.New("settings: Limits has no positive ConnectTimeout, ConnIdle, StreamsPerConn and MostHeld")
+	if l.ConnectTimeout < 0 || l.ConnIdle < 0 || l.StreamsPerConn < 0 || l.MostHeld < 0 {
+		return Bounds{}, errors.New("settings: Limits has a negative ConnectTimeout, ConnIdle, StreamsPerConn or MostHeld")
 	}
+	// What is not told, or zero, is assumed with care.
+	l.ConnectTimeout, l.ConnIdle = cmp.Or(l.ConnectTimeout, assumedConnect), cmp.Or(l.ConnIdle, assumedIdle)
+	l.StreamsPerConn, l.MostHeld = cmp.Or(l.StreamsPerConn, 1), cmp.Or(l.MostHeld, math.MaxInt)
 	millis := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 	return Bounds{Connect: millis(l.ConnectTimeout), ConnIdle: millis(l.ConnIdle), Streams: l.StreamsPerConn,
 		PerNode: max(nodeTable/max(proxies, 1), 1), MostHeld: l.MostHeld,
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -121,3 +121,30 @@
 	}
 	testwait.Receive(t, "the server's end", f.ended())
 }
+
+// TestWhatCannotBeFinishedIsAnswered: the end comes before a request's own, as where a process got no core for a while. It has an
+// answer all the same, that promises no more than is known.
+func TestWhatCannotBeFinishedIsAnswered(t *testing.T) {
+	arrived := make(chan string, 100)
+	f := startFleetWith(t, 256, once, startNode(t, func(c command) { arrived <- c.id }))
+	f.server.mu.Lock()
+	f.server.longest = 0
+	f.server.mu.Unlock()
+	users := make(map[string]*user)
+	for class, request := range classes {
+		users[class] = f.connect()
+		users[class].send("%s", strings.ReplaceAll(request(strings.ReplaceAll(class, " ", "")), "d=1900", "d=1999"))
+		testwait.Receive(t, "the request to come to the node", arrived)
+	}
+	f.stop()
+	for class, u := range users {
+		want := "SERVER_ERROR failed"
+		if strings.HasPrefix(class, "safe") {
+			want = "SERVER_ERROR busy "
+		}
+		if got := u.line(); !strings.HasPrefix(got, want) {
+			t.Errorf("%s: answered %q, want %q", class, got, want)
+		}
+	}
+	testwait.Receive(t, "the server's end", f.ended())
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -28,6 +28,9 @@
 	acceptTime = 500 * time.Millisecond
 	// Connections closed ahead of need: they count until the client closes too.
 	headroom = 16
+	// After the longest deadline in a drain, when what is open all the same is given up; a moment later, after
+	// front.LingerTime/3, all clients are cut.
+	endTime = 50 * time.Millisecond
 	// Idle and stuck clients are looked for so often.
 	sweepTime = 50 * time.Millisecond // still.Usual.Tick
 	// A connection that has idled for less is not closed to make room.
@@ -332,7 +335,7 @@
 		c.Hurry()
 	}
 	if s.late != nil {
-		s.late.Reset(s.core.OpenFor() + front.LingerTime/3)
+		s.late.Reset(s.core.OpenFor() + endTime)
 	}
 }
 
@@ -489,13 +492,19 @@
 	if s.hurried {
 		wait = s.core.OpenFor()
 	}
-	s.late = time.AfterFunc(wait+front.LingerTime/3, func() {
+	// What can't be finished by then is answered all the same, and a moment is left to write that.
+	cut := time.AfterFunc(time.Hour, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.clients {
 			c.Close()
 		}
 	})
+	defer cut.Stop()
+	s.late = time.AfterFunc(wait+endTime, func() {
+		s.core.GiveUp()
+		cut.Reset(front.LingerTime/3 - endTime)
+	})
 	defer s.late.Stop()
 	for len(s.clients) > 0 {
 		s.changed.Wait()
--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,294 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/socket"
+	"mulleinpier/internal/standin/deaf"
+	"mulleinpier/internal/testwait"
+)
+
+// These tests make the ends of connections come at the instants in which something is still owed.
+
+// gated is a Handler whose looks at what may begin, and whose answers, wait for the test.
+type gated struct {
+	ends
+	looks    chan []*Attempt       // each look, as it begins
+	goOn     chan struct{}         // one for each look, closed for all
+	answered chan struct{}         // nil, or one for each answer
+	keep     func(a *Attempt) bool // nil for all; set between looks
+	opened   sync.Once
+}
+
+// open lets all looks go on.
+func (g *gated) open() { g.opened.Do(func() { close(g.goOn) }) }
+
+func (g *gated) Begin(batch []*Attempt) []*Attempt {
+	g.looks <- append([]*Attempt(nil), batch...)
+	<-g.goOn
+	kept := batch[:0]
+	for _, a := range batch {
+		if g.keep == nil || g.keep(a) {
+			kept = append(kept, a)
+		} else {
+			g.ends <- end{attempt: a, result: NoConnect}
+		}
+	}
+	return kept
+}
+
+func (g *gated) Answered(a *Attempt, answer *request.Answer) {
+	g.ends.Answered(a, answer)
+	if g.answered != nil {
+		<-g.answered
+	}
+}
+
+// startGated returns connections to one node, whose connections the test gets.
+func startGated(t *testing.T, limits Limits) (*Nodes, *gated, <-chan *net.TCPConn, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	accepted := make(chan *net.TCPConn, 100)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			accepted <- c.(*net.TCPConn)
+		}
+	}()
+	g := &gated{ends: make(ends, 100), looks: make(chan []*Attempt, 100), goOn: make(chan struct{}, 100)}
+	nodes := New(limits, meta.Node{}, g, slog.New(slog.DiscardHandler))
+	nodes.Set([]Node{{Name: "n", Address: listener.Addr().String()}})
+	ctx, stop := context.WithCancel(context.Background())
+	ran := make(chan bool, 1)
+	go func() {
+		nodes.Run(ctx)
+		ran <- true
+	}()
+	t.Cleanup(func() {
+		g.open()
+		stop()
+		testwait.Receive(t, "the end of all connections", ran)
+	})
+	return nodes, g, accepted, listener.Addr().String()
+}
+
+var usual = Limits{PerNode: 1, All: 4, Streams: 128, Connect: patience, Idle: time.Hour, Silent: time.Hour}
+
+// put sends a write of so many bytes.
+func put(t *testing.T, nodes *Nodes, id string, size int) *Attempt {
+	t.Helper()
+	command, err := meta.ParseCommand(fmt.Sprintf("ms k %d O%s Pc=put", size, id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	command.Value = []byte(strings.Repeat("v", size))
+	a := &Attempt{Request: &command.Request, Deadline: time.Now().Add(patience)}
+	if !nodes.Send("n", a) {
+		t.Fatalf("no connection for %s", id)
+	}
+	return a
+}
+
+// TestWhatANodeDoesNotTakeIsLookedAtAnew: a node stops reading in the middle of a batch. What of it has not begun must not
+// go out behind the rest once it reads again, unless it still may.
+func TestWhatANodeDoesNotTakeIsLookedAtAnew(t *testing.T) {
+	for _, may := range []bool{false, true} {
+		t.Run(fmt.Sprint("may ", may), func(t *testing.T) {
+			nodes, g, accepted, _ := startGated(t, usual)
+			first := get(t, nodes, "first")
+			testwait.Receive(t, "the first's look", g.looks)
+			node := testwait.Receive(t, "a connection", accepted)
+			nodes.mu.Lock()
+			nodes.nodes["n"].conns[0].socket.SetWriteBuffer(128 << 10)
+			nodes.mu.Unlock()
+			var big []*Attempt
+			const bigs = 40 // more than all buffers on the way hold
+			for i := range bigs {
+				big = append(big, put(t, nodes, fmt.Sprint("big", i), 60000))
+			}
+			late := get(t, nodes, "late")
+			g.goOn <- struct{}{}
+			batch := testwait.Receive(t, "the look at the others", g.looks)
+			if len(batch) != bigs+1 {
+				t.Fatalf("%d in the batch", len(batch))
+			}
+			// The first look lets it begin, as if what forbids it came a moment later.
+			g.goOn <- struct{}{}
+			testwait.Until(t, "what has not begun to wait again", func() bool {
+				nodes.mu.Lock()
+				defer nodes.mu.Unlock()
+				c := nodes.nodes["n"].conns[0]
+				return len(c.out) > 0 || len(g.looks) > 0
+			})
+			saw := make(chan string, 100)
+			go func() {
+				defer close(saw)
+				for in := bufio.NewReader(node); ; {
+					line, err := in.ReadString('\n')
+					if err != nil {
+						return
+					}
+					id := line[strings.Index(line, " O")+2:]
+					id, _, _ = strings.Cut(strings.TrimSpace(id), " ")
+					saw <- id
+					if strings.HasPrefix(line, "ms") {
+						if _, err := in.Discard(60002); err != nil {
+							return
+						}
+						fmt.Fprintf(node, "HD O%s c7\r\n", id)
+						continue
+					}
+					serve(id, node)
+				}
+			}()
+			again := testwait.Receive(t, "a second look at what has not begun", g.looks)
+			if again[len(again)-1] != late || again[0] == big[0] {
+				t.Fatalf("looked again at %d, from %s on", len(again), again[0].Request.ID)
+			}
+			g.keep = func(a *Attempt) bool { return a != late || may }
+			g.open()
+			served := map[*Attempt]bool{}
+			for range bigs + 2 {
+				got := g.next(t)
+				if got.result == NoConnect && got.attempt == late && !may {
+					continue
+				}
+				if got.result != 0 {
+					t.Errorf("%s ended with %d", got.attempt.Request.ID, got.result)
+				}
+				served[got.attempt] = true
+			}
+			if !served[first] || served[late] != may || len(served) < bigs+1 {
+				t.Errorf("%d served, the late one %v", len(served), served[late])
+			}
+			node.Close()
+			times := map[string]int{}
+			for id := range saw {
+				times[id]++
+			}
+			if times["late"] > 0 != may {
+				t.Errorf("the node saw the late one %d times", times["late"])
+			}
+			for i := range bigs {
+				if n := times[fmt.Sprint("big", i)]; n != 1 {
+					t.Errorf("the node saw one %d times", n)
+				}
+			}
+		})
+	}
+}
+
+// TestConnectionWhoseRequestIsLookedAtIsNoIdling: a place is needed for another node just while what goes out next is being
+// looked at. Its connection does not idle.
+func TestConnectionWhoseRequestIsLookedAtIsNoIdling(t *testing.T) {
+	limits := usual
+	limits.All = 1
+	nodes, g, accepted, address := startGated(t, limits)
+	nodes.Set([]Node{{Name: "other", Address: address}})
+	a := get(t, nodes, "a")
+	testwait.Receive(t, "its look", g.looks)
+	node := testwait.Receive(t, "a connection", accepted)
+	command, err := meta.ParseCommand("mg k v Ob Pc=read")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if nodes.Send("other", &Attempt{Request: &command.Request, Deadline: time.Now().Add(patience)}) {
+		t.Error("a place was found for another node's connection")
+	}
+	nodes.CloseIdle("n")
+	g.goOn <- struct{}{}
+	in := bufio.NewReader(node)
+	node.SetReadDeadline(time.Now().Add(patience))
+	if line, err := in.ReadString('\n'); err != nil || !strings.Contains(line, "Oa") {
+		t.Fatalf("the node got %q, %v", line, err)
+	}
+	serve("a", node)
+	g.expectServed(t, a)
+	if len(accepted) > 0 {
+		t.Error("it went over another connection")
+	}
+}
+
+// TestAnswerBeforeAResetCounts: an answer has come whole, with the connection's reset right behind it, when a write to
+// that connection fails: its request has its answer all the same.
+func TestAnswerBeforeAResetCounts(t *testing.T) {
+	nodes, g, accepted, _ := startGated(t, usual)
+	g.answered = make(chan struct{}, 100)
+	g.goOn <- struct{}{}
+	first := get(t, nodes, "first")
+	testwait.Receive(t, "its look", g.looks)
+	node := testwait.Receive(t, "a connection", accepted)
+	in := bufio.NewReader(node)
+	in.ReadString('\n')
+	second := put(t, nodes, "second", 2)
+	testwait.Receive(t, "its look", g.looks)
+	g.goOn <- struct{}{}
+	in.ReadString('\n')
+	in.ReadString('\n')
+	serve("first", node) // its taker waits for the test, so that the next answer is not read
+	g.expectServed(t, first)
+	third := get(t, nodes, "third")
+	testwait.Receive(t, "its look", g.looks)
+	fmt.Fprint(node, "HD Osecond c7\r\n")
+	node.SetLinger(0)
+	node.Close()
+	nodes.mu.Lock()
+	c := nodes.nodes["n"].conns[0]
+	nodes.mu.Unlock()
+	testwait.Until(t, "the reset to come", func() bool { return socket.Ended(c.socket) })
+	g.goOn <- struct{}{} // the third's write fails
+	testwait.Until(t, "the write to fail", func() bool {
+		nodes.mu.Lock()
+		defer nodes.mu.Unlock()
+		return c.broken || c.closed
+	})
+	close(g.answered)
+	got := map[*Attempt]end{}
+	for range 2 {
+		e := g.next(t)
+		got[e.attempt] = e
+	}
+	if e := got[second]; e.result != 0 || e.attempt == nil {
+		t.Errorf("the write that was answered ended with %d", e.result)
+	}
+	if e := got[third]; e.attempt == nil || e.result != NoConnect && e.result != Broken {
+		t.Errorf("the one behind the reset ended with %d", e.result)
+	}
+}
+
+// TestDialsEndWithAll: connections that are coming up, to a node that says nothing, don't hold up the end.
+func TestDialsEndWithAll(t *testing.T) {
+	silent, err := deaf.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(silent.Close) // behind the end of all connections
+	limits := usual
+	limits.Connect = time.Hour
+	nodes, _, _, _ := startGated(t, limits)
+	nodes.Set([]Node{{Name: "n", Address: silent.Address()}})
+	get(t, nodes, "x")
+	nodes.mu.Lock()
+	defer nodes.mu.Unlock()
+	if nodes.nodes["n"].dialing != 1 {
+		t.Error("no connection is coming up")
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -69,6 +69,9 @@
 	}
 	s.Prices = policy.Prices{Origin: in.Charges.Origin, CrossZone: in.Charges.CrossZone, Probe: in.Charges.Probe,
 		Handshake: in.Charges.Handshake}
+	if s.Limits.MaxAttempts == 0 { // none is told: no more than the one that serves
+		s.Limits.MaxAttempts = 1
+	}
 	if in.OverShareWorth != nil {
 		s.OverShare = *in.OverShareWorth
 	}
@@ -85,6 +88,9 @@
 	for i, c := range in.Services {
 		class := policy.Class{Name: c.Name, Window: millis(c.Window), Aim: millis(c.Aim),
 			Deadline: millis(c.HardLimit), Worth: c.Importance, Late: c.LateShare, Streamed: c.Streamed}
+		if class.Aim == 0 { // none is told: any answer in time is as good
+			class.Aim = class.Deadline
+		}
 		if class.Effect, ok = effects[c.Effect]; !ok {
 			return s, fmt.Errorf("settings: Services[%d].Effect cannot be %q", i, c.Effect)
 		}
--- /dev/null
+++ b/policy/owed_test.go
@@ -0,0 +1,64 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWhatWasNeverSentTellsNothing: clients that leave before anything of their requests has begun are no sign of any server:
+// gates stay open, no server is taken for heard of, and none for well or sick.
+func TestWhatWasNeverSentTellsNothing(t *testing.T) {
+	b, now := harness(t)
+	for i := range 200 {
+		now += 20 * time.Millisecond
+		id := uint64(i + 1)
+		out := b.Handle(now, Arrival{ID: id, Key: "k", Deadline: now + 2*time.Second}, nil)
+		to := sent(out)
+		if len(to) != 1 {
+			t.Fatalf("request %d: sent to %v", i, to)
+		}
+		b.Handle(now+10*time.Millisecond, Departure{ID: id}, nil)
+		b.Handle(now+10*time.Millisecond, Outcome{ID: id, Server: to[0], Result: NotSent, Final: true}, nil)
+	}
+	if known, other := b.Gates(); known < 1 || other < 1 {
+		t.Errorf("gates at %v and %v", known, other)
+	}
+	for name, s := range b.servers {
+		if s.heard != 0 || s.inFlight != 0 || s.health[0].Above != 0 || s.gate.open(serverPrior) < 1 {
+			t.Errorf("%s: heard of at %v, %v out, odds %v, gate %v", name, s.heard, s.inFlight, s.health[0].Above, s.gate.open(serverPrior))
+		}
+	}
+}
+
+// TestWaitBeforeANewWatchLeavesTimeForDrains: a watch counts as silent 3 s after its last word, and what it missed counts as told
+// 6 s after it fell silent: the wait before the next call must leave a good part of the rest, whatever the settings give for
+// asking. Losses in a row wait longer, and calls are spread.
+func TestWaitBeforeANewWatchLeavesTimeForDrains(t *testing.T) {
+	const silent, counts = 3 * time.Second, 6 * time.Second
+	for _, within := range []time.Duration{0, time.Second, 4 * time.Second, 10 * time.Second, time.Minute} {
+		least, most, second := time.Hour, time.Duration(0), time.Duration(0)
+		for seed := range uint64(200) {
+			b, err := New(Settings{Classes: []Class{{Aim: time.Second, Deadline: time.Second}}, AskList: true, Rules: Rules{AskWithin: within}}, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wait := func(kind ListKind) (d time.Duration) {
+				for _, a := range b.Handle(time.Hour, ListUpdate{Kind: kind}, nil) {
+					if a.Kind == SetTimer {
+						d = a.After
+					}
+				}
+				return d
+			}
+			wait(ListStored)
+			first := wait(ListLost)
+			least, most, second = min(least, first), max(most, first), max(second, wait(ListLost))
+		}
+		if most > counts-silent-500*time.Millisecond {
+			t.Errorf("of %v for asking the wait is up to %v", within, most)
+		}
+		if within > 0 && (most < 2*least || second <= most) {
+			t.Errorf("of %v for asking the waits are %v to %v, then up to %v", within, least, most, second)
+		}
+	}
+}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -21,10 +21,22 @@
 		return fmt.Errorf("settings: Rules has a negative duration")
 	case s.Tick < 0 || s.Limits.MaxRetryAfter < 0:
 		return fmt.Errorf("settings: Tick or Limits.MaxRetryAfter is negative")
+	case s.Limits.MaxAttempts < 0:
+		return fmt.Errorf("settings: Limits.MaxAttempts is negative")
 	}
 	for i, c := range s.Classes {
-		if c.Aim < 0 || c.Deadline < 0 || c.Window < 0 {
+		switch {
+		case c.Aim < 0 || c.Deadline < 0 || c.Window < 0:
 			return fmt.Errorf("settings: Classes[%d] has a negative duration", i)
+		case c.Deadline == 0:
+			return fmt.Errorf("settings: Classes[%d] has no deadline", i)
+		case c.Name != "" && slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }):
+			return fmt.Errorf("settings: Classes[%d] is a second %q", i, c.Name)
+		}
+	}
+	for i, t := range s.Tenants {
+		if slices.ContainsFunc(s.Tenants[:i], func(o Tenant) bool { return o.Name == t.Name }) {
+			return fmt.Errorf("settings: Tenants[%d] is a second %q", i, t.Name)
 		}
 	}
 	return nil
