--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -75,6 +76,14 @@
 	fmt.Fprintf(c, `{"index":%d,"snapshot":%v,"endpoints":[{"name":"n1","address":"127.0.0.1:9","status":"%s"}]}`+"\n", index, whole, status)
 }
 
+// open tells that the proxy still waits for an answer to a call.
+func (c *inquiry) open() bool {
+	c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	var late net.Error
+	return errors.As(err, &late) && late.Timeout()
+}
+
 // gone waits until the proxy has ended a call.
 func (c *inquiry) gone(t *testing.T) {
 	t.Helper()
@@ -171,8 +180,11 @@
 	first.Close()
 	begun := time.Now()
 	var calls []*inquiry
-	for range 2 * mostWatches {
+	for i := range 2 * mostWatches {
 		calls = append(calls, a.next(t, "one more watch"))
+		if i > 0 && !calls[i-1].open() {
+			t.Error("asked again only after the call before was given up")
+		}
 	}
 	if took := time.Since(begun); took < time.Duration(len(calls)-2)*agentWait {
 		t.Errorf("%d calls in %v", len(calls), took)
@@ -269,6 +281,9 @@
 			watch.tell(51, false, "draining")
 			c.expect(t, "a drain told by the old place to be heeded", false)
 			beside := deaf.next(t, "one more beside the one that says nothing")
+			if !hung.open() {
+				t.Error("asked again only after the call before was given up")
+			}
 			c.Move([]discovery.Place{{Address: next.address()}})
 			hung.gone(t)
 			beside.gone(t)
