Ask a new place once more only, and take a broken connection's end for no noise

A connection whose write had failed, and that then said nothing, ended as spoilt. Change: core/watch.go, upstream/conn.go; TestMovesKeepWhatSpeaks gives signs of life on the old watch meanwhile, for it waits longer than a silence now.

--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -18,9 +18,9 @@
 	// An agent on this machine answers at once, and what it has counts as told: one that says nothing
 	// to a new watch for so long is asked again beside it.
 	agentWait = 400 * time.Millisecond
-	// After a move, a call to the new address may wait its turn, but what it has to tell counts 4 s later: it is
-	// asked again beside the first.
-	movedWait = 2 * time.Second
+	// After a move, a call to the new address may wait its turn, but what it has to tell counts 4 s later: if the first has
+	// hung it is asked once more beside it. More would be a storm where all proxies move at once and calls are in turn.
+	movedWait = 3 * time.Second
 	// The wait before a watch that has told nothing is begun again: of an agent, and after a move.
 	agentPause = 100 * time.Millisecond
 	movedPause = 500 * time.Millisecond
@@ -134,13 +134,14 @@
 		w.open = slices.Delete(w.open, i, i+1)
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
+	beside := w.has()
 	x := &watching{call: w.place(), cancel: cancel, opened: time.Now()}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { w.say(ctx, x, answered) }})
 	w.open = append(w.open, x)
 	switch {
 	case !w.askList:
 		w.again.Reset(agentWait)
-	case w.moved:
+	case w.moved && !beside:
 		w.again.Reset(movedWait)
 	default:
 		w.again.Stop()
--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -20,6 +20,9 @@
 	"mulleinpier/policy"
 )
 
+// silence is less than what passes for the loss of a watch.
+const silence = 2 * time.Second
+
 // agent is a source of the list that does what a test tells it, call by call.
 type agent struct {
 	listener net.Listener
@@ -84,6 +87,19 @@
 	return errors.As(err, &late) && late.Timeout()
 }
 
+// beat gives signs of life from now on, as an idle watch does.
+func (c *inquiry) beat(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() {
+		for tick := time.NewTicker(silence / 4); ctx.Err() == nil; <-tick.C {
+			if _, err := fmt.Fprintln(c); err != nil {
+				return
+			}
+		}
+	}()
+}
+
 // gone waits until the proxy has ended a call.
 func (c *inquiry) gone(t *testing.T) {
 	t.Helper()
@@ -276,6 +292,7 @@
 			watch.head()
 			watch.tell(50, true, "up")
 			c.expect(t, "the node to be up", true)
+			watch.beat(t)
 			c.Move([]discovery.Place{{Address: deaf.address()}})
 			hung := deaf.next(t, "a watch of the new place")
 			watch.tell(51, false, "draining")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -242,7 +242,7 @@
 	c.ns.mu.Lock()
 	if !c.closed && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		var broken *net.OpError
-		if c.spoilt = !errors.As(err, &broken) || broken.Timeout(); c.spoilt {
+		if c.spoilt = !c.broken && (!errors.As(err, &broken) || broken.Timeout()); c.spoilt {
 			c.ns.warn(c.node.Name, err)
 		}
 	}
