Play each end of a connection to a node, and a subscription beside a move

TestGivenUpChangesEndWithAReset (fails where forsake goes by the verb: "the node's connection ended with <nil>"), TestSubscriptionLeavesAMoveAlone (fails where each wish opens a subscription). TestEndBetweenLookAndWrite, TestResetInTheMiddleOfABatch and TestSecondAnswerThatComesLate hold the leads that were ruled out: they pass, and passed by reading before.

--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -336,3 +336,25 @@
 		t.Errorf("%d calls in %v", calls, took)
 	}
 }
+
+// TestSubscriptionLeavesAMoveAlone: the decision module asks for a subscription while one of the new place waits for its turn. That
+// keeps its turn, and is the only one.
+func TestSubscriptionLeavesAMoveAlone(t *testing.T) {
+	a, next := startAgent(t), startAgent(t)
+	c := startCore(t, true, a.address())
+	first := a.next(t, "a watch")
+	first.head()
+	first.tell(1, true, "up")
+	c.expect(t, "the node to be up", true)
+	c.Move([]discovery.Place{{Address: next.address()}})
+	moved := next.next(t, "a watch of the new place")
+	post(c.subscribe)
+	testwait.Until(t, "the wish to be heard", func() bool { return len(c.subscribe) == 0 })
+	time.Sleep(agentWait / 4)
+	if n := len(next.calls); n > 0 || !moved.open() {
+		t.Errorf("%d calls more, the first open: %v", n, moved.open())
+	}
+	moved.head()
+	moved.tell(1, true, "draining")
+	c.expect(t, "the new place to be heeded", false)
+}
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -292,3 +295,150 @@
 		t.Error("no connection is coming up")
 	}
 }
+
+// TestGivenUpChangesEndWithAReset: the kernel must not deliver later what nobody waits for any more, if it may change something;
+// whether it may is the class's to say, not the verb's.
+func TestGivenUpChangesEndWithAReset(t *testing.T) {
+	for _, changes := range []bool{false, true} {
+		for name, send := range map[string]func(*testing.T, *Nodes) *Attempt{
+			"read":  func(t *testing.T, ns *Nodes) *Attempt { return get(t, ns, "x") },
+			"write": func(t *testing.T, ns *Nodes) *Attempt { return put(t, ns, "x", 2) },
+		} {
+			t.Run(fmt.Sprint(name, " that changes: ", changes), func(t *testing.T) {
+				nodes, g, accepted, _ := startGated(t, usual)
+				a := send(t, nodes)
+				testwait.Receive(t, "its look", g.looks)
+				a.Request.Changes = changes
+				g.goOn <- struct{}{}
+				node := testwait.Receive(t, "a connection", accepted)
+				node.SetReadDeadline(time.Now().Add(patience))
+				in := bufio.NewReader(node)
+				if line, err := in.ReadString('\n'); err != nil || !strings.Contains(line, "Ox") {
+					t.Fatalf("the node got %q, %v", line, err)
+				}
+				nodes.Abandon(a)
+				if got := g.next(t); got.attempt != a || got.result != Broken {
+					t.Errorf("ended with %d", got.result)
+				}
+				_, err := io.Copy(io.Discard, in)
+				if reset := errors.Is(err, syscall.ECONNRESET); reset != changes {
+					t.Errorf("the node's connection ended with %v", err)
+				}
+			})
+		}
+	}
+}
+
+// TestEndBetweenLookAndWrite: a connection ends after what goes out next was let go and before its first byte. It goes over another,
+// after another look, once.
+func TestEndBetweenLookAndWrite(t *testing.T) {
+	nodes, g, accepted, _ := startGated(t, usual)
+	a := get(t, nodes, "a")
+	testwait.Receive(t, "its look", g.looks)
+	first := testwait.Receive(t, "a connection", accepted)
+	first.Close()
+	testwait.Until(t, "the connection's end to be noticed", func() bool {
+		nodes.mu.Lock()
+		defer nodes.mu.Unlock()
+		return len(nodes.nodes["n"].conns) == 0
+	})
+	g.goOn <- struct{}{}
+	if again := testwait.Receive(t, "another look", g.looks); len(again) != 1 || again[0] != a {
+		t.Fatalf("looked at %d", len(again))
+	}
+	g.goOn <- struct{}{}
+	second := testwait.Receive(t, "another connection", accepted)
+	second.SetReadDeadline(time.Now().Add(patience))
+	if line, err := bufio.NewReader(second).ReadString('\n'); err != nil || !strings.Contains(line, "Oa") {
+		t.Fatalf("the node got %q, %v", line, err)
+	}
+	serve("a", second)
+	g.expectServed(t, a)
+}
+
+// TestResetInTheMiddleOfABatch: of a batch some are written, one in part and others not when the connection is reset. Each has one end,
+// by what can have run: those that were written may have, and what had not begun goes over another connection, once.
+func TestResetInTheMiddleOfABatch(t *testing.T) {
+	nodes, g, accepted, _ := startGated(t, usual)
+	get(t, nodes, "first")
+	testwait.Receive(t, "the first's look", g.looks)
+	node := testwait.Receive(t, "a connection", accepted)
+	nodes.mu.Lock()
+	nodes.nodes["n"].conns[0].socket.SetWriteBuffer(128 << 10)
+	nodes.mu.Unlock()
+	const bigs = 40
+	for i := range bigs {
+		put(t, nodes, fmt.Sprint("big", i), 60000)
+	}
+	g.goOn <- struct{}{}
+	testwait.Receive(t, "the look at the others", g.looks)
+	g.goOn <- struct{}{}
+	testwait.Until(t, "what has not begun to wait again", func() bool {
+		nodes.mu.Lock()
+		defer nodes.mu.Unlock()
+		return len(nodes.nodes["n"].conns[0].out) > 0 || len(g.looks) > 0
+	})
+	nodes.mu.Lock()
+	broken := nodes.nodes["n"].conns[0]
+	nodes.mu.Unlock()
+	node.SetLinger(0)
+	node.Close()
+	testwait.Until(t, "the reset to be noticed", func() bool {
+		nodes.mu.Lock()
+		defer nodes.mu.Unlock()
+		return broken.closed
+	})
+	g.open()
+	second := testwait.Receive(t, "another connection", accepted)
+	again := make(map[string]bool)
+	go func() {
+		for in := bufio.NewReader(second); ; {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			id, _, _ := strings.Cut(line[strings.Index(line, " O")+2:], " ")
+			if _, err := in.Discard(60002); err != nil {
+				return
+			}
+			fmt.Fprintf(second, "HD O%s c7\r\n", id)
+		}
+	}()
+	counts := make(map[Result]int)
+	for range bigs + 1 {
+		e := g.next(t)
+		id := e.attempt.Request.ID
+		if again[id] {
+			t.Errorf("%s ended twice", id)
+		}
+		again[id] = true
+		counts[e.result]++
+	}
+	// Served ones have the zero result, as the first of all has: Busy, which nobody says here.
+	if counts[Broken] == 0 || counts[Broken]+counts[NoConnect]+counts[Busy] != bigs+1 || counts[Busy] == 0 {
+		t.Errorf("ends by result: %v", counts)
+	}
+	if len(g.ends) > 0 {
+		t.Errorf("%d ends too many", len(g.ends))
+	}
+}
+
+// TestSecondAnswerThatComesLate: the copy of an answer comes when the next request is out already. That must not be answered by it,
+// and the connection is not used again.
+func TestSecondAnswerThatComesLate(t *testing.T) {
+	nodes, handler := startNodes(t, func(id string, socket net.Conn) {
+		if id == "b" {
+			serve("a", socket)
+		}
+		serve(id, socket)
+	})
+	handler.expectServed(t, get(t, nodes, "a"))
+	b := get(t, nodes, "b")
+	if got := handler.next(t); got.attempt != b || got.result != Spoilt || got.text != "" {
+		t.Errorf("ended with %d and %q", got.result, got.text)
+	}
+	handler.expectServed(t, get(t, nodes, "c"))
+	if n := nodes.TakeCounts(); n.Dials != 2 {
+		t.Errorf("%d connections, want another after the copy", n.Dials)
+	}
+}
