--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -71,6 +71,16 @@
 	return testwait.Receive(t, what, a.calls)
 }
 
+// up takes the first watch, and tells by it that the node is up.
+func (a *agent) up(t *testing.T, c *Core, index int) *inquiry {
+	t.Helper()
+	first := a.next(t, "a watch")
+	first.head()
+	first.tell(index, true, "up")
+	c.expect(t, "the node to be up", true)
+	return first
+}
+
 // head answers a call, with nothing behind yet.
 func (c *inquiry) head() { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n") }
 
@@ -165,10 +175,7 @@
 				t.Parallel()
 				a := startAgent(t)
 				c := startCore(t, ask, a.address())
-				first := a.next(t, "a watch")
-				first.head()
-				first.tell(1, true, "up")
-				c.expect(t, "the node to be up", true)
+				first := a.up(t, c, 1)
 				end(first)
 				second := a.next(t, "a new watch")
 				if !second.watch || second.from != "1" {
@@ -189,10 +196,7 @@
 func TestSilentAgentIsAskedOn(t *testing.T) {
 	a := startAgent(t)
 	c := startCore(t, false, a.address())
-	first := a.next(t, "a watch")
-	first.head()
-	first.tell(1, true, "up")
-	c.expect(t, "the node to be up", true)
+	first := a.up(t, c, 1)
 	first.Close()
 	begun := time.Now()
 	var calls []*inquiry
@@ -223,10 +227,7 @@
 func TestAgentWithNothingNewIsBelieved(t *testing.T) {
 	a := startAgent(t)
 	c := startCore(t, false, a.address())
-	first := a.next(t, "a watch")
-	first.head()
-	first.tell(1, true, "up")
-	c.expect(t, "the node to be up", true)
+	first := a.up(t, c, 1)
 	first.Close()
 	second := a.next(t, "a new watch")
 	second.head()
@@ -246,10 +247,7 @@
 	for _, status := range []string{"draining", "removed"} {
 		a := startAgent(t)
 		c := startCore(t, false, a.address())
-		watch := a.next(t, "a watch")
-		watch.head()
-		watch.tell(8, true, "up")
-		c.expect(t, "the node to be up", true)
+		watch := a.up(t, c, 8)
 		post(c.fetch)
 		list := a.next(t, "a call for the list")
 		if list.watch {
@@ -288,10 +286,7 @@
 			t.Parallel()
 			old, deaf, next := startAgent(t), startAgent(t), startAgent(t)
 			c := startCore(t, ask, old.address())
-			watch := old.next(t, "a watch")
-			watch.head()
-			watch.tell(50, true, "up")
-			c.expect(t, "the node to be up", true)
+			watch := old.up(t, c, 50)
 			watch.beat(t)
 			c.Move([]discovery.Place{{Address: deaf.address()}})
 			hung := deaf.next(t, "a watch of the new place")
@@ -342,10 +337,7 @@
 func TestSubscriptionLeavesAMoveAlone(t *testing.T) {
 	a, next := startAgent(t), startAgent(t)
 	c := startCore(t, true, a.address())
-	first := a.next(t, "a watch")
-	first.head()
-	first.tell(1, true, "up")
-	c.expect(t, "the node to be up", true)
+	a.up(t, c, 1)
 	c.Move([]discovery.Place{{Address: next.address()}})
 	moved := next.next(t, "a watch of the new place")
 	post(c.subscribe)
