--- a/cmd/yarrowspan/still_test.go
+++ b/cmd/yarrowspan/still_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -82,8 +83,8 @@
 	r.end()
 }
 
-// TestWhoHasLeftIsNotServed guards rule 2 where ages are not known: a keyed write behind which its client
-// has closed is not begun.
+// TestWhoHasLeftIsNotServed guards rule 2 where ages are not known, and the term on clients that left: a request behind
+// which its client has closed is not begun, whatever its class.
 func TestWhoHasLeftIsNotServed(t *testing.T) {
 	r, c := stopped(t, "")
 	c.send("ms a 1 Ogone0 Pc=write,k=k0,d=20000\r\nx\r\n")
@@ -91,6 +92,12 @@
 	pipelined := r.call()
 	pipelined.send("ms a 1 Ogone1 Pc=write,k=k1,d=20000\r\nx\r\nms a 1 Ogone2 Pc=write,k=k2,d=20000\r\nx\r\n")
 	pipelined.socket.Close()
+	for i, leave := range []func(*net.TCPConn){func(*net.TCPConn) {}, func(c *net.TCPConn) { c.SetLinger(0) }, func(c *net.TCPConn) { c.CloseWrite() }} {
+		reader := r.call()
+		reader.send("mg a v Ogone%d Pc=read,d=20000\r\n", 3+i)
+		leave(reader.socket.(*net.TCPConn))
+		reader.socket.Close()
+	}
 	time.Sleep(long)
 	r.signal(syscall.SIGCONT)
 	last := r.call()
@@ -98,9 +105,9 @@
 	last.expect("VA ")
 	r.signal(syscall.SIGTERM)
 	r.end() // all that was read has had its time
-	for i := range 3 {
+	for i := range 6 {
 		if n := r.sawTimes(fmt.Sprint("gone", i)); n > 0 {
-			t.Errorf("write %d of a client that had left came to nodes %d times", i, n)
+			t.Errorf("request %d of a client that had left came to nodes %d times", i, n)
 		}
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -228,32 +228,38 @@
 func object(in *bufio.Reader, text []byte) ([]byte, error) {
 	depth, quoted, escaped := 0, false, false
 	for {
-		b, err := in.ReadByte()
-		if err != nil {
+		if _, err := in.Peek(1); err != nil {
 			return text, err
 		}
-		switch {
-		case depth == 0 && (b == ' ' || b == '\t' || b == '\r' || b == '\n'):
-			continue
-		case depth == 0 && b != '{':
-			return text, errNoObject
-		case len(text) >= maxList:
-			return text, errTooLong
-		case escaped:
-			escaped = false
-		case quoted && b == '\\':
-			escaped = true
-		case b == '"':
-			quoted = !quoted
-		case quoted:
-		case b == '{' || b == '[':
-			depth++
-		case b == '}' || b == ']':
-			depth--
+		came, _ := in.Peek(in.Buffered())
+		from := 0 // of what belongs to the object
+		for i, b := range came {
+			switch {
+			case depth == 0 && (b == ' ' || b == '\t' || b == '\r' || b == '\n'):
+				from = i + 1
+			case depth == 0 && b != '{':
+				return text, errNoObject
+			case escaped:
+				escaped = false
+			case quoted && b == '\\':
+				escaped = true
+			case b == '"':
+				quoted = !quoted
+			case quoted:
+			case b == '{' || b == '[':
+				depth++
+			case b == '}' || b == ']':
+				if depth--; depth == 0 {
+					text = append(text, came[from:i+1]...)
+					in.Discard(i + 1) // it has been peeked at
+					return text, nil
+				}
+			}
 		}
-		if text = append(text, b); depth == 0 {
-			return text, nil
+		if text = append(text, came[from:]...); len(text) > maxList {
+			return text, errTooLong
 		}
+		in.Discard(len(came))
 	}
 }
 
