--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -231,7 +231,10 @@
 		if _, err := in.Peek(1); err != nil {
 			return text, err
 		}
-		came, _ := in.Peek(in.Buffered())
+		if len(text) == maxList {
+			return text, errTooLong
+		}
+		came, _ := in.Peek(min(in.Buffered(), maxList-len(text)))
 		from := 0 // of what belongs to the object
 		for i, b := range came {
 			switch {
@@ -256,9 +259,7 @@
 				}
 			}
 		}
-		if text = append(text, came[from:]...); len(text) > maxList {
-			return text, errTooLong
-		}
+		text = append(text, came[from:]...)
 		in.Discard(len(came))
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -92,7 +92,7 @@
 	if err != nil || string(text) != whole {
 		t.Errorf("behind white space: %d bytes, %v", len(text), err)
 	}
-	if text, err = object(in, nil); err != errTooLong || len(text) > maxList+in.Size() {
+	if text, err = object(in, nil); err != errTooLong || len(text) > maxList {
 		t.Errorf("of an endless object: %d bytes, %v", len(text), err)
 	}
 }
