Follow a move that comes while a lost watch is waited with

Cause, found on reading the change once more (core/watch.go, case moved): a second move in the pause after the first's lost watch left the wait marked and stopped its timer; where lists are asked for, no watch was opened any more once the next call was lost too. Measured: TestMoveInAPauseIsFollowed and its neighbours pass; without the line it waits in vain.

--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -91,7 +91,7 @@
 		case <-c.moved:
 			// Those that have told nothing yet are of no use any more; the one that has, is.
 			w.drop(func(x *watching) bool { return !x.told })
-			w.moved = true
+			w.moved, w.paused = true, false // a wait for the old place is over
 			w.begin()
 		case <-w.again.C:
 			w.paused = false
--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -350,3 +350,19 @@
 	moved.tell(1, true, "draining")
 	c.expect(t, "the new place to be heeded", false)
 }
+
+// TestMoveInAPauseIsFollowed: a second move comes while a lost watch of the first is waited with, and its own first call is lost too.
+func TestMoveInAPauseIsFollowed(t *testing.T) {
+	a, dead, next := startAgent(t), startAgent(t), startAgent(t)
+	c := startCore(t, true, a.address())
+	a.up(t, c, 1).beat(t)
+	c.Move([]discovery.Place{{Address: dead.address()}})
+	dead.next(t, "a watch of the new place").Close()
+	time.Sleep(movedPause / 5)
+	c.Move([]discovery.Place{{Address: next.address()}})
+	next.next(t, "a watch of the newest place").Close()
+	again := next.next(t, "one more watch of the newest place")
+	again.head()
+	again.tell(1, true, "draining")
+	c.expect(t, "the newest place to be heeded", false)
+}
