--- a/cmd/yarrowspan/main.go
+++ b/cmd/yarrowspan/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -45,6 +46,9 @@
 // settleTime is how long a configuration must have stood still to be reloaded.
 const settleTime = 50 * time.Millisecond
 
+// levelVariable names the level of logging where there is no configuration of the daemon's own: debug, info, warn or error.
+const levelVariable = "YARROWSPAN_LOG_LEVEL"
+
 // errUsage is the error of words that can't be meant.
 var errUsage = cli.ErrUsage
 
@@ -166,7 +170,7 @@
 // the file at the start only: they can't have changed since, so at a reload the
 // file alone counts.
 func platform(getenv func(string) string) func() (*config.Config, error) {
-	begun := false
+	begun, level := false, logLevel(getenv(levelVariable))
 	return func() (*config.Config, error) {
 		c, err := proxy.ReadConfig(func(name string) string {
 			if begun && name != "GW_CONFIG" {
@@ -175,8 +179,16 @@
 			return getenv(name)
 		})
 		begun = true
-		return &config.Config{Proxy: c}, err
+		return &config.Config{Proxy: c, Log: config.Log{Level: level}}, err
+	}
+}
+
+// logLevel reads the platform's level of logging; what can't be meant is the usual one.
+func logLevel(name string) (level slog.Level) {
+	if level.UnmarshalText([]byte(name)) != nil {
+		return slog.LevelInfo
 	}
+	return level
 }
 
 func version() string {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/membership"
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
@@ -62,6 +63,7 @@
 // Held is a client's request that the core holds. It is guarded by Core.mu.
 type Held struct {
 	id       uint64
+	taken    time.Duration // when it was
 	request  *request.Request
 	deadline time.Duration
 	expires  time.Time // the same
@@ -92,6 +94,7 @@
 	kinds   []string
 	binary  Speakers
 	log     *slog.Logger
+	record  *eventlog.Recorder
 	nodes   *upstream.Nodes
 	start   time.Time
 	known   chan struct{} // closed once a list has come
@@ -160,7 +163,9 @@
 	c.still.init(config.Ahead)
 	c.levels = newLevels(&config.Service)
 	c.levels.asks = asks(config)
+	c.record = eventlog.New(log)
 	c.nodes = upstream.New(config.Upstream, meta.Node{}, c, log)
+	c.nodes.Record(c.record)
 	c.members = membership.New(membership.Settings{Limits: config.Membership, Sources: sourcesOf(config.Places), Infer: config.Infer})
 	if len(config.Known.Endpoints) > 0 || !config.Infer {
 		c.learn(c.place(), config.Known, policy.ListStored)
@@ -195,6 +200,7 @@
 // Run keeps the timers and the watch until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
+	tasks.Go(func() { c.record.Run(ctx) })
 	tasks.Go(func() { c.nodes.Run(ctx) })
 	tasks.Go(func() { c.keepTime(ctx) })
 	tasks.Go(func() { c.reask(ctx) })
@@ -240,18 +246,18 @@
 	case policy.Refuse:
 		if r := c.requests[a.ID]; r != nil {
 			c.counts.refused++
-			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After})
+			c.answer(r, &request.Answer{Kind: request.Busy, After: a.After}, a.Reason.String())
 		}
 	case policy.Fail:
 		if r := c.requests[a.ID]; r != nil {
 			if c.unsent(r) {
 				// What waits has not begun, and never will now: that is no failure, which would promise nothing.
 				c.counts.refused++
-				c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)})
+				c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)}, a.Reason.String()+", never sent")
 				return
 			}
 			c.counts.failed++
-			c.answer(r, &request.Answer{Kind: request.Failed})
+			c.answer(r, &request.Answer{Kind: request.Failed}, a.Reason.String())
 		}
 	case policy.SetTimer:
 		c.setTimer(timer{at: c.now() + a.After, id: a.Token, attempt: moduleTimer})
@@ -275,6 +281,7 @@
 // Arrive takes a request whose last byte has come. The answer goes to reply.
 func (c *Core) Arrive(in *request.Request, reply Reply) *Held {
 	bad := func(reason string) *Held {
+		c.recordRefusal(in, reply, reason)
 		reply.Finish(&request.Answer{Kind: request.Bad, Reason: reason})
 		return nil
 	}
@@ -309,22 +316,25 @@
 		return bad("id in use")
 	}
 	if !c.roomFor(rules, class) {
+		c.recordRefusal(in, reply, "no room")
 		reply.Finish(&request.Answer{Kind: request.Busy, After: c.balancer.Advice(class)})
 		return nil
 	}
 	deadline, aged := c.judge(in, &rules.set.Classes[class], wait)
 	if aged {
 		c.still.aged++
+		c.recordRefusal(in, reply, "aged")
 		reply.Finish(&request.Answer{Kind: request.Busy, After: c.balancer.Advice(class)})
 		return nil
 	}
 	c.last++
 	c.counts.arrived++
 	in.Serial = uint32(c.last)
-	r := &Held{id: c.last, request: in, reply: reply, deadline: deadline,
+	r := &Held{id: c.last, taken: c.now(), request: in, reply: reply, deadline: deadline,
 		expires: time.Now().Add(deadline - c.now())}
 	c.requests[r.id] = r
 	c.open[in.ID] = struct{}{}
+	c.recordTaken(r)
 	c.setTimer(timer{at: r.deadline, id: r.id, attempt: allAttempts})
 	if !c.asksLeave(r, &rules.set.Classes[class]) {
 		c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: in.Key, Deadline: r.deadline,
@@ -342,6 +352,7 @@
 		a.After = c.balancer.Advice(class)
 	}
 	c.counts.refused++
+	c.recordRefusal(in, reply, "draining")
 	reply.Finish(a)
 }
 
@@ -395,7 +406,7 @@
 			a = &request.Answer{Kind: request.Busy, After: c.advice(r)}
 		}
 		c.log.Warn("given up at the end", "id", r.request.ID, "attempts", len(r.attempts))
-		c.answer(r, a)
+		c.answer(r, a, "process ends")
 		c.handle(policy.Departure{ID: r.id})
 	}
 }
@@ -421,6 +432,7 @@
 	}
 	r.over = true
 	c.counts.left++
+	c.recordLeft(r)
 	c.handle(policy.Departure{ID: r.id})
 	for _, a := range r.attempts { // what has not begun takes no place any more
 		if !a.ended && (a.parked || c.nodes.Withdraw(&a.Attempt)) {
@@ -430,12 +442,13 @@
 	c.drop(r)
 }
 
-// answer ends a request, once.
-func (c *Core) answer(r *Held, a *request.Answer) {
+// answer ends a request, once. The reason is for the log.
+func (c *Core) answer(r *Held, a *request.Answer, reason string) {
 	if r.over {
 		return
 	}
 	r.over = true
+	c.recordAnswer(r, a, reason)
 	c.settle(r, a)
 	r.reply.Finish(a)
 	c.drop(r)
@@ -464,6 +477,7 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	c.counts.sent++
+	c.recordSent(r, a, action.Reason)
 	switch {
 	case r.over || now >= r.deadline || action.After < 0:
 		c.end(r, a, policy.NotSent, nil)
@@ -497,6 +511,7 @@
 	a.ended = true
 	r.open--
 	c.counts.ends[result]++
+	c.recordEnd(r, a, result)
 	o := policy.Outcome{ID: r.id, Attempt: a.Number, Server: a.server, Result: result, Took: c.now() - a.sent,
 		Final: r.over}
 	if answer != nil {
@@ -591,6 +606,7 @@
 			u.Deadline = r.expires
 		}
 		a.begun = true
+		c.recordBegun(r, a)
 		kept = append(kept, u)
 	}
 	return kept
@@ -614,7 +630,7 @@
 	c.seeClocks()
 	if r, a := c.find(u); r != nil {
 		c.counts.served++
-		c.answer(r, answer)
+		c.answer(r, answer, "")
 		c.end(r, a, policy.Served, answer)
 		c.sight(a.server, membership.Answered)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -19,14 +19,14 @@
 	r := &Held{id: 7, request: &request.Request{ID: "x"}, reply: reply, open: 1}
 	c := &Core{requests: map[uint64]*Held{7: r}, open: map[string]struct{}{"x": {}}}
 	c.drop(r)
-	c.answer(r, &request.Answer{Kind: request.Failed})
+	c.answer(r, &request.Answer{Kind: request.Failed}, "")
 	if reply.released != 0 {
 		t.Error("released with an attempt out")
 	}
 	r.open = 0
 	c.drop(r)
 	c.drop(r)
-	c.answer(r, &request.Answer{Kind: request.Failed})
+	c.answer(r, &request.Answer{Kind: request.Failed}, "")
 	if reply.released != 1 || reply.finished != 1 || len(c.requests)+len(c.open) != 0 {
 		t.Errorf("released %d times, answered %d times; %d requests and %d ids held", reply.released, reply.finished, len(c.requests), len(c.open))
 	}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -8,6 +8,7 @@
 
 	"mulleinpier/internal/binary"
 	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/membership"
 	"mulleinpier/internal/upstream"
 	"mulleinpier/policy"
@@ -128,6 +129,7 @@
 			if c.infer && c.heard { // what it was started with is in its configuration
 				c.log.Info("node", "name", a.Name, "address", a.Address, "is", a.Status.String(), "was", a.Before.String(), "source", a.Source, "why", a.Why)
 			}
+			c.record.Record(eventlog.NodeListed{Node: a.Name, Mode: a.Status.String(), Version: c.version})
 			if a.Status == membership.Gone {
 				gone = append(gone, a.Name)
 				delete(c.failed, a.Name)
--- /dev/null
+++ b/internal/core/record.go
@@ -0,0 +1,106 @@
+package core
+
+import (
+	"syscall"
+	"time"
+
+	"mulleinpier/internal/eventlog"
+	"mulleinpier/internal/request"
+	"mulleinpier/internal/still"
+	"mulleinpier/policy"
+)
+
+// This file writes down what becomes of requests. All of it is called with Core.mu held, but for
+// [Core.Recorder], and does nothing unless events are logged.
+
+// Recorder takes the events of what the core's connections do.
+func (c *Core) Recorder() *eventlog.Recorder { return c.record }
+
+// Addressed is a Reply that knows the address of its client.
+type Addressed interface{ Address() string }
+
+// addressOf returns the address of a reply's client, "" where nobody can tell.
+func addressOf(reply Reply) string {
+	if client, ok := reply.(Addressed); ok {
+		return client.Address()
+	}
+	return ""
+}
+
+// left returns the time until a request's deadline.
+func (c *Core) left(r *Held) time.Duration { return r.deadline - c.now() }
+
+func (c *Core) recordTaken(r *Held) {
+	if !c.record.Enabled() {
+		return
+	}
+	age := time.Duration(0)
+	if r.request.Age.Latest > 0 {
+		age = c.mono() - r.request.Age.Latest
+	}
+	c.record.Record(eventlog.RequestTaken{ID: r.request.ID, Class: r.request.Class, Client: addressOf(r.reply),
+		Wait: r.request.Wait, Age: age, Left: c.left(r)})
+}
+
+func (c *Core) recordRefusal(in *request.Request, reply Reply, reason string) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.RequestRefused{ID: in.ID, Client: addressOf(reply), Reason: reason})
+	}
+}
+
+func (c *Core) recordSent(r *Held, a *attempt, reason policy.Reason) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.AttemptSent{ID: r.request.ID, Attempt: a.Number, Node: a.server, Reason: reason.String()})
+	}
+}
+
+func (c *Core) recordBegun(r *Held, a *attempt) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.AttemptBegun{ID: r.request.ID, Attempt: a.Number, Node: a.server, Left: time.Until(a.Deadline)})
+	}
+}
+
+func (c *Core) recordEnd(r *Held, a *attempt, result policy.Result) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.AttemptEnded{ID: r.request.ID, Attempt: a.Number, Node: a.server, Result: result.String(),
+			Took: c.now() - a.sent})
+	}
+}
+
+func (c *Core) recordAnswer(r *Held, a *request.Answer, reason string) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.RequestAnswered{ID: r.request.ID, Answer: a.Kind.String(), Reason: reason,
+			Took: c.now() - r.taken, Left: c.left(r)})
+	}
+}
+
+func (c *Core) recordLeft(r *Held) {
+	if c.record.Enabled() {
+		c.record.Record(eventlog.ClientLeft{ID: r.request.ID, Took: c.now() - r.taken, Left: c.left(r)})
+	}
+}
+
+// noticeableGap is the time without a look at the clocks from which on it is written down. In a process
+// that runs they come still.Usual.Tick apart at the most.
+var noticeableGap = still.Usual.Tick + 15*time.Millisecond
+
+// recordGap writes down that nobody has looked at the clocks for a while.
+func (c *Core) recordGap(gap time.Duration) {
+	if !c.record.Enabled() {
+		return
+	}
+	used := processorTime()
+	if gap >= noticeableGap {
+		c.record.Record(eventlog.HeldUp{For: gap, CPU: used - c.still.used})
+	}
+	c.still.used = used
+}
+
+// processorTime returns the processor time that this process has used, zero where nobody can tell.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/core/still.go
+++ b/internal/core/still.go
@@ -34,6 +34,7 @@
 	stood   time.Duration // in all
 	aged    int           // requests refused for their age
 	late    int           // writes that a stop fell into
+	used    time.Duration // processor time at the latest look, where events are logged
 }
 
 func (s *stillness) init(ahead func() time.Duration) {
@@ -75,6 +76,7 @@
 // before its caller looks at any.
 func (c *Core) seeClocks() {
 	now := c.mono()
+	c.recordGap(now - time.Duration(c.still.looked.Load()))
 	c.still.looked.Store(int64(now))
 	c.stands(now, still.Look{Ahead: c.still.slept})
 }
--- a/internal/core/work.go
+++ b/internal/core/work.go
@@ -47,7 +47,7 @@
 	case c.desk.Ask(r.id, r.request, class.Window, r.expires):
 	case c.desk.Strict():
 		c.counts.refused++
-		c.answer(r, &request.Answer{Kind: request.Busy, After: time.Second})
+		c.answer(r, &request.Answer{Kind: request.Busy, After: time.Second}, "taken over")
 	default:
 		r.stage = free
 		return false
@@ -71,15 +71,15 @@
 		c.arrive(r)
 	case takeover.Receipt:
 		c.counts.served++
-		c.answer(r, &request.Answer{Kind: request.Stored, Receipt: receipt})
+		c.answer(r, &request.Answer{Kind: request.Stored, Receipt: receipt}, "taken over")
 	case takeover.Unsure:
 		c.counts.failed++
-		c.answer(r, &request.Answer{Kind: request.Failed})
+		c.answer(r, &request.Answer{Kind: request.Failed}, "taken over")
 	case takeover.Clash:
-		c.answer(r, &request.Answer{Kind: request.Bad, Reason: "k belongs to another write"})
+		c.answer(r, &request.Answer{Kind: request.Bad, Reason: "k belongs to another write"}, "taken over")
 	default:
 		c.counts.refused++
-		c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)})
+		c.answer(r, &request.Answer{Kind: request.Busy, After: c.advice(r)}, "taken over")
 	}
 	return true
 }
@@ -100,7 +100,7 @@
 		tenant, known = c.rules.tenants[r.request.Tenant]
 	}
 	if !known || c.now() >= r.deadline {
-		c.answer(r, &request.Answer{Kind: request.Busy})
+		c.answer(r, &request.Answer{Kind: request.Busy}, "taken over")
 		return
 	}
 	c.handle(policy.Arrival{ID: r.id, Class: class, Tenant: tenant, Key: r.request.Key, Deadline: r.deadline,
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"mulleinpier/internal/core"
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/service"
 	"mulleinpier/internal/socket"
@@ -104,6 +105,8 @@
 	owed     time.Time // when the first silent answer was had that nothing has followed; zero for none
 	writing  time.Time // since when a write has been out, zero for none
 	limit    time.Time // of the command under way, as set by limitCommand; zero between commands
+	reason   string    // why it ends, for the log; the first one known
+	began    time.Time
 }
 
 // Slot is the place of one command's answer among those of its connection.
@@ -121,23 +124,55 @@
 
 // New returns a connection that is yet to be served.
 func New(host *Host, socket *net.TCPConn) *Conn {
-	c := &Conn{host: host, socket: socket, since: time.Now()}
+	now := time.Now()
+	c := &Conn{host: host, socket: socket, since: now, began: now}
 	c.source.begin(c)
 	c.In = bufio.NewReaderSize(&c.source, clientBuffer)
 	c.changed.L = &c.mu
 	return c
 }
 
+// Address returns the address that the client's connection comes from.
+func (c *Conn) Address() string { return c.socket.RemoteAddr().String() }
+
+// Address implements core.Addressed.
+func (r *Slot) Address() string { return r.conn.Address() }
+
+// because notes why the connection ends, for the log. c.mu is held.
+func (c *Conn) because(reason string) {
+	if c.reason == "" {
+		c.reason = reason
+	}
+}
+
+// recordBegin and recordEnd write the connection's life down where events are logged.
+func (c *Conn) recordBegin() {
+	if record := c.host.Core.Recorder(); record.Enabled() {
+		record.Record(eventlog.ClientConnected{Client: c.Address()})
+	}
+}
+
+func (c *Conn) recordEnd(unanswered int) {
+	if record := c.host.Core.Recorder(); record.Enabled() {
+		record.Record(eventlog.ClientClosed{Client: c.Address(), Reason: c.reason, Unanswered: unanswered, Lived: time.Since(c.began)})
+	}
+}
+
 // Serve runs a connection to its end.
 func (c *Conn) Serve() {
+	c.recordBegin()
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	if c.read() {
 		// Framing is lost: say so and go, but only after all that was asked before.
+		c.mu.Lock()
+		c.because("framing lost")
+		c.mu.Unlock()
 		c.End()
 		c.linger()
 	}
 	c.mu.Lock()
+	c.because("client closed")
 	c.gone = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
@@ -149,6 +184,7 @@
 			unanswered = append(unanswered, r.Held)
 		}
 	}
+	c.recordEnd(len(c.replies))
 	c.host.Core.Leave(unanswered)
 }
 
@@ -241,6 +277,7 @@
 	c.mu.Unlock()
 	switch {
 	case gone:
+		c.host.Core.Recorder().Record(eventlog.RequestRefused{ID: in.ID, Client: c.Address(), Reason: "client gone"})
 	case late:
 		c.host.Core.Refuse(in, reply)
 	default:
@@ -299,16 +336,19 @@
 		waits := c.In.Buffered() > 0 || socket.Pending(c.socket) || !c.quiet()
 		switch {
 		case late && (!waits || c.refused >= pipelined):
+			c.because("drain, late")
 			return ending
 		case late: // the writer wakes the reader when all is answered
 		case waits || c.owing(time.Now()):
 		case c.closing:
+			c.because("idle")
 			c.socket.Close() // its last answer has long been taken: nothing to linger for
 			return closed
 		// One that was just opened is spared for a moment: its first command is on its
 		// way, and a client whose new connection closes at once can't tell what
 		// became of it.
 		case c.ending && c.asked:
+			c.because("drain")
 			return ending
 		}
 		c.closing = false
@@ -331,8 +371,13 @@
 	}
 }
 
-// Close cuts the connection, whatever is under way on it.
-func (c *Conn) Close() { c.socket.Close() }
+// Close cuts the connection, whatever is under way on it. The reason is for the log.
+func (c *Conn) Close(reason string) {
+	c.mu.Lock()
+	c.because(reason)
+	c.mu.Unlock()
+	c.socket.Close()
+}
 
 // End closes the connection as soon as nothing is under way on it. A client that
 // always has a command out would never let it come to that: what it sends
@@ -437,6 +482,7 @@
 		return false
 	}
 	c.mu.Lock()
+	c.because("client gone")
 	c.gone = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
@@ -513,6 +559,7 @@
 			c.mu.Lock()
 			c.since, c.writing = time.Now(), time.Time{}
 			if err != nil {
+				c.because("write: " + err.Error())
 				c.gone = true
 				c.socket.Close() // wakes the reader
 			}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -464,7 +464,7 @@
 			stalled = append(stalled, c)
 		}
 		if at := c.StuckSince(); !at.IsZero() && now.Sub(woke) > s.longest && now.Sub(at) > s.longest {
-			c.Close()
+			c.Close("takes no answer")
 		} else if at, idle := c.IdleSince(); idle && now.Sub(at) > front.IdleTime {
 			c.CloseIdle()
 		} else if idle {
@@ -497,7 +497,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for c := range s.clients {
-			c.Close()
+			c.Close("end of the drain")
 		}
 	})
 	defer cut.Stop()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -67,6 +67,11 @@
 	Bad                 // never sent on
 )
 
+var kindNames = [...]string{Value: "value", Stored: "stored", Busy: "busy", Failed: "failed", Missing: "missing", Bad: "bad"}
+
+// String returns the kind as logs have it.
+func (k Kind) String() string { return kindNames[k] }
+
 // Answer is the answer to a request.
 type Answer struct {
 	Kind    Kind
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/socket"
 )
@@ -92,12 +93,15 @@
 }
 
 // close ends the connection; reader and writer notice, and the last of them
-// ends its attempts.
-func (c *conn) close() {
+// ends its attempts. The reason is for the log.
+func (c *conn) close(reason string) {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	if c.ns.record.Enabled() {
+		c.ns.record.Record(eventlog.NodeClosed{Node: c.node.Name, Reason: reason, Open: len(c.sent), Queued: len(c.out) + c.held})
+	}
 	c.ns.conns--
 	if i := slices.Index(c.node.conns, c); i >= 0 {
 		c.node.conns = slices.Delete(c.node.conns, i, i+1)
@@ -140,7 +144,7 @@
 			c.retired = true // given up while it was being written
 		}
 		if c.retired && !c.broken && !c.awaited() {
-			c.close()
+			c.close("nobody waits")
 		}
 	}
 	c.finish()
@@ -171,7 +175,7 @@
 			c.out = append(slices.Clone(again), c.out...)
 			parts = first(parts, last(batch)-written)
 			if c.retired && !c.wanted() { // the rest of it would be for nobody
-				c.close()
+				c.close("given up half written")
 			}
 		}
 		c.partly = 0
@@ -246,7 +250,7 @@
 			c.ns.warn(c.node.Name, err)
 		}
 	}
-	c.close()
+	c.close("read: " + err.Error())
 	c.finish()
 }
 
@@ -321,7 +325,7 @@
 	}
 	switch {
 	case c.retired && !c.broken && !c.awaited():
-		c.close()
+		c.close("retired")
 	case !c.retired && c.outstanding() == 0 && !c.writing:
 		c.node.take()
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/room"
 	"mulleinpier/internal/socket"
@@ -104,6 +105,7 @@
 	dialect Dialect
 	handler Handler
 	log     *slog.Logger
+	record  *eventlog.Recorder // nil for none
 
 	tasks sync.WaitGroup // dials, readers and writers
 
@@ -171,6 +173,9 @@
 	return ns
 }
 
+// Record has connections and their ends written down. It is called before anything is sent.
+func (ns *Nodes) Record(record *eventlog.Recorder) { ns.record = record }
+
 // Set adds nodes or changes what is known of them. Connections to an old
 // address, in another dialect or from before a restart lead nowhere: they get nothing new.
 func (ns *Nodes) Set(list []Node) {
@@ -186,7 +191,7 @@
 		n.Node, n.listed = in, true
 		for _, c := range slices.Clone(n.conns) {
 			if moved || c.opened.Before(in.Started) {
-				ns.retire(c)
+				ns.retire(c, "node moved or started anew")
 			}
 		}
 	}
@@ -200,7 +205,7 @@
 		if n := ns.nodes[name]; n != nil {
 			n.listed = false
 			for _, c := range slices.Clone(n.conns) {
-				ns.retire(c)
+				ns.retire(c, "node removed")
 			}
 			ns.forget(n)
 		}
@@ -282,7 +287,7 @@
 		return
 	}
 	for most := ns.budget.Most(time.Since(ns.start), len(ns.nodes)); ns.conns > most; {
-		if !ns.closeOldest() {
+		if !ns.closeOldest("place for other proxies") {
 			return
 		}
 		ns.counts.Closed++
@@ -303,11 +308,11 @@
 // room makes sure that a further connection is within the limit, if need be by
 // closing an idle one of another node.
 func (ns *Nodes) room() bool {
-	return ns.conns < ns.limits.All || ns.closeOldest()
+	return ns.conns < ns.limits.All || ns.closeOldest("place for another node")
 }
 
 // closeOldest closes the connection that has idled longest, if any idles.
-func (ns *Nodes) closeOldest() bool {
+func (ns *Nodes) closeOldest(reason string) bool {
 	var oldest *conn
 	for _, n := range ns.nodes {
 		for _, c := range n.conns {
@@ -317,7 +322,7 @@
 		}
 	}
 	if oldest != nil {
-		oldest.close()
+		oldest.close(reason)
 	}
 	return oldest != nil
 }
@@ -343,10 +348,15 @@
 	n.dialing++
 	ns.conns++
 	ns.counts.Dials++
-	address := n.Address
+	address, name, began := n.Address, n.Name, time.Now()
 	dialer := net.Dialer{Timeout: ns.limits.Connect, KeepAlive: -1}
 	ns.tasks.Go(func() {
 		socket, err := dialer.DialContext(ns.dials, "tcp", address) // bounded by the dialer's timeout
+		if took := time.Since(began); err != nil {
+			ns.record.Record(eventlog.DialFailed{Node: name, Took: took, Cause: err})
+		} else {
+			ns.record.Record(eventlog.NodeConnected{Node: name, Took: took})
+		}
 		ns.dialed(n, address, socket, err)
 	})
 }
@@ -416,7 +426,7 @@
 	if n := ns.nodes[a.node]; n != nil {
 		for _, c := range n.conns {
 			if slices.Contains(c.sent, a) {
-				ns.retire(c)
+				ns.retire(c, "given up")
 				break
 			}
 		}
@@ -457,17 +467,17 @@
 	if n := ns.nodes[name]; n != nil {
 		for _, c := range slices.Clone(n.conns) {
 			if c.outstanding() == 0 {
-				c.close()
+				c.close("not used")
 			}
 		}
 	}
 }
 
 // retire lets a connection finish what is waited for. ns.mu is held.
-func (ns *Nodes) retire(c *conn) {
+func (ns *Nodes) retire(c *conn, reason string) {
 	c.retired = true
 	if !c.awaited() {
-		c.close()
+		c.close(reason)
 	}
 }
 
@@ -514,12 +524,12 @@
 	defer ns.mu.Unlock()
 	for _, n := range ns.nodes {
 		for _, c := range slices.Clone(n.conns) {
-			limit := ns.limits.Silent
+			limit, reason := ns.limits.Silent, "silent"
 			if c.outstanding() == 0 {
-				limit = ns.limits.Idle
+				limit, reason = ns.limits.Idle, "idle"
 			}
 			if now.Sub(c.active) > limit {
-				c.close()
+				c.close(reason)
 			}
 		}
 	}
@@ -544,7 +554,7 @@
 	ns.mu.Lock()
 	for _, c := range dead {
 		if c.outstanding() == 0 {
-			c.close()
+			c.close("ended during a stop")
 		}
 	}
 	ns.mu.Unlock()
@@ -561,7 +571,7 @@
 	ns.stopDials()
 	for _, n := range ns.nodes {
 		for _, c := range slices.Clone(n.conns) {
-			c.close()
+			c.close("process ends")
 		}
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -304,4 +304,5 @@
 	Server  string
 	Token   uint64
 	After   time.Duration
+	Reason  Reason // of Send, Refuse and Fail
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -469,7 +469,7 @@
 	s, promise := b.choose(r)
 	if s == nil {
 		if len(b.list) > 0 && !slices.ContainsFunc(b.list, r.fits) {
-			b.giveUp(r) // no wait brings a server that could keep its promise
+			b.giveUp(r, ReasonNoServer) // no wait brings a server that could keep its promise
 			return
 		}
 		b.hold(r)
@@ -478,22 +478,24 @@
 	open := min(b.gates[promise].open(gatePrior), s.gate.open(serverPrior))
 	b.seen.Asked++
 	if !promise && r.class.Effect != Keyed && b.may(r, nil) && b.rng.Float64() > b.fetches() {
-		b.giveUp(r)
+		b.giveUp(r, ReasonLevel)
 		return
 	}
 	hopeless := b.hopeless(r, s)
 	if b.may(r, nil) && (hopeless || !b.admit(r, promise, open)) {
 		b.seen.Turned++
+		reason := ReasonGate
 		if hopeless {
 			b.seen.Hopeless++
+			reason = ReasonHopeless
 		}
 		// What is shed counts as asked: sends then settle at gateSlack times the good.
 		s.gate.count(b.now, 1, 0, 0)
 		b.gates[promise].count(b.now, 1, 0, 0)
-		b.giveUp(r)
+		b.giveUp(r, reason)
 		return
 	}
-	b.send(r, s, promise)
+	b.send(r, s, promise, ReasonFirst)
 	if at := r.attempts[len(r.attempts)-1].copied; r.set.Limits.Duplicates && r.class.Effect == Safe && at < r.Deadline {
 		b.wake(timerHedge, r.ID, at-b.now)
 	}
@@ -627,7 +629,7 @@
 	}
 	if s, promise := b.choose(r); promise && !tried(r, s) {
 		b.retries--
-		b.send(r, s, promise)
+		b.send(r, s, promise, ReasonHedge)
 	}
 }
 
@@ -642,7 +644,7 @@
 // hold keeps a request that has no server now until one may have come.
 func (b *Balancer) hold(r *request) {
 	if r.Deadline-b.now <= 3*holdPause {
-		b.giveUp(r)
+		b.giveUp(r, ReasonNoServer)
 		return
 	}
 	b.seen.Held++
@@ -650,16 +652,16 @@
 }
 
 // giveUp is the one place that ends a request unserved.
-func (b *Balancer) giveUp(r *request) {
+func (b *Balancer) giveUp(r *request, reason Reason) {
 	switch {
 	case r.ended || r.stream:
 		return
 	case b.may(r, nil):
 		// A queue to be answered in time is gone within an aim. Clients turned
 		// away together must not come back together.
-		b.do(Action{Kind: Refuse, ID: r.ID, After: b.Advice(r.Class)})
+		b.do(Action{Kind: Refuse, ID: r.ID, After: b.Advice(r.Class), Reason: reason})
 	default:
-		b.do(Action{Kind: Fail, ID: r.ID})
+		b.do(Action{Kind: Fail, ID: r.ID, Reason: reason})
 	}
 	b.end(r)
 }
@@ -675,7 +677,7 @@
 	return min(b.jitter(min(mean, most*2/3)), most)
 }
 
-func (b *Balancer) send(r *request, s *server, promise bool) {
+func (b *Balancer) send(r *request, s *server, promise bool, reason Reason) {
 	expected, aim := b.hitTime(s), r.class.Aim.Seconds()
 	slow := slowTimes * expected
 	if !promise { // fetches scatter little beside queues
@@ -693,7 +695,7 @@
 	if b.warmth(s) < 1 {
 		s.credit--
 	}
-	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server})
+	b.do(Action{Kind: Send, ID: r.ID, Server: s.Server, Reason: reason})
 }
 
 // choose ranks the servers for a request by expected response time.
@@ -845,11 +847,11 @@
 		b.sick(a.server, r.Class) < sickOdds
 	if b.now < r.Deadline-4*r.set.Tick && !origin && b.pay(r, e.Result) {
 		if s, promise := b.choose(r); s != nil {
-			b.send(r, s, promise)
+			b.send(r, s, promise, ReasonRetry)
 			return
 		}
 	}
-	b.giveUp(r)
+	b.giveUp(r, ReasonNoRetry)
 }
 
 // pay tells whether one more attempt for a request may be made. It multiplies an
@@ -1061,7 +1063,7 @@
 	}
 	switch t.Token & 3 {
 	case timerDeadline:
-		b.giveUp(r)
+		b.giveUp(r, ReasonDeadline)
 	case timerHedge:
 		b.hedge(r)
 	default:
