--- a/cmd/yarrowspan/end_test.go
+++ b/cmd/yarrowspan/end_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"mulleinpier/internal/standin/list"
 	"mulleinpier/internal/standin/script"
 	"mulleinpier/internal/testwait"
 )
@@ -30,39 +26,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(nodes.Close)
-	var entries []list.Entry
-	for i := range 3 {
-		entries = append(entries, list.Entry{Name: fmt.Sprint("n", i), Address: nodes.Address(i), Status: "up", Weight: 1})
-	}
-	service := list.New(entries)
-	t.Cleanup(service.Close)
-	discovery, err := service.Open(0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text, err := os.ReadFile("../../internal/proxy/testdata/settings.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var settings map[string]any
-	if err := json.Unmarshal(text, &settings); err != nil {
-		t.Fatal(err)
-	}
 	const deadline = 700 // milliseconds, the longest of all
-	var classes []any
-	for _, effect := range []string{"safe", "keyed", "unsafe"} {
-		classes = append(classes, map[string]any{"Name": effect, "Effect": effect, "DedupScope": "all", "Aim": 300, "HardLimit": deadline, "Window": 400,
-			"Importance": 1, "LateShare": 0.3})
-	}
-	settings["Services"], settings["RegistryMode"] = classes, "pushed"
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "settings": settings})
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	replace(t, path, config)
-	cmd, lines := program(t, path)
+	cmd, lines := platformProgram(t, nodes, 3, deadline)
 	_, address, _ := strings.Cut(waitLine(t, lines, "listening"), "address=")
 	dial := func() (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", address)
--- /dev/null
+++ b/cmd/yarrowspan/platform_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"mulleinpier/internal/standin/list"
+	"mulleinpier/internal/standin/script"
+)
+
+// platformProgram starts the program as the platform has it, before scripted nodes, with a class of each
+// effect whose clients wait for so many milliseconds at the most.
+func platformProgram(t *testing.T, nodes *script.Nodes, count, deadline int) (*exec.Cmd, <-chan string) {
+	t.Helper()
+	text, err := os.ReadFile("../../internal/proxy/testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var settings map[string]any
+	if err := json.Unmarshal(text, &settings); err != nil {
+		t.Fatal(err)
+	}
+	var classes []any
+	for _, effect := range []string{"safe", "keyed", "unsafe"} {
+		classes = append(classes, map[string]any{"Name": effect, "Effect": effect, "DedupScope": "all", "Aim": 300, "HardLimit": deadline, "Window": 400,
+			"Importance": 1, "LateShare": 0.3})
+	}
+	settings["Services"], settings["RegistryMode"] = classes, "pushed"
+	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": listOf(t, nodes, count), "seed": "1f",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "settings": settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	replace(t, path, config)
+	return program(t, path)
+}
+
+// listOf starts a list service that tells scripted nodes, and returns its address.
+func listOf(t *testing.T, nodes *script.Nodes, count int) string {
+	t.Helper()
+	var entries []list.Entry
+	for i := range count {
+		entries = append(entries, list.Entry{Name: fmt.Sprint("n", i), Address: nodes.Address(i), Status: "up", Weight: 1})
+	}
+	service := list.New(entries)
+	t.Cleanup(service.Close)
+	address, err := service.Open(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
