--- a/cmd/yarrowspan/held_test.go
+++ b/cmd/yarrowspan/held_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -78,18 +79,38 @@
 type heldClient struct {
 	held   *held
 	socket net.Conn
-	in     *bufio.Reader
+	lines  chan arrival
 	asked  time.Time
 }
 
+// arrival is a line and when it came.
+type arrival struct {
+	line string
+	at   time.Time
+}
+
 func (h *held) client() *heldClient {
 	h.t.Helper()
 	socket, err := net.Dial("tcp", h.address)
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.t.Cleanup(func() { socket.Close() })
-	return &heldClient{held: h, socket: socket, in: bufio.NewReader(socket)}
+	c := &heldClient{held: h, socket: socket, lines: make(chan arrival, 4)}
+	var reader sync.WaitGroup
+	reader.Go(c.read)
+	h.t.Cleanup(func() {
+		socket.Close()
+		reader.Wait()
+	})
+	return c
+}
+
+// read takes lines as they come, whatever the test waits for, until the connection ends.
+func (c *heldClient) read() {
+	defer close(c.lines)
+	for in := bufio.NewScanner(c.socket); in.Scan(); {
+		c.lines <- arrival{in.Text(), time.Now()}
+	}
 }
 
 // serve asks for what nodes answer, and tells whether it was served.
@@ -122,12 +143,8 @@
 // answer reads the answer and tells how long after the client's time it came.
 func (c *heldClient) answer() (line string, late time.Duration) {
 	c.held.t.Helper()
-	c.socket.SetReadDeadline(time.Now().Add(testwait.Patience))
-	line, err := c.in.ReadString('\n')
-	if err != nil {
-		c.held.t.Fatal(err)
-	}
-	return strings.TrimSpace(line), time.Since(c.asked) - waitTime
+	came := testwait.Receive(c.held.t, "an answer", c.lines)
+	return came.line, came.at.Sub(c.asked) - waitTime
 }
 
 // judge reads the answers of clients, each of which has to come in time.
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -6,7 +6,6 @@
 
 	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/request"
-	"mulleinpier/internal/still"
 	"mulleinpier/policy"
 )
 
@@ -80,22 +79,6 @@
 	}
 }
 
-// noticeableGap is the time without a look at the clocks from which on it is written down. In a process
-// that runs they come still.Usual.Tick apart at the most.
-var noticeableGap = still.Usual.Tick + 15*time.Millisecond
-
-// recordGap writes down that nobody has looked at the clocks for a while.
-func (c *Core) recordGap(gap time.Duration) {
-	if !c.record.Enabled() {
-		return
-	}
-	used := processorTime()
-	if gap >= noticeableGap {
-		c.record.Record(eventlog.HeldUp{For: gap, CPU: used - c.still.used})
-	}
-	c.still.used = used
-}
-
 // processorTime returns the processor time that this process has used, zero where nobody can tell.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
--- a/internal/core/still.go
+++ b/internal/core/still.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulleinpier/internal/eventlog"
 	"mulleinpier/internal/membership"
 	"mulleinpier/internal/request"
 	"mulleinpier/internal/still"
@@ -34,7 +35,13 @@
 	stood   time.Duration // in all
 	aged    int           // requests refused for their age
 	late    int           // writes that a stop fell into
-	used    time.Duration // processor time at the latest look, where events are logged
+	pauses  still.Pauses
+	pause   atomic.Pointer[still.Gap] // the latest pause, nil for none
+	pauseN  int                       // pauses so far
+	paused  time.Duration             // in all
+	used    time.Duration             // processor time at the latest tick
+	warned  time.Duration             // when a pause was last logged
+	hushed  int                       // pauses since
 }
 
 func (s *stillness) init(ahead func() time.Duration) {
@@ -54,7 +61,7 @@
 // stood still. It costs a look at the clock; only who finds a stop takes the lock.
 func (c *Core) Now() time.Duration {
 	now := c.mono()
-	if last := c.still.looked.Load(); c.still.module != nil && now-time.Duration(last) >= still.Usual.Least {
+	if last := c.still.looked.Load(); c.still.module != nil && now-time.Duration(last) >= still.LeastPause {
 		c.mu.Lock()
 		c.seeClocks()
 		c.mu.Unlock()
@@ -70,17 +77,48 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seeSleep()
+	c.still.used = processorTime()
 }
 
 // seeClocks tells the module what the clocks say. c.mu is held. It may end attempts, so it comes
 // before its caller looks at any.
 func (c *Core) seeClocks() {
 	now := c.mono()
-	c.recordGap(now - time.Duration(c.still.looked.Load()))
-	c.still.looked.Store(int64(now))
+	last := time.Duration(c.still.looked.Swap(int64(now)))
+	if last > 0 && c.still.pauses.Look(last, now) {
+		c.notePause(c.still.pauses.Latest())
+	}
 	c.stands(now, still.Look{Ahead: c.still.slept})
 }
 
+// notePause keeps a pause in view of connections' readers, and logs it. c.mu is held.
+func (c *Core) notePause(pause still.Gap) {
+	s := &c.still
+	s.pause.Store(&pause)
+	s.pauseN++
+	s.paused += pause.Long()
+	if s.hushed++; pause.To-s.warned < time.Second {
+		return
+	}
+	c.record.Warn(eventlog.HeldUp{For: pause.Long(), CPU: processorTime() - s.used, Times: s.hushed, Open: len(c.requests)})
+	s.warned, s.hushed = pause.To, 0
+}
+
+// Pause returns the latest pause, by the core's clock.
+func (c *Core) Pause() (pause still.Gap) {
+	if known := c.still.pause.Load(); known != nil {
+		pause = *known
+	}
+	return pause
+}
+
+// WorstPause returns the longest pause of late.
+func (c *Core) WorstPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.still.pauses.Worst(c.mono())
+}
+
 // seeSleep is seeClocks with the clock that counts the machine's sleep. That costs two system calls: so it is for
 // ticks, and for what may change something. c.mu is held.
 func (c *Core) seeSleep() {
@@ -155,7 +193,11 @@
 	if gap.To > 0 && r.Clean < gap.To {
 		k = kernel()
 	}
-	return still.AgeOf(r, gap, k)
+	age := still.AgeOf(r, gap, k)
+	if since, delayed := still.Delayed(r, c.Pause()); delayed {
+		age.Oldest, age.Latest = min(age.Oldest, since), min(age.Latest, since)
+	}
+	return age
 }
 
 // Gap returns the latest stop, by the core's clock.
@@ -169,7 +211,8 @@
 // wokenAt is when the latest stop ended, by the module's clock.
 func (c *Core) wokenAt() time.Duration { return c.Gap().To + c.now() - c.mono() }
 
-// judge decides on a request by its age. c.mu is held.
+// judge decides on a request by its age. The deadline is when its answer is due here, which is sooner than
+// its client's time is up where this process is held up time and again. c.mu is held.
 func (c *Core) judge(in *request.Request, class *policy.Class, wait time.Duration) (deadline time.Duration, refuse bool) {
 	now, effect := c.mono(), still.Safe
 	switch class.Effect {
@@ -183,7 +226,8 @@
 		age = still.Age{Oldest: now, Latest: now}
 	}
 	v := still.Judge(now, effect, wait, class.Window, age)
-	return v.Until + c.now() - now, v.Refuse
+	due := v.Until - c.still.pauses.Margin(now, wait)
+	return due + c.now() - now, v.Refuse || now >= due
 }
 
 // park holds an attempt back, and tells whether it does. c.mu is held.
@@ -281,5 +325,6 @@
 
 // attrs are what a line of counts says of stops. Core.mu is held.
 func (s *stillness) attrs() []slog.Attr {
-	return []slog.Attr{slog.Int("stops", s.stops), slog.Duration("stood", s.stood), slog.Int("aged", s.aged), slog.Int("written_late", s.late)}
+	return []slog.Attr{slog.Int("stops", s.stops), slog.Duration("stood", s.stood), slog.Int("aged", s.aged), slog.Int("written_late", s.late),
+		slog.Int("pauses", s.pauseN), slog.Duration("paused", s.paused)}
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -8,7 +8,7 @@
 //  3. At most [queueLength] events wait to be written. Those that find no place are counted, and the
 //     count is logged.
 //
-// Events are logged at the level debug. Below it a call costs one look at the level, and callers
+// Events are logged at the level debug, those of [Recorder.Warn] as warnings. Below it a call costs one look at the level, and callers
 // that would have to gather figures ask [Recorder.Enabled] first.
 package eventlog
 
@@ -31,6 +31,7 @@
 // entry is an event and when it happened.
 type entry struct {
 	at    time.Time
+	level slog.Level
 	event Event
 }
 
@@ -47,17 +48,24 @@
 }
 
 // Enabled tells whether events are written at all.
-func (r *Recorder) Enabled() bool {
-	return r != nil && r.log.Enabled(context.Background(), slog.LevelDebug)
+func (r *Recorder) Enabled() bool { return r.takes(slog.LevelDebug) }
+
+func (r *Recorder) takes(level slog.Level) bool {
+	return r != nil && r.log.Enabled(context.Background(), level)
 }
 
 // Record takes an event. It does not wait.
-func (r *Recorder) Record(event Event) {
-	if !r.Enabled() {
+func (r *Recorder) Record(event Event) { r.take(slog.LevelDebug, event) }
+
+// Warn takes an event that operators should see without asking. It does not wait.
+func (r *Recorder) Warn(event Event) { r.take(slog.LevelWarn, event) }
+
+func (r *Recorder) take(level slog.Level, event Event) {
+	if !r.takes(level) {
 		return
 	}
 	select {
-	case r.queue <- entry{time.Now(), event}:
+	case r.queue <- entry{time.Now(), level, event}:
 	default:
 		r.dropped.Add(1)
 	}
@@ -93,7 +101,7 @@
 		r.log.Warn("events dropped", "count", dropped)
 	}
 	message, attributes := e.event.describe()
-	record := slog.NewRecord(e.at, slog.LevelDebug, message, 0)
+	record := slog.NewRecord(e.at, e.level, message, 0)
 	record.AddAttrs(attributes...)
 	r.log.Handler().Handle(context.Background(), record)
 }
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -103,8 +103,10 @@
 
 // HeldUp tells that nothing of the process ran for a while.
 type HeldUp struct {
-	For time.Duration
-	CPU time.Duration // processor time that the process used meanwhile
+	For   time.Duration
+	CPU   time.Duration // processor time that the process used since the latest tick before
+	Times int           // since this was last told, this one among them
+	Open  int           // requests
 }
 
 func (e RequestTaken) describe() (string, []slog.Attr) {
@@ -167,5 +169,5 @@
 }
 
 func (e HeldUp) describe() (string, []slog.Attr) {
-	return "held up", []slog.Attr{slog.Duration("for", e.For), slog.Duration("cpu", e.CPU)}
+	return "held up", []slog.Attr{slog.Duration("for", e.For), slog.Duration("cpu", e.CPU), slog.Int("times", e.Times), slog.Int("open", e.Open)}
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -122,11 +122,12 @@
 	return host
 }
 
-// New returns a connection that is yet to be served.
-func New(host *Host, socket *net.TCPConn) *Conn {
+// New returns a connection that is yet to be served, and may have waited to be accepted since a time by the core's
+// clock.
+func New(host *Host, socket *net.TCPConn, since time.Duration) *Conn {
 	now := time.Now()
 	c := &Conn{host: host, socket: socket, since: now, began: now}
-	c.source.begin(c)
+	c.source.begin(c, since)
 	c.In = bufio.NewReaderSize(&c.source, clientBuffer)
 	c.changed.L = &c.mu
 	return c
--- a/internal/front/conn_test.go
+++ b/internal/front/conn_test.go
@@ -47,7 +47,7 @@
 	t.Cleanup(func() { socket.Close() })
 	host := &Host{Core: new(core.Core), Bodies: NewBudget(1 << 20), Answers: NewBudget(1 << 20),
 		Session: func(c *Conn, _ byte) Session { return echo{c} }}
-	return New(host, socket.(*net.TCPConn)), peer.(*net.TCPConn)
+	return New(host, socket.(*net.TCPConn), host.Core.Now()), peer.(*net.TCPConn)
 }
 
 // TestUnreadRequestIsNoIdling guards against a proxy that was short of its core: a
--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -17,23 +17,30 @@
 	core  *core.Core
 	read  still.Read    // the latest call that brought something
 	clean time.Duration // when all that had come was taken last, zero for never
-	pause still.Gap     // a time in which nothing was read, as too many commands were at work
+	// A time in which nothing was read, as too many commands were at work or the connection waited to be accepted.
+	pause still.Gap
 }
 
 // settled is how long after a stop whatever waited for a listener's reader has been taken.
 const settled = time.Second
 
-func (s *source) begin(c *Conn) {
+// begin takes a connection that may have waited to be accepted since a time.
+func (s *source) begin(c *Conn, since time.Duration) {
 	s.conn, s.core = c, c.host.Core
-	// Right after a stop a new connection may have waited in the backlog for as long.
-	if now := s.core.Now(); s.core.Gap().To == 0 || now-s.core.Gap().To > settled {
+	now := s.core.Now()
+	s.paused(since)
+	// Right after a stop or a pause a new connection may have waited in the backlog for as long.
+	if s.pause.To == 0 && !recent(s.core.Gap(), now) && !recent(s.core.Pause(), now) {
 		s.clean = now
 	}
 }
 
+// recent tells whether what waited for the end of a gap may not have been taken yet.
+func recent(gap still.Gap, now time.Duration) bool { return gap.To > 0 && now-gap.To <= settled }
+
 // paused notes that nothing was read since a time.
 func (s *source) paused(from time.Duration) {
-	if to := s.core.Now(); to-from >= still.Usual.Least {
+	if to := s.core.Now(); to-from >= still.LeastPause {
 		s.pause = still.Gap{From: from, To: to}
 	}
 }
@@ -49,7 +56,7 @@
 		}
 		if n > 0 {
 			s.read = still.Read{Clean: s.clean, Began: began, Ended: ended}
-			s.clean = s.read.CleanAfter(n < len(p), s.core.Gap())
+			s.clean = s.read.CleanAfter(n < len(p), s.core.Gap(), s.core.Pause())
 		}
 		return n, err
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -28,8 +28,7 @@
 	acceptTime = 500 * time.Millisecond
 	// Connections closed ahead of need: they count until the client closes too.
 	headroom = 16
-	// After the longest deadline in a drain, when what is open all the same is given up; a moment later, after
-	// front.LingerTime/3, all clients are cut.
+	// After the deadlines of what is open, in a drain that was shortened, it is given up; so much later all clients are cut.
 	endTime = 50 * time.Millisecond
 	// Idle and stuck clients are looked for so often.
 	sweepTime = 50 * time.Millisecond // still.Usual.Tick
@@ -59,6 +58,7 @@
 	draining bool
 	full     *time.Timer // ends the wait for room
 	accepted bool        // no more connections are waited for
+	told     time.Time   // when the drain was asked for
 	late     *time.Timer // ends the drain
 }
 
@@ -67,6 +67,20 @@
 	*net.TCPListener
 	shared bool // another process holds it too
 	host   *front.Host
+	empty  time.Duration // when nothing waited to be accepted, last; by the core's clock
+}
+
+// acceptWait is how long an accept that had to wait took at least: nothing was in the backlog.
+const acceptWait = time.Millisecond
+
+// take accepts a connection.
+func (d *door) take(clock func() time.Duration) (*net.TCPConn, error) {
+	began := clock()
+	socket, err := d.AcceptTCP()
+	if ended := clock(); ended-began >= acceptWait {
+		d.empty = ended
+	}
+	return socket, err
 }
 
 // Listen returns a Server that has its address; Serve puts it to work. With
@@ -264,7 +278,7 @@
 func (s *Server) endAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	s.draining, s.told = true, time.Now()
 	// Accept returns what the backlog holds before it heeds a deadline to come.
 	for _, d := range s.doors {
 		until := time.Now().Add(acceptTime)
@@ -340,8 +354,9 @@
 }
 
 func (s *Server) accept(d *door) {
+	d.empty = s.core.Now()
 	for s.makeRoom() {
-		socket, err := d.AcceptTCP()
+		socket, err := d.take(s.core.Now)
 		switch {
 		case err == nil:
 			<-s.core.Awake() // for as long as sends are held, which is bounded
@@ -357,7 +372,7 @@
 
 // admit takes a client's connection. It ends with the client, or with drain.
 func (s *Server) admit(d *door, socket *net.TCPConn) {
-	c := front.New(d.host, socket)
+	c := front.New(d.host, socket, d.empty)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
@@ -479,6 +494,13 @@
 	return stalled
 }
 
+// drainTime is how long what is open is waited for in a drain. The process is killed no sooner than the longest
+// deadline and 0.7 s after it was told; where it is held up time and again, both the word and the end of the
+// wait may come late by as much. What is taken last has a little less than its time.
+func (s *Server) drainTime() time.Duration {
+	return time.Until(s.told.Add(acceptTime+s.longest)) - 2*s.core.WorstPause()
+}
+
 // drain closes all clients between requests, and waits for those at work.
 func (s *Server) drain() {
 	s.mu.Lock()
@@ -488,9 +510,9 @@
 			c.Hurry()
 		}
 	}
-	wait := s.longest
+	wait := s.drainTime()
 	if s.hurried {
-		wait = s.core.OpenFor()
+		wait = s.core.OpenFor() + endTime
 	}
 	// What can't be finished by then is answered all the same, and a moment is left to write that.
 	cut := time.AfterFunc(time.Hour, func() {
@@ -501,9 +523,9 @@
 		}
 	})
 	defer cut.Stop()
-	s.late = time.AfterFunc(wait+endTime, func() {
+	s.late = time.AfterFunc(wait, func() {
 		s.core.GiveUp()
-		cut.Reset(front.LingerTime/3 - endTime)
+		cut.Reset(endTime)
 	})
 	defer s.late.Stop()
 	for len(s.clients) > 0 {
--- a/internal/still/age.go
+++ b/internal/still/age.go
@@ -19,15 +19,18 @@
 type Read struct{ Clean, Began, Ended time.Duration }
 
 // CleanAfter is the time at which all that had come was taken, behind a read: a short one took
-// all that there was, at its end, or at its beginning at the latest if a stop lay within.
-func (r Read) CleanAfter(short bool, gap Gap) time.Duration {
+// all that there was, at its end, or at its beginning at the latest if a stop lay within. A pause within
+// it may have followed upon the read itself.
+func (r Read) CleanAfter(short bool, gap, pause Gap) time.Duration {
 	switch {
 	case !short:
 		return r.Clean
-	case gap.To <= r.Began:
-		return r.Ended
+	case gap.To > r.Began:
+		return max(r.Clean, r.Began)
+	case pause.To > r.Began:
+		return max(r.Clean, min(pause.From, r.Ended))
 	}
-	return max(r.Clean, r.Began)
+	return r.Ended
 }
 
 // Kernel is what the kernel says of a connection right behind a read.
--- /dev/null
+++ b/internal/still/pause.go
@@ -0,0 +1,79 @@
+package still
+
+import "time"
+
+// This file holds what is known of pauses: times in which nothing of the process ran, too short to be a
+// stop. A host that is short of processors makes them, time and again. Nothing that was decided before
+// one is void after it, but whatever came meanwhile has waited unread, and whatever was due meanwhile is
+// late.
+
+const (
+	// LeastPause is the shortest time between two looks that is taken for a pause: ticks alone are
+	// Usual.Tick apart.
+	LeastPause = 65 * time.Millisecond
+	// settleTime is how long after a pause all that had come in it has been read.
+	settleTime = 30 * time.Millisecond
+	// pauseMemory is how long the worst pause counts at least; it is forgotten within twice as long.
+	pauseMemory = 10 * time.Second
+	// lateSlack is how late an answer may be: clients wait for a moment longer than they say.
+	lateSlack = 40 * time.Millisecond
+	// marginPart is the part of a client's wait that is given up for fear of pauses at the most.
+	marginPart = 4
+)
+
+// Pauses remembers the pauses of a process. The zero value knows none.
+type Pauses struct {
+	latest        Gap
+	worst, before time.Duration // the longest in this span of pauseMemory, and in the one before
+	turned        time.Duration // when this span began
+}
+
+// Look takes the times of two looks that follow one another, and tells whether there was a pause between.
+// It is no pause if the process stood for so long that a [Module] tells it.
+func (p *Pauses) Look(last, now time.Duration) bool {
+	long := now - last
+	if long < LeastPause || long >= Usual.Least {
+		return false
+	}
+	p.turn(now)
+	p.latest = Gap{From: last, To: now}
+	p.worst = max(p.worst, long)
+	return true
+}
+
+// turn begins a new span if the present one is over.
+func (p *Pauses) turn(now time.Duration) {
+	switch spans := (now - p.turned) / pauseMemory; {
+	case spans == 0:
+		return
+	case spans == 1:
+		p.before = p.worst
+	default:
+		p.before = 0
+	}
+	p.worst, p.turned = 0, now
+}
+
+// Latest returns the latest pause, a zero Gap for none.
+func (p *Pauses) Latest() Gap { return p.latest }
+
+// Worst returns the longest pause of late, zero for none.
+func (p *Pauses) Worst(now time.Duration) time.Duration {
+	p.turn(now)
+	return max(p.worst, p.before)
+}
+
+// Margin is how much sooner than its client's time is up a request is to be answered, so that one more pause
+// as long as the worst of late makes no answer late.
+func (p *Pauses) Margin(now, wait time.Duration) time.Duration {
+	return max(0, min(p.Worst(now)-lateSlack, wait/marginPart))
+}
+
+// Delayed tells whether what was read may have come in a pause and waited for its end, and since when. A
+// connection that was read clean since tells that nothing had come before.
+func Delayed(r Read, pause Gap) (since time.Duration, delayed bool) {
+	if pause.To == 0 || r.Ended < pause.From || r.Ended > pause.To+settleTime || r.Clean >= pause.To {
+		return 0, false
+	}
+	return max(pause.From, r.Clean), true
+}
--- a/internal/still/still_test.go
+++ b/internal/still/still_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestCleanAfter(t *testing.T) {
-	gap := Gap{From: 1000 * ms, To: 7000 * ms}
+	gap, pause := Gap{From: 1000 * ms, To: 7000 * ms}, Gap{From: 8000 * ms, To: 8150 * ms}
 	for _, c := range []struct {
 		read  Read
 		short bool
@@ -140,8 +140,10 @@
 		{Read{10 * ms, 7100 * ms, 7200 * ms}, false, 10 * ms},
 		{Read{10 * ms, 900 * ms, 7001 * ms}, true, 900 * ms}, // a stop within: at its beginning, for all that is known
 		{Read{950 * ms, 900 * ms, 7001 * ms}, true, 950 * ms},
+		{Read{10 * ms, 7900 * ms, 8150 * ms}, true, 8000 * ms}, // a pause within, which may have followed upon the read
+		{Read{10 * ms, 8160 * ms, 8170 * ms}, true, 8170 * ms},
 	} {
-		if got := c.read.CleanAfter(c.short, gap); got != c.want {
+		if got := c.read.CleanAfter(c.short, gap, pause); got != c.want {
 			t.Errorf("%+v, short %v: %v, want %v", c.read, c.short, got, c.want)
 		}
 	}
