--- a/cmd/yarrowspan/held_test.go
+++ b/cmd/yarrowspan/held_test.go
@@ -25,7 +25,7 @@
 	waitTime = 600 * time.Millisecond // of the clients
 	// Clients wait for a moment longer than they say; a hold-up that is not allowed for is far over it.
 	answerSlack = 80 * time.Millisecond
-	// An answer that comes so long after its request was due before a hold-up that began then.
+	// A hold-up that begins so long after a request was sent spans the end of its client's time.
 	lateHoldUp = waitTime - 40*time.Millisecond
 )
 
@@ -33,6 +33,7 @@
 type held struct {
 	t       *testing.T
 	process *os.Process
+	wait    func() error // for its end
 	address string
 	last    int // request's number
 }
@@ -50,7 +51,7 @@
 	t.Cleanup(nodes.Close)
 	cmd, lines := platformProgram(t, nodes, 3, int(waitTime.Milliseconds()))
 	_, address, _ := strings.Cut(waitLine(t, lines, "listening"), "address=")
-	h := &held{t: t, process: cmd.Process, address: address}
+	h := &held{t: t, process: cmd.Process, wait: cmd.Wait, address: address}
 	warm := h.client()
 	testwait.Until(t, "the nodes to be known", func() bool { return warm.serve() })
 	for range 500 { // or gates would shut for what hangs, and all be answered at once
@@ -170,6 +171,14 @@
 	return asking
 }
 
+// learn holds the program up once, so that it knows of hold-ups.
+func (h *held) learn(known []*heldClient) {
+	h.t.Helper()
+	for _, c := range h.askInHoldUp(known) {
+		c.answer()
+	}
+}
+
 // TestAnswerInTimeWhenAskedInAHoldUp guards rule 1: a client's time counts from when its request came,
 // and not from when the process came to reading it.
 func TestAnswerInTimeWhenAskedInAHoldUp(t *testing.T) {
@@ -185,9 +194,7 @@
 func TestAnswerInTimeWhenDueInAHoldUp(t *testing.T) {
 	h := newHeld(t)
 	known := []*heldClient{h.client(), h.client(), h.client(), h.client()}
-	for _, c := range h.askInHoldUp(known) { // it learns of hold-ups
-		c.answer()
-	}
+	h.learn(known)
 	for round := range 5 {
 		for _, c := range known {
 			c.ask()
