--- a/internal/still/pause.go
+++ b/internal/still/pause.go
@@ -14,11 +14,13 @@
 	// settleTime is how long after a pause all that had come in it has been read.
 	settleTime = 30 * time.Millisecond
 	// pauseMemory is how long the worst pause counts at least; it is forgotten within twice as long.
-	pauseMemory = 10 * time.Second
+	pauseMemory = 20 * time.Second
+	// usualPause is how long pauses may be that are to be reckoned with once there has been one.
+	usualPause = 150 * time.Millisecond
 	// lateSlack is how late an answer may be: clients wait for a moment longer than they say.
 	lateSlack = 40 * time.Millisecond
-	// marginPart is the part of a client's wait that is given up for fear of pauses at the most.
-	marginPart = 4
+	// marginShare is the share of a client's wait that is given up for fear of pauses at the most.
+	marginShare = 0.6
 )
 
 // Pauses remembers the pauses of a process. The zero value knows none.
@@ -64,9 +66,14 @@
 }
 
 // Margin is how much sooner than its client's time is up a request is to be answered, so that one more pause
-// as long as the worst of late makes no answer late.
+// makes no answer late. It is zero where there was none of late: what it costs is answers that would have come
+// right before the end.
 func (p *Pauses) Margin(now, wait time.Duration) time.Duration {
-	return max(0, min(p.Worst(now)-lateSlack, wait/marginPart))
+	worst := p.Worst(now)
+	if worst == 0 {
+		return 0
+	}
+	return min(max(worst, usualPause)-lateSlack, time.Duration(marginShare*float64(wait)))
 }
 
 // Delayed tells whether what was read may have come in a pause and waited for its end, and since when. A
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,7 @@
 	backoffFirst = 250 * time.Millisecond
 	backoffMost  = 4 * time.Second
 	lostPause    = 1600 * time.Millisecond // of a first loss: what a silent watch misses counts as told 6 s later
+	lostPauseMax = 2 * time.Second         // of further ones: half as much again and a call of 3 s stay under those 6 s
 )
 
 // server is what this balancer knows of one cache server.
@@ -287,10 +288,11 @@
 		b.wake(timerList, 0, b.jitter(b.set.Rules.AskWithin/4))
 	case u.Kind == ListLost:
 		b.asking, b.lostN = false, min(b.lostN+1, 3)
-		pause := b.set.Rules.AskWithin / 8 << b.lostN
+		most := lostPauseMax
 		if b.lostN == 1 {
-			pause = min(pause, lostPause)
+			most = lostPause
 		}
+		pause := min(b.set.Rules.AskWithin/8<<b.lostN, most)
 		b.wake(timerList, 0, b.jitter(pause))
 		return
 	default:
