--- a/internal/proxy/backlog_test.go
+++ b/internal/proxy/backlog_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,3 +47,26 @@
 		t.Errorf("answered %q after %v, for a wait of %v", got, took, wait)
 	}
 }
+
+// TestOnlyItsOwnEndEndsAccepting: errors of the network that accept(2) hands out, ETIMEDOUT among them, must not end the
+// listener's loop, or no client would ever be served again.
+func TestOnlyItsOwnEndEndsAccepting(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
+	if _, err := listener.Accept(); !endsAccepting(err) {
+		t.Errorf("%v does not end it", err)
+	}
+	listener.Close()
+	if _, err := listener.Accept(); !endsAccepting(err) {
+		t.Errorf("%v does not end it", err)
+	}
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EOPNOTSUPP} {
+		if err := (&net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}); endsAccepting(err) {
+			t.Errorf("%v ends it", err)
+		}
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -167,7 +168,7 @@
 func (u *user) line() string {
 	u.t.Helper()
 	line, err := u.in.ReadString('\n')
-	if err != nil && isTimeout(err) {
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		u.t.Fatal("neither an answer nor a close")
 	}
 	return strings.TrimSuffix(line, "\r\n")
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -361,7 +361,7 @@
 		case err == nil:
 			<-s.core.Awake() // for as long as sends are held, which is bounded
 			s.admit(d, socket)
-		case errors.Is(err, net.ErrClosed) || isTimeout(err):
+		case endsAccepting(err):
 			return
 		default: // short of descriptors or buffers: what waits stays in the backlog
 			s.log.Warn("accept", "error", err)
@@ -385,9 +385,10 @@
 	}()
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+// endsAccepting tells whether an accept failed because the listener is closed or its deadline has passed. Nothing else does,
+// not even a system call's own time-out: Linux hands pending errors of the network out with new connections.
+func endsAccepting(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // makeRoom closes the client that has idled longest when descriptors run
