--- a/cmd/yarrowspan/main_test.go
+++ b/cmd/yarrowspan/main_test.go
@@ -76,7 +76,8 @@
 func program(t *testing.T, config string) (*exec.Cmd, <-chan string) {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "YARROWSPAN_RUN=1", "GW_CONFIG="+config)
+	// The race detector's runtime sleeps for a second before a process exits: tests time the end.
+	cmd.Env = append(os.Environ(), "YARROWSPAN_RUN=1", "GW_CONFIG="+config, "GORACE=atexit_sleep_ms=0")
 	out, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
