--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -21,23 +21,14 @@
 	pause still.Gap
 }
 
-// settled is how long after a stop whatever waited for a listener's reader has been taken.
-const settled = time.Second
-
 // begin takes a connection that may have waited to be accepted since a time.
 func (s *source) begin(c *Conn, since time.Duration) {
 	s.conn, s.core = c, c.host.Core
 	now := s.core.Now()
 	s.paused(since)
-	// Right after a stop or a pause a new connection may have waited in the backlog for as long.
-	if s.pause.To == 0 && !recent(s.core.Gap(), now) && !recent(s.core.Pause(), now) {
-		s.clean = now
-	}
+	s.clean = still.CleanAtAccept(now, s.pause, s.core.Gap(), s.core.Pause())
 }
 
-// recent tells whether what waited for the end of a gap may not have been taken yet.
-func recent(gap still.Gap, now time.Duration) bool { return gap.To > 0 && now-gap.To <= settled }
-
 // paused notes that nothing was read since a time.
 func (s *source) paused(from time.Duration) {
 	if to := s.core.Now(); to-from >= still.LeastPause {
--- a/internal/still/age.go
+++ b/internal/still/age.go
@@ -33,6 +33,23 @@
 	return r.Ended
 }
 
+// acceptTime is how long after a stop or a pause all that waited to be accepted has been.
+const acceptTime = time.Second
+
+// CleanAtAccept is the time before which nothing can have come on a connection that was accepted now, zero for
+// never: it may have waited for that itself, or through the latest stop or pause.
+func CleanAtAccept(now time.Duration, waited, stop, pause Gap) time.Duration {
+	switch {
+	case stop.To > 0 && now-stop.To <= acceptTime:
+		return 0
+	case waited.To > 0:
+		return waited.From
+	case pause.To > 0 && now-pause.To <= acceptTime:
+		return pause.From
+	}
+	return now
+}
+
 // Kernel is what the kernel says of a connection right behind a read.
 type Kernel struct {
 	Known bool
--- a/internal/still/still_test.go
+++ b/internal/still/still_test.go
@@ -149,6 +149,28 @@
 	}
 }
 
+// TestCleanAtAccept: what a connection may have waited through counts, and no stop of long ago does.
+func TestCleanAtAccept(t *testing.T) {
+	const now = 100 * time.Second
+	longAgo, justNow := Gap{From: 10 * time.Second, To: 16 * time.Second}, Gap{From: now - 900*ms, To: now - 500*ms}
+	waited, pause := Gap{From: now - 350*ms, To: now}, Gap{From: now - 160*ms, To: now - 10*ms}
+	for _, c := range []struct {
+		name                string
+		waited, stop, pause Gap
+		want                time.Duration
+	}{
+		{"nothing of late", Gap{}, longAgo, Gap{From: time.Second, To: 1100 * ms}, now},
+		{"a stop", Gap{}, justNow, Gap{}, 0},
+		{"a stop, and a wait", waited, justNow, pause, 0},
+		{"a wait", waited, longAgo, Gap{}, now - 350*ms},
+		{"a pause", Gap{}, longAgo, pause, now - 160*ms},
+	} {
+		if got := CleanAtAccept(now, c.waited, c.stop, c.pause); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestJudge(t *testing.T) {
 	const wait, window = 2500 * ms, 1500 * ms
 	exact, vague := Age{5000 * ms, 5000 * ms}, Age{1000 * ms, 5000 * ms}
