Read the core's clock without the connection's lock while a full pipeline waits

Callers: a client with 32 commands in flight on one connection could stop its proxy for good; no client of it was answered any more. Cause: the reader asked Core.Now with Conn.mu held. After 65 ms without a reading of the clocks that takes Core.mu, under which the core answers commands and takes Conn.mu. Change: the clock is read before and after the lock is held. Only the reader adds slots, so what it found free stays free.

--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -178,20 +178,30 @@
 // sessions.
 func (c *Conn) AddSlot(slot *Slot) *Slot {
 	slot.conn = c
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.slots) >= maxPipelined && !c.gone {
+	if c.pipelineFull() {
 		c.waitForSlot()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.slots = append(c.slots, slot)
 	return slot
 }
 
-// waitForSlot waits until one more command may be in flight. Nothing is read meanwhile. c.mu is held, also while
-// the core's clock is asked, which may take the core's lock: see KNOWN-RED.txt.
+// pipelineFull reports whether too many commands are in flight. Only the reader adds any, so that what it finds
+// free stays free.
+func (c *Conn) pipelineFull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.slots) >= maxPipelined && !c.gone
+}
+
+// waitForSlot waits until one more command may be in flight. Nothing is read meanwhile. The core's clock is read
+// without c.mu: that may take the core's lock, under which the core answers commands of this connection.
 func (c *Conn) waitForSlot() {
 	start := c.host.Core.Now()
+	c.mu.Lock()
 	c.blockReader(func() bool { return len(c.slots) < maxPipelined })
+	c.mu.Unlock()
 	c.reader.noteUnread(start)
 }
 
