Add a failing test of a drain with a passed listener that is blocking

Cause: O_NONBLOCK belongs to the open file description, which the service manager and all processes share. Who passes the listener on makes it blocking (os.File.Fd here, systemd without NonBlocking=), and an accept that begins meanwhile waits in the kernel, where no deadline reaches it. The drain waits for that accept.

--- /dev/null
+++ b/cmd/mulleinpier/passedlistener_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulleinpier/internal/fake/node"
+)
+
+// listenerFile opens the daemon's address, and returns the listener as the service manager holds it.
+func (d *testDaemon) listenerFile() *os.File {
+	d.t.Helper()
+	listener, err := net.Listen("tcp", d.address)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer listener.Close()
+	file, err := listener.(*net.TCPListener).File()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { file.Close() })
+	return file
+}
+
+// startWithListener starts the daemon as a service manager does that holds its listener.
+func (d *testDaemon) startWithListener(listener *os.File) {
+	d.t.Helper()
+	const script = `LISTEN_PID=$$ LISTEN_FDS=1 exec "$0" "$@"`
+	d.process = exec.Command("/bin/sh", "-c", script, os.Args[0], "serve", "--config", d.path)
+	d.process.Env = append(os.Environ(), "MULLEINPIER_RUN=1", "GW_CONFIG=")
+	d.process.ExtraFiles = []*os.File{listener}
+	d.run()
+	waitLine(d.t, d.lines, "listener opened")
+}
+
+// TestBlockingPassedListenerDoesNotDelayDrain guards against an accept that cannot be interrupted: whoever passes the
+// listener to the next process makes it blocking for this one too, as both share its flags.
+func TestBlockingPassedListenerDoesNotDelayDrain(t *testing.T) {
+	// The longest deadline and 0.7 s after SIGTERM a process may be killed.
+	const killTime = 3200 * time.Millisecond
+	d := newTestDaemon(t, node.Config{})
+	file := d.listenerFile()
+	d.startWithListener(file)
+	if err := syscall.SetNonblock(int(file.Fd()), false); err != nil {
+		t.Fatal(err)
+	}
+	c := d.connect() // after it the daemon waits in accept
+	c.send("mg k v O1 Pc=read,d=2000\r\n")
+	c.expect("VA ")
+	terminatedAt := time.Now()
+	d.signal(syscall.SIGTERM)
+	c.expect("") // its connection is closed between requests
+	c.socket.Close()
+	d.awaitExit()
+	if took := time.Since(terminatedAt); took > killTime {
+		t.Errorf("the exit took %v, and the program is killed after %v", took, killTime)
+	}
+}
--- a/cmd/mulleinpier/successor_test.go
+++ b/cmd/mulleinpier/successor_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"fmt"
 	"net"
-	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,24 +52,8 @@
 // another, each connection is established, and its first request is answered.
 func TestPassedListenerLosesNoConnection(t *testing.T) {
 	d := newTestDaemon(t, node.Config{})
-	listener, err := net.Listen("tcp", d.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file, err := listener.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	listener.Close()
-	startWithListener := func() {
-		const script = `LISTEN_PID=$$ LISTEN_FDS=1 exec "$0" "$@"`
-		d.process = exec.Command("/bin/sh", "-c", script, os.Args[0], "serve", "--config", d.path)
-		d.process.Env = append(os.Environ(), "MULLEINPIER_RUN=1", "GW_CONFIG=")
-		d.process.ExtraFiles = []*os.File{file}
-		d.run()
-		waitLine(t, d.lines, "listener opened")
-	}
+	file := d.listenerFile()
+	startWithListener := func() { d.startWithListener(file) }
 	startWithListener()
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
