Accept from a passed listener without ever blocking in the kernel

Callers: a proxy with a passed listener that was told to end after its successor had started could go on serving until the next connection came to it; when that came over 3 s late its requests were aborted at once, and those read in the last 50 ms were cut without an answer. If none came it was killed. Cause: the listener's O_NONBLOCK is shared with whoever passes it on, who clears it (os.File.Fd, systemd without NonBlocking=). An accept that begins meanwhile waits in the kernel, where no deadline reaches it. Change: connections of a passed listener are accepted by accept4 on a duplicate that the runtime polls, made non-blocking right before each call. SO_RCVTIMEO was tried first and left out: on a multipath TCP listener, the default of Go's net.Listen, the kernel keeps to the timeout of another socket (strace: accept4 unbounded). What is left: a flag cleared in the microsecond between the two calls while another process takes the connection.

--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -28,7 +28,10 @@
 type clientListener struct {
 	*net.TCPListener
 	inherited bool // another process may hold it too
-	host      *frontend.Host
+	// shared is a duplicate of an inherited listener, from which its connections are accepted; nil for one that was
+	// opened here. The net package does not let its callers accept by themselves.
+	shared *os.File
+	host   *frontend.Host
 	// backlogEmptyAt is when the backlog was last seen empty, by the clock of the core. It belongs to the goroutine
 	// that accepts.
 	backlogEmptyAt time.Duration
@@ -44,21 +47,105 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		l.TCPListener = opened.(*net.TCPListener)
+	} else {
+		duplicate, err := inherited.File()
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		l.shared = duplicate
 	}
 	s.listeners = append(s.listeners, l)
 	return nil
 }
 
+// SetDeadline sets when accepting ends.
+func (l *clientListener) SetDeadline(t time.Time) error {
+	if l.inherited {
+		return l.shared.SetDeadline(t)
+	}
+	return l.TCPListener.SetDeadline(t)
+}
+
+// Close closes the listener in this process.
+func (l *clientListener) Close() error {
+	if l.inherited {
+		return errors.Join(l.shared.Close(), l.TCPListener.Close())
+	}
+	return l.TCPListener.Close()
+}
+
+// closeUnused undoes openListener. An inherited listener stays open, for another try.
+func (l *clientListener) closeUnused() {
+	if l.inherited {
+		l.shared.Close()
+		return
+	}
+	l.TCPListener.Close()
+}
+
 // accept accepts a connection, and records when the backlog was empty.
 func (l *clientListener) accept(now func() time.Duration) (*net.TCPConn, error) {
 	start := now()
-	socket, err := l.AcceptTCP()
+	socket, err := l.acceptNext()
 	if end := now(); end-start >= minBlockingAccept {
 		l.backlogEmptyAt = end
 	}
 	return socket, err
 }
 
+// acceptNext waits for a connection and accepts it.
+func (l *clientListener) acceptNext() (*net.TCPConn, error) {
+	if l.inherited {
+		return l.acceptShared()
+	}
+	return l.AcceptTCP()
+}
+
+// acceptShared is AcceptTCP for a listener whose flags are shared with other processes: passing it to a further process
+// makes it blocking in this one too, and no deadline reaches an accept that blocks. So it is made non-blocking again
+// right before each accept.
+func (l *clientListener) acceptShared() (*net.TCPConn, error) {
+	raw, err := l.shared.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var accepted int
+	var acceptErr error
+	err = raw.Read(func(fd uintptr) (done bool) {
+		if acceptErr = syscall.SetNonblock(int(fd), true); acceptErr != nil {
+			return true
+		}
+		accepted, acceptErr = acceptOnce(int(fd))
+		return !errors.Is(acceptErr, syscall.EAGAIN)
+	})
+	if err = errors.Join(err, acceptErr); err != nil {
+		return nil, err
+	}
+	return newTCPConn(accepted)
+}
+
+// acceptOnce accepts a connection from a listener's descriptor, without waiting if that is non-blocking. Connections
+// that have ended in the backlog are passed over.
+func acceptOnce(fd int) (accepted int, err error) {
+	for {
+		accepted, _, err = syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if !errors.Is(err, syscall.ECONNABORTED) && !errors.Is(err, syscall.EINTR) {
+			return accepted, os.NewSyscallError("accept4", err)
+		}
+	}
+}
+
+// newTCPConn returns an accepted connection by its descriptor, which it takes over.
+func newTCPConn(fd int) (*net.TCPConn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	defer file.Close()
+	socket, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	return socket.(*net.TCPConn), nil
+}
+
 // acceptClients accepts connections until the listener is closed or its deadline passes.
 func (s *Server) acceptClients(l *clientListener) {
 	l.backlogEmptyAt = s.core.Now()
@@ -151,22 +238,14 @@
 	if err != nil {
 		return
 	}
-	for more := true; more; {
-		raw.Control(func(fd uintptr) { more = s.acceptNonBlocking(l, int(fd)) })
-	}
-}
-
-// acceptNonBlocking accepts a connection from a listener's descriptor without waiting for one. It reports whether
-// there may be more.
-func (s *Server) acceptNonBlocking(l *clientListener, fd int) bool {
-	accepted, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR)
-	}
-	file := os.NewFile(uintptr(accepted), "")
-	defer file.Close()
-	if socket, err := net.FileConn(file); err == nil {
-		s.serveClient(l, socket.(*net.TCPConn))
+	for err == nil {
+		var accepted int
+		controlErr := raw.Control(func(fd uintptr) { accepted, err = acceptOnce(int(fd)) })
+		if err = errors.Join(err, controlErr); err != nil {
+			return
+		}
+		if socket, err := newTCPConn(accepted); err == nil {
+			s.serveClient(l, socket)
+		}
 	}
-	return true
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -75,9 +75,7 @@
 	s.binary.SetRules(config.binaryRules())
 	if err := s.openListeners(inherited); err != nil {
 		for _, l := range s.listeners {
-			if !l.inherited {
-				l.Close()
-			}
+			l.closeUnused()
 		}
 		return nil, err
 	}
