Reject what is read after a drain has aborted the requests in flight

Cause: AbortAll answered what was in flight, and Submit went on accepting until all connections were cut. Change: AbortAll marks the core; from then on Submit rejects and ResumeWrite takes nothing over, under the same lock, so that no request falls between.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,7 @@
 	requests   map[uint64]*InFlightRequest
 	requestIDs map[string]struct{} // the ids that clients gave to requests
 	lastID     uint64              // of requests
+	aborted    bool                // AbortAll was called: nothing is accepted any more
 
 	endpoints endpointState
 	timers    timers
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -86,6 +86,10 @@
 		c.answerInvalid(in, reply, "id in use")
 		return nil
 	}
+	if c.aborted {
+		c.answerRejected(in, reply, "process ends", c.balancer.RetryAfter(classIndex))
+		return nil
+	}
 	if !c.hasCapacity(class) {
 		c.answerRejected(in, reply, "no capacity", c.balancer.RetryAfter(classIndex))
 		return nil
@@ -184,10 +188,12 @@
 	return longest
 }
 
-// AbortAll answers all unanswered requests at once, because the process ends before they can be served.
+// AbortAll answers all unanswered requests at once, because the process ends before they can be served. Those that
+// are read after it are rejected.
 func (c *Core) AbortAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.aborted = true
 	for _, req := range c.requests {
 		if req.finished {
 			continue
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"log/slog"
 	"testing"
 
 	"mulleinpier/internal/request"
+	"mulleinpier/policy"
 )
 
 // countingReply is a Reply that counts its calls.
@@ -37,3 +39,36 @@
 		t.Errorf("%d requests and %d ids are left", len(c.requests), len(c.requestIDs))
 	}
 }
+
+// answerRecorder is a Reply that keeps its answers.
+type answerRecorder struct{ answers []*request.Answer }
+
+func (r *answerRecorder) Finish(answer *request.Answer) { r.answers = append(r.answers, answer) }
+func (r *answerRecorder) Release()                      {}
+
+// TestRequestsAfterAbortAreRejected guards the end of a drain: what is read between the abort of all requests and the
+// cut of all connections must be answered at once, as the cut would lose it.
+func TestRequestsAfterAbortAreRejected(t *testing.T) {
+	for name, idempotency := range map[string]policy.Idempotency{
+		"idempotent":          policy.Idempotent,
+		"idempotent with key": policy.IdempotentWithKey,
+		"not idempotent":      policy.NotIdempotent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			config := oneNodeConfig("127.0.0.1:9", policy.Class{Name: "c", Idempotency: idempotency})
+			c, err := New(config, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.AbortAll()
+			late := &answerRecorder{}
+			in := &request.Request{ID: "late", Class: "c", Key: "k", IdempotencyKey: "i", Timeout: -1}
+			if req := c.Submit(in, late); req != nil {
+				t.Error("it was accepted")
+			}
+			if len(late.answers) != 1 || late.answers[0].Kind != request.Busy {
+				t.Errorf("it was answered %+v, want busy", late.answers)
+			}
+		})
+	}
+}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -137,7 +137,7 @@
 	defer c.mu.Unlock()
 	c.observeSleep()
 	class, known := c.rules.classes[in.Class]
-	if !known || within <= 0 || c.takeover == nil {
+	if !known || within <= 0 || c.takeover == nil || c.aborted {
 		return 0, false
 	}
 	c.lastID++
