Acknowledge a termination that waits for a permit; send the second one after that

Operators: a fleet that is shut down by two SIGTERMs could keep a proxy that waits for a permit for good, and is killed with its requests. Cause: Linux merges signals that a process has not received yet. Change: the proxy notifies its status and logs "permit requested" at the first signal; the fleet test's service manager sends the second after that status, and fails a process that does not react to the first in 20 s.

--- a/cmd/mulleinpier/peers_test.go
+++ b/cmd/mulleinpier/peers_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -75,6 +77,35 @@
 	}
 }
 
+// TestTerminationIsAcknowledged guards shutdowns of a whole fleet: two terminations that come while a process is stopped
+// are one to it, so who sends the second has to learn when the first was received.
+func TestTerminationIsAcknowledged(t *testing.T) {
+	fleet := agent.Fleet{Name: "test", Voters: []agent.VoterAddress{{Name: "v0", Address: freeAddress(t)}}}
+	d := newTestDaemon(t, node.Config{})
+	d.configure(peersConfig("wait", "", fleet, ""))
+	d.start()
+	d.awaitNotified("READY=1")
+	d.signal(syscall.SIGSTOP)
+	testutil.WaitUntil(t, "the daemon to be stopped", func() bool { return isStopped(t, d.process.Process.Pid) })
+	d.signal(syscall.SIGTERM)
+	d.signal(syscall.SIGTERM)
+	d.signal(syscall.SIGCONT)
+	d.awaitNotified("STATUS=asking to drain")
+	d.signal(syscall.SIGTERM)
+	d.awaitNotified("STOPPING=1")
+	d.awaitExit()
+}
+
+// isStopped reports whether a process is stopped by a signal.
+func isStopped(t *testing.T, pid int) bool {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Contains(string(text), "State:\tT")
+}
+
 // TestVoterMovesDuringLease reloads the only voter with another address while a task is held: the grant keeps its
 // token, and no client notices.
 func TestVoterMovesDuringLease(t *testing.T) {
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -69,12 +69,14 @@
 	d.reports <- report
 }
 
-// requestDrainPermit starts the task that waits for a permit to drain, if one is needed.
+// requestDrainPermit starts the task that waits for a permit to drain, if one is needed. The service manager is
+// notified: a second termination counts only once the first has been received, as signals that are pending are merged.
 func (d *daemon) requestDrainPermit() {
 	if !d.fleet.needsPermit() {
 		d.handle(lifecycle.DrainPermitted)
 		return
 	}
+	d.notify(d.status())
 	d.tasks.Go(func() {
 		d.fleet.keepPermit(d.fleet.awaitPermit("drain"))
 		d.reports <- taskReport{event: lifecycle.DrainPermitted}
--- a/internal/daemon/permit.go
+++ b/internal/daemon/permit.go
@@ -45,6 +45,7 @@
 	f.mu.Lock()
 	c, leases, name, lifetime, ctx := f.config.Permit, f.leases, f.name, f.ctx, f.permitWaits
 	f.mu.Unlock()
+	f.log.Info("permit requested", "operation", operation)
 	start := time.Now()
 	elapsed := func() time.Duration { return time.Since(start).Round(time.Millisecond) }
 	for ctx.Err() == nil {
--- a/internal/fleettest/permits.go
+++ b/internal/fleettest/permits.go
@@ -145,7 +145,8 @@
 	p.setAcceptsClients(false)
 }
 
-// endWithoutPermit ends a process that is not replaced: told to end twice, it waits for no permit.
+// endWithoutPermit ends a process that is not replaced: told to end twice, it waits for no permit. The second signal is
+// sent once the first has been received, as signals that are pending at a process are merged.
 func (p *proxyInstance) endWithoutPermit(old *process) error {
 	if p.fleet.scenario.Fleet.RestartPermits == 0 {
 		return old.end(syscall.SIGTERM)
@@ -155,14 +156,15 @@
 	old.mu.Unlock()
 	old.cmd.Process.Signal(syscall.SIGTERM)
 	select {
-	case <-old.draining:
+	case <-old.awaitingPermit:
+		return old.end(syscall.SIGTERM)
+	case <-old.draining: // it needs no second signal
 	case <-old.exited:
-	case <-time.After(drainNoticeTime):
-	}
-	if isClosed(old.draining) {
-		return old.endWithin(syscall.Signal(0), processTimeout) // it needs no second signal
+	case <-time.After(processTimeout):
+		old.end(syscall.SIGKILL)
+		return fmt.Errorf("did not react to %v in %v", syscall.SIGTERM, processTimeout)
 	}
-	return old.end(syscall.SIGTERM)
+	return old.endWithin(syscall.Signal(0), processTimeout)
 }
 
 // maxDown is how many proxies were down by permits at a time.
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"mulleinpier/internal/lifecycle"
 )
 
 // processTimeout bounds the waits for a process: for its start, a reload and its end.
@@ -26,7 +28,9 @@
 	ready        chan struct{}
 	draining     chan struct{}
 	exited       chan struct{}
-	tasks        sync.WaitGroup
+	// awaitingPermit is closed once the process has been told to end and waits for a permit.
+	awaitingPermit chan struct{}
+	tasks          sync.WaitGroup
 
 	startedAt  time.Time
 	readyAt    time.Time // after ready is closed
@@ -58,12 +62,13 @@
 	}
 	defer out.Close()
 	p := &process{
-		notifySocket: notify,
-		logPath:      log,
-		ready:        make(chan struct{}),
-		draining:     make(chan struct{}),
-		exited:       make(chan struct{}),
-		startedAt:    time.Now(),
+		notifySocket:   notify,
+		logPath:        log,
+		ready:          make(chan struct{}),
+		draining:       make(chan struct{}),
+		exited:         make(chan struct{}),
+		awaitingPermit: make(chan struct{}),
+		startedAt:      time.Now(),
 	}
 	p.cmd = exec.Command(argv[0], argv[1:]...)
 	p.cmd.Env = append(os.Environ(), "NOTIFY_SOCKET="+name, "WATCHDOG_USEC=2000000", "GW_CONFIG=")
@@ -92,37 +97,48 @@
 // readNotifications reads what the process sends to its service manager.
 func (p *process) readNotifications() {
 	buf := make([]byte, 4<<10)
-	for ready, drains := false, false; ; {
+	for {
 		n, _, err := p.notifySocket.ReadFromUnix(buf)
 		if err != nil {
 			return
 		}
 		p.mu.Lock()
 		for line := range strings.SplitSeq(string(buf[:n]), "\n") {
-			name, value, _ := strings.Cut(line, "=")
-			switch name {
-			case "READY":
-				if !ready {
-					ready, p.readyAt = true, time.Now()
-					close(p.ready)
-				} else if p.reloading {
-					p.reloads, p.reloading = p.reloads+1, false
-				}
-			case "RELOADING":
-				p.reloading = true
-			case "STOPPING":
-				if !drains {
-					drains, p.drainingAt = true, time.Now()
-					close(p.draining)
-				}
-			case "STATUS":
-				p.status = value
-			}
+			p.handleNotification(line)
 		}
 		p.mu.Unlock()
 	}
 }
 
+// awaitingPermitStatus begins the status of a process that has been told to end and waits for a permit.
+var awaitingPermitStatus = lifecycle.AwaitingPermit.String()
+
+// handleNotification takes one line to the service manager. p.mu is held.
+func (p *process) handleNotification(line string) {
+	name, value, _ := strings.Cut(line, "=")
+	switch name {
+	case "READY":
+		if !isClosed(p.ready) {
+			p.readyAt = time.Now()
+			close(p.ready)
+		} else if p.reloading {
+			p.reloads, p.reloading = p.reloads+1, false
+		}
+	case "RELOADING":
+		p.reloading = true
+	case "STOPPING":
+		if !isClosed(p.draining) {
+			p.drainingAt = time.Now()
+			close(p.draining)
+		}
+	case "STATUS":
+		p.status = value
+		if strings.HasPrefix(value, awaitingPermitStatus) && !isClosed(p.awaitingPermit) {
+			close(p.awaitingPermit)
+		}
+	}
+}
+
 // awaitReady waits until the process has reported that it is ready.
 func (p *process) awaitReady() error {
 	select {
