Use the shared pause of a daemon in the test of its acknowledgement

Cause: the test had its own check of a stopped process beside the one in pause_test.go. Change: it uses that.

--- a/cmd/mulleinpier/peers_test.go
+++ b/cmd/mulleinpier/peers_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -85,8 +83,7 @@
 	d.configure(peersConfig("wait", "", fleet, ""))
 	d.start()
 	d.awaitNotified("READY=1")
-	d.signal(syscall.SIGSTOP)
-	testutil.WaitUntil(t, "the daemon to be stopped", func() bool { return isStopped(t, d.process.Process.Pid) })
+	d.pause()
 	d.signal(syscall.SIGTERM)
 	d.signal(syscall.SIGTERM)
 	d.signal(syscall.SIGCONT)
@@ -96,16 +93,6 @@
 	d.awaitExit()
 }
 
-// isStopped reports whether a process is stopped by a signal.
-func isStopped(t *testing.T, pid int) bool {
-	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return strings.Contains(string(text), "State:\tT")
-}
-
 // TestVoterMovesDuringLease reloads the only voter with another address while a task is held: the grant keeps its
 // token, and no client notices.
 func TestVoterMovesDuringLease(t *testing.T) {
