Keep a new connection in a drain until its first command, for half a second

Callers: a draining proxy closed connections 0.1 s after it had accepted them; where client or machine was held up for as long, the first command crossed the close and was discarded. Cause: drainGrace, counted from the start of the drain, held for connections without any command too.

--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -126,6 +126,31 @@
 	testutil.Receive(t, "the end of the connection", served)
 }
 
+// TestFirstCommandInDrainIsAnswered guards a client that is slow to send its first command on a connection that was
+// accepted in a drain: a close that crosses the command would leave it without an answer.
+func TestFirstCommandInDrainIsAnswered(t *testing.T) {
+	c, client := connectedClient(t)
+	c.openedAt = time.Now().Add(testutil.Timeout) // the outcome does not depend on how busy the machine is
+	served := make(chan bool, 1)
+	go func() {
+		c.Serve()
+		served <- true
+	}()
+	c.Drain()
+	time.Sleep(2 * drainGrace)
+	fmt.Fprint(client, "mn\r\n")
+	client.SetDeadline(time.Now().Add(testutil.Timeout))
+	in := bufio.NewReader(client)
+	if line, err := in.ReadString('\n'); line != "MN\r\n" {
+		t.Errorf("answered %q, %v", line, err)
+	}
+	if line, err := in.ReadString('\n'); err != io.EOF {
+		t.Errorf("after the answer: %q, %v, want the end", line, err)
+	}
+	client.Close()
+	testutil.Receive(t, "the end of the connection", served)
+}
+
 // TestAnswerBeingWrittenIsNotIdle guards that a connection whose answer is being written is not closed as idle, if
 // it had been idle for long before the command.
 func TestAnswerBeingWrittenIsNotIdle(t *testing.T) {
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -16,6 +16,9 @@
 	lingerBytes   = 256 << 10
 	// drainGrace is how long a draining connection takes further commands.
 	drainGrace = LingerTimeout / 3
+	// firstCommandGrace is how long after its opening a connection in a drain waits for its first command: its client
+	// could not tell what became of that if the connection had been closed as it was sent.
+	firstCommandGrace = 500 * time.Millisecond
 	// silentAnswerTimeout bounds the wait for a command after one that was answered by silence: the client
 	// has its answer only with the next one, also in a drain.
 	silentAnswerTimeout = 2500 * time.Millisecond
@@ -57,15 +60,25 @@
 // pastCutoff reports whether a draining connection takes no more commands. c.mu is held.
 func (c *Conn) pastCutoff() bool { return c.draining && !time.Now().Before(c.cutoff()) }
 
-// cutoff returns when a draining connection takes no more commands: at its deadline, or when the wait after an
-// answer by silence is over, whichever is later. c.mu is held.
+// cutoff returns when a draining connection takes no more commands: at its deadline, or when the wait for its first
+// command or after an answer by silence is over, whichever is later. c.mu is held.
 func (c *Conn) cutoff() time.Time {
+	cutoff := c.drainDeadline
+	if !c.hasReceived {
+		cutoff = later(cutoff, c.openedAt.Add(firstCommandGrace))
+	}
 	if c.owesAnswer(time.Now()) {
-		if silenceEnds := c.silentSince.Add(silentAnswerTimeout); c.drainDeadline.Before(silenceEnds) {
-			return silenceEnds
-		}
+		cutoff = later(cutoff, c.silentSince.Add(silentAnswerTimeout))
+	}
+	return cutoff
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return c.drainDeadline
+	return a
 }
 
 // owesAnswer reports whether the client waits for a sign that what was answered by silence is done: closing now
