Ignore a list that is older than what its source has reported meanwhile

Cause: with reconciled sources every list was taken in the order of arrival; the one fetched after a pause was requested before the watch reported the drain, and came after it (n2 draining at 25.040, up at 25.048). Change: each list is a call with the version that was known as it began, and is ignored if a newer one of its source has come since, as applyList does for the platform's one source. A refetch that is ignored has failed.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -19,10 +19,11 @@
 // endpointState is what the core knows of the endpoint list and its sources. It is guarded by Core.mu.
 type endpointState struct {
 	sources         []discovery.SourceConfig
-	source          discovery.Source // the open one, where there is exactly one
-	confirmedSource discovery.Source // the one that reported last
-	received        bool             // Core.listReceived is closed
-	version         uint64           // of the list in force
+	source          discovery.Source  // the open one, where there is exactly one
+	confirmedSource discovery.Source  // the one that reported last
+	received        bool              // Core.listReceived is closed
+	version         uint64            // of the list in force, where there is exactly one source
+	sourceVersions  map[string]uint64 // of the latest list of each of several sources, by its name
 	reconciler      *membership.Reconciler
 	actions         []membership.Action // reused between events
 	failedNodes     map[string]bool     // nodes whose latest connection failed
@@ -37,7 +38,8 @@
 			Sources:       membershipSources(config.ListSources),
 			InferRestarts: config.ReconcileLists,
 		}),
-		failedNodes: make(map[string]bool),
+		sourceVersions: make(map[string]uint64),
+		failedNodes:    make(map[string]bool),
 	}
 }
 
--- a/internal/core/refresh.go
+++ b/internal/core/refresh.go
@@ -40,7 +40,7 @@
 		return
 	}
 	for _, config := range configs {
-		call := listCall{name: config.String(), source: config.Open()}
+		call := c.newSourceCall(config.String(), config.Open())
 		tasks.Go(func() { c.refreshList(ctx, call, config) })
 	}
 }
@@ -53,7 +53,8 @@
 		c.log.Warn("endpoint list refresh failed", "source", config.String(), "error", err)
 	case c.reconcileLists:
 		c.mu.Lock()
-		c.handleMembership(membership.ListReceived{Source: call.name, Complete: true, Nodes: list.Nodes()})
+		report := membership.ListReceived{Source: call.name, Complete: true, Nodes: list.Nodes()}
+		c.applySourceList(call, list.Index, report)
 		c.mu.Unlock()
 	default:
 		c.applyList(call, list, policy.EndpointsFull)
--- a/internal/core/sources.go
+++ b/internal/core/sources.go
@@ -94,13 +94,16 @@
 // followSource watches one source until ctx ends, opening a lost watch again.
 func (c *Core) followSource(ctx context.Context, f *follower, reported chan<- string) {
 	name, first := f.config.String(), true
+	call := listCall{name: name, source: f.source}
 	apply := func(list discovery.List) {
 		if ctx.Err() != nil {
 			return
 		}
 		c.mu.Lock()
 		c.markListReceived()
-		c.handleMembership(membership.ListReceived{Source: name, Complete: list.Snapshot, Nodes: list.Nodes()})
+		report := membership.ListReceived{Source: name, Complete: list.Snapshot, Nodes: list.Nodes()}
+		c.applySourceList(call, list.Index, report)
+		call.knownVersion = list.Index
 		c.mu.Unlock()
 		if first {
 			first = false
@@ -111,6 +114,7 @@
 		}
 	}
 	for ctx.Err() == nil {
+		call.knownVersion = c.sourceVersion(name)
 		err := f.source.Watch(ctx, 0, apply)
 		if ctx.Err() != nil {
 			return
@@ -128,15 +132,42 @@
 	ctx, cancel := context.WithTimeout(ctx, refetchTimeout)
 	defer cancel()
 	name := f.config.String()
-	list, err := f.source.Fetch(ctx)
+	call := c.newSourceCall(name, f.source)
+	list, err := call.source.Fetch(ctx)
 	if err != nil {
 		c.log.Warn("endpoint list refetch failed", "source", name, "error", err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil {
+	report := membership.ListReceived{Source: name, Complete: true, Refetched: true, Nodes: list.Nodes()}
+	if err != nil || !c.applySourceList(call, list.Index, report) {
 		c.handleMembership(membership.RefetchFailed{Source: name})
-		return
 	}
-	c.handleMembership(membership.ListReceived{Source: name, Complete: true, Refetched: true, Nodes: list.Nodes()})
+}
+
+// newSourceCall returns a call of one of several sources that begins now.
+func (c *Core) newSourceCall(name string, source discovery.Source) listCall {
+	return listCall{name: name, source: source, knownVersion: c.sourceVersion(name)}
+}
+
+// sourceVersion returns the version of the latest list of one of several sources.
+func (c *Core) sourceVersion(name string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endpoints.sourceVersions[name]
+}
+
+// applySourceList gives package membership a list of one of several sources, and reports whether it did. It does not
+// if the list is outdated: a newer one of the source has come since the call began, and a drain that it reported must
+// not be undone. A version below the one that was known when the call began is that of a service that has restarted
+// and counts anew. c.mu is held.
+func (c *Core) applySourceList(call listCall, version uint64, report membership.ListReceived) bool {
+	known := c.endpoints.sourceVersions[call.name]
+	if known != call.knownVersion && version < known {
+		c.log.Info("outdated endpoint list ignored", "version", version, "known_version", known)
+		return false
+	}
+	c.endpoints.sourceVersions[call.name] = version
+	c.handleMembership(report)
+	return true
 }
--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/membership"
 	"mulleinpier/internal/pause"
 	"mulleinpier/internal/testutil"
 	"mulleinpier/internal/upstream"
@@ -113,7 +114,12 @@
 // requests each list.
 func startCore(t *testing.T, onRequest bool, address string) *Core {
 	t.Helper()
-	config := &Config{
+	return runCore(t, oneSourceConfig(onRequest, address))
+}
+
+// oneSourceConfig configures a core with one list source.
+func oneSourceConfig(onRequest bool, address string) *Config {
+	return &Config{
 		ListSources: []discovery.SourceConfig{{Address: address}},
 		MaxInFlight: 10,
 		Upstream: upstream.Limits{
@@ -132,6 +138,11 @@
 			Rules:              policy.Rules{MaxPollInterval: 400 * time.Millisecond},
 		},
 	}
+}
+
+// runCore runs a core until the test ends.
+func runCore(t *testing.T, config *Config) *Core {
+	t.Helper()
 	c, err := New(config, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -296,6 +307,38 @@
 	}
 }
 
+// TestOutdatedListAfterPauseIsIgnored guards a proxy that reconciles its sources: the complete list that it fetches
+// after a pause arrives after a watch has reported a drain, and is older.
+func TestOutdatedListAfterPauseIsIgnored(t *testing.T) {
+	source := startSource(t)
+	config := oneSourceConfig(false, source.addr)
+	config.ReconcileLists, config.Membership = true, membership.DefaultLimits
+	c := runCore(t, config)
+	watch := source.firstWatch(t, c, 8)
+	signal(c.pause.refresh)
+	list := source.next(t, "a fetch of the list")
+	watch.sendList(9, false, "draining")
+	c.expectServing(t, "the drain to be heeded", false)
+	list.sendHeader()
+	list.sendList(8, true, "up")
+	list.Close()
+	signal(c.pause.refresh)
+	source.next(t, "one more fetch of the list").Close() // fetches are made in turn: the previous one is applied
+	if c.HasServingNodes() {
+		t.Error("an outdated list has undone that the node drains")
+	}
+	watch.sendList(10, false, "up")
+	c.expectServing(t, "a newer list to be heeded", true)
+	// A service that has restarted counts from the start.
+	watch.Close()
+	watch = source.next(t, "a new watch")
+	watch.sendHeader()
+	watch.sendList(2, true, "draining")
+	c.expectServing(t, "the list of a restarted service to be heeded", false)
+	watch.sendList(3, false, "up")
+	c.expectServing(t, "its changes to be heeded", true)
+}
+
 // TestSourceChangeKeepsReportingWatch guards that the watch of the old source is kept until a new one has reported
 // a list: through a new source that does not answer, and through a second change in the middle of the first.
 func TestSourceChangeKeepsReportingWatch(t *testing.T) {
