fleettest: the time of a kill is that of the process's end, not of the decision

Cause: killedAt was noted before the signal was sent. Where the fleet test itself was held up in between, clients connected to a process that was still to be killed, and its end counted as lost for them. Seen in two of six waves with stops: 8 and 25 connections of proxy 5 reset at 20.03 and 20.72 s, opened after the noted kill of 20 s. Change: until the process has ended the time of the kill is unknown and ahead; then it is the end's. The check is as strict: only connections opened before the end are excused, by the true time.

--- a/internal/fleettest/proxy.go
+++ b/internal/fleettest/proxy.go
@@ -42,6 +42,8 @@
 	drainNoticeTime = 300 * time.Millisecond
 	// killNoticeTime is the same after a process was killed.
 	killNoticeTime = time.Second
+	// unknownKillTime is how far ahead the time of a kill is taken to be while it is not known.
+	unknownKillTime = time.Hour
 )
 
 // newProxy reserves a proxy's addresses and writes its configuration.
@@ -196,13 +198,17 @@
 	}
 }
 
-// killProcess kills the proxy's process, and returns it.
+// killProcess kills the proxy's process. The time of the kill is that of the process's end: until then it accepts
+// connections, however long after the decision to kill it that is.
 func (p *proxyInstance) killProcess() {
 	p.mu.Lock()
-	p.killedAt = time.Now()
+	p.killedAt = time.Now().Add(unknownKillTime)
 	old := p.process
 	p.mu.Unlock()
 	old.end(syscall.SIGKILL)
+	p.mu.Lock()
+	p.killedAt = old.exitedAt
+	p.mu.Unlock()
 }
 
 // kill kills the proxy, and starts it again.
