fleettest: a connection that has carried a ticket's read counts as used

Cause: a binary write is sent on the connection that has just read its ticket, which was marked as used only when it was released. Change: the connection is marked as used by its first answer. The check stays: a write that a node has seen and whose connection ends without an answer is lost.

--- a/internal/fleettest/binaryclient.go
+++ b/internal/fleettest/binaryclient.go
@@ -83,6 +83,7 @@
 		}
 		return as
 	}
+	conn.used = true // the write that follows can cross a close of the idle connection
 	if a.Kind != request.Value {
 		w.release(p, conn)
 		return refused // nothing was written
