Judge outdated lists of several sources by the rule of the only source

A Consul index that is reset while a fetch has brought a higher one would have been ignored for good. Change: both ways share listCall.isOutdated, the platform's rule: below what is known now, and not below what was known as the call began.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -87,6 +87,13 @@
 	knownVersion uint64 // of the list then; zero right after a change of sources
 }
 
+// isOutdated reports whether the answer to a call is older than the list that is known by now: it must not undo a
+// drain that has been reported since the call began. A version below the one that was known then is not an older list,
+// but that of a service that has restarted and counts anew.
+func (call listCall) isOutdated(version, known uint64) bool {
+	return version < known && version >= call.knownVersion
+}
+
 // newListCall returns a call of the present source that begins now.
 func (c *Core) newListCall() listCall {
 	c.mu.Lock()
@@ -123,10 +130,8 @@
 	c.handle(policy.EndpointUpdate{Version: c.endpoints.version, Kind: policy.EndpointsUnavailable})
 }
 
-// applyList puts a list from the only source into force, unless it is outdated: a list that was requested
-// before a change must not undo what a watch has reported since, nor may the previous source undo what the
-// present one has reported. A version below the one that was known when the call began is not an older
-// list, but that of a service that has restarted and counts anew.
+// applyList puts a list from the only source into force, unless it is outdated. Nor may the previous source undo
+// what the present one has reported.
 func (c *Core) applyList(call listCall, list discovery.List, kind policy.EndpointUpdateKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,8 +141,7 @@
 		return
 	}
 	if fromPresentSource {
-		outdated := list.Index < state.version && list.Index >= call.knownVersion
-		if kind != policy.EndpointsCached && outdated {
+		if kind != policy.EndpointsCached && call.isOutdated(list.Index, state.version) {
 			c.log.Info("outdated endpoint list ignored", "version", list.Index, "known_version", state.version)
 			return
 		}
--- a/internal/core/sources.go
+++ b/internal/core/sources.go
@@ -158,12 +158,10 @@
 }
 
 // applySourceList gives package membership a list of one of several sources, and reports whether it did. It does not
-// if the list is outdated: a newer one of the source has come since the call began, and a drain that it reported must
-// not be undone. A version below the one that was known when the call began is that of a service that has restarted
-// and counts anew. c.mu is held.
+// if the list is outdated. c.mu is held.
 func (c *Core) applySourceList(call listCall, version uint64, report membership.ListReceived) bool {
 	known := c.endpoints.sourceVersions[call.name]
-	if known != call.knownVersion && version < known {
+	if call.isOutdated(version, known) {
 		c.log.Info("outdated endpoint list ignored", "version", version, "known_version", known)
 		return false
 	}
