Wait for a list that has begun to arrive after a pause, for two seconds at most

Callers: after a pause requests went to a draining node where reading the list took over 250 ms (10 to 12 requests with 3,001 entries on a busy core), though its drain had been written during the pause. Cause: the 250 ms that bound the wait for a silent list service also ended the wait for a list on its way. Change: watches report a list from its first part until it is in force, a refresh from its first byte; while one arrives sends stay deferred, until 2 s after the pause. A source of which nothing comes is waited for as before.

--- a/internal/core/pause.go
+++ b/internal/core/pause.go
@@ -34,6 +34,8 @@
 	deferred    []deferredSend // in the order of their dispatch
 	resumed     chan struct{}  // closed while no recovery from a pause is under way
 	refresh     chan struct{}  // signals that the endpoint lists are to be fetched
+	// listsArriving counts the endpoint lists of which a part has come and that are not in force yet.
+	listsArriving atomic.Int32
 
 	lastStall      atomic.Pointer[pause.Interval] // nil for none
 	stalls         pause.StallTracker
@@ -166,6 +168,7 @@
 func (c *Core) handlePauseEvent(now time.Duration, event pause.Event) {
 	s := &c.pause
 	s.detector.SetDeferredSends(len(s.deferred))
+	s.detector.SetListsArriving(int(s.listsArriving.Load()))
 	s.actions = s.detector.Handle(now, event, s.actions[:0])
 	for _, action := range s.actions {
 		switch action := action.(type) {
--- a/internal/core/refresh.go
+++ b/internal/core/refresh.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"mulleinpier/internal/discovery"
 	"mulleinpier/internal/membership"
@@ -27,9 +30,10 @@
 	}
 }
 
-// refreshLists fetches from all sources of the list at once, and waits no longer than sends are deferred.
+// refreshLists fetches from all sources of the list at once, and waits no longer than sends are deferred: for the
+// beginning of an answer, and longer for its end.
 func (c *Core) refreshLists(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pause.DefaultLimits.MaxDeferral)
+	ctx, cancel := context.WithTimeout(ctx, pause.DefaultLimits.MaxArrival)
 	defer cancel()
 	configs := c.listSources()
 	call := c.newListCall()
@@ -45,8 +49,40 @@
 	}
 }
 
+// noteListArrival counts a list as arriving, or not any more.
+func (c *Core) noteListArrival(arriving bool) {
+	if arriving {
+		c.pause.listsArriving.Add(1)
+	} else {
+		c.pause.listsArriving.Add(-1)
+	}
+}
+
+// awaitAnswer ends the returned context if no answer begins in the time for which sends are deferred. An answer that
+// has begun counts as a list that arrives until done.
+func (c *Core) awaitAnswer(ctx context.Context) (answered context.Context, done func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var arriving atomic.Bool
+	silence := time.AfterFunc(pause.DefaultLimits.MaxDeferral, cancel)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		silence.Stop()
+		if arriving.CompareAndSwap(false, true) {
+			c.noteListArrival(true)
+		}
+	}})
+	return ctx, func() {
+		silence.Stop()
+		cancel()
+		if arriving.Swap(true) {
+			c.noteListArrival(false)
+		}
+	}
+}
+
 // refreshList fetches the list of one source.
 func (c *Core) refreshList(ctx context.Context, call listCall, config discovery.SourceConfig) {
+	ctx, done := c.awaitAnswer(ctx)
+	defer done()
 	list, err := call.source.Fetch(ctx)
 	switch {
 	case err != nil:
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -79,8 +79,10 @@
 	alive := func() { silence.Reset(silenceTimeout) }
 	in := bufio.NewReaderSize(notifyingReader{body, alive}, watchBufferBytes)
 	text := make([]byte, 0, watchBufferBytes)
+	arrival := arrivalOf(ctx)
+	defer arrival.end()
 	for {
-		if text, err = appendObject(in, text[:0]); err != nil {
+		if text, err = appendObject(in, text[:0], arrival.begin); err != nil {
 			return fmt.Errorf("discovery: watch ended: %w", errors.Join(err, context.Cause(ctx)))
 		}
 		l, err := Parse(text)
@@ -88,6 +90,7 @@
 			return err
 		}
 		deliver(l)
+		arrival.end()
 	}
 }
 
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -99,11 +99,11 @@
 	whiteSpace := strings.Repeat("\n", 3*maxListBytes)
 	endless := `{"a":"` + strings.Repeat("x", 2*maxListBytes)
 	in := bufio.NewReader(io.MultiReader(strings.NewReader(whiteSpace), strings.NewReader(completeList+endless)))
-	text, err := appendObject(in, nil)
+	text, err := appendObject(in, nil, func() {})
 	if err != nil || string(text) != completeList {
 		t.Errorf("behind white space: %d bytes, %v", len(text), err)
 	}
-	if text, err = appendObject(in, nil); !errors.Is(err, errTooLong) || len(text) > maxListBytes {
+	if text, err = appendObject(in, nil, func() {}); !errors.Is(err, errTooLong) || len(text) > maxListBytes {
 		t.Errorf("of an endless object: %d bytes, %v", len(text), err)
 	}
 }
--- a/internal/discovery/objects.go
+++ b/internal/discovery/objects.go
@@ -11,8 +11,9 @@
 )
 
 // appendObject appends the next JSON object of a stream to text, however it is broken into lines, and skips white
-// space before it. It only finds where the object ends; whether it is valid is for Parse.
-func appendObject(in *bufio.Reader, text []byte) ([]byte, error) {
+// space before it. It only finds where the object ends; whether it is valid is for Parse. It calls begun once a part
+// of the object has come.
+func appendObject(in *bufio.Reader, text []byte, begun func()) ([]byte, error) {
 	var s objectScanner
 	for {
 		if _, err := in.Peek(1); err != nil {
@@ -26,6 +27,9 @@
 		if err != nil {
 			return text, err
 		}
+		if len(text) == 0 && end > start {
+			begun()
+		}
 		text = append(text, buffered[start:end]...)
 		in.Discard(end) // does not fail: these bytes are buffered
 		if complete {
--- a/internal/pause/detector.go
+++ b/internal/pause/detector.go
@@ -15,7 +15,8 @@
 //  3. A reported pause reaches from the last check before it to the first after it: it is never shorter than
 //     the real pause, and longer by one check interval at most.
 //  4. After a pause sends are deferred until the endpoint list has been fetched anew, for
-//     [Limits.MaxDeferral] at most; then they are released in batches.
+//     [Limits.MaxDeferral] at most, or [Limits.MaxArrival] while a list is arriving; then they are released in
+//     batches.
 //  5. A request with side effects that may be older than its client's timeout, or than the window in which
 //     nodes drop its repeats, is rejected: it is never sent ([DecideByAge]).
 //
@@ -40,7 +41,8 @@
 type Limits struct {
 	CheckInterval   time.Duration // the clocks are checked at least this often
 	MinPause        time.Duration // the shortest pause that is reported
-	MaxDeferral     time.Duration // sends are deferred for this long at most
+	MaxDeferral     time.Duration // sends are deferred for this long at most, while no list arrives
+	MaxArrival      time.Duration // the same from the end of the pause, while one does
 	ReleaseBatch    int           // sends that are released at a time
 	ReleaseInterval time.Duration // between two batches
 }
@@ -53,6 +55,7 @@
 	CheckInterval:   50 * time.Millisecond,
 	MinPause:        300 * time.Millisecond,
 	MaxDeferral:     250 * time.Millisecond,
+	MaxArrival:      2 * time.Second,
 	ReleaseBatch:    32,
 	ReleaseInterval: 5 * time.Millisecond,
 }
@@ -117,6 +120,7 @@
 	lastPause     Interval
 	deadline      time.Duration // when recovering, the end of the deferral; when releasing, the next batch
 	deferredSends int           // see SetDeferredSends
+	listsArriving int           // see SetListsArriving
 }
 
 // New returns a Detector of a process that runs at the time of a reading.
@@ -136,6 +140,10 @@
 // SetDeferredSends sets the number of sends that are deferred now. It is called before each event.
 func (d *Detector) SetDeferredSends(n int) { d.deferredSends = n }
 
+// SetListsArriving sets the number of endpoint lists of which a part has come and that are not in force yet. It is
+// called before each event.
+func (d *Detector) SetListsArriving(n int) { d.listsArriving = n }
+
 // Handle handles an event at a time, and appends the actions that follow to out. A check of the clocks at a
 // time before the last check's was overtaken by that, and detects nothing.
 func (d *Detector) Handle(now time.Duration, event Event, out []Action) []Action {
@@ -146,6 +154,9 @@
 	}
 	_, refreshed := event.(ListsRefreshed)
 	if d.state == recovering && (refreshed || now >= d.deadline) {
+		if d.awaitsList(now) {
+			return d.extendDeferral(now, out)
+		}
 		d.state, d.deadline = releasing, now
 	}
 	if d.state == releasing && now >= d.deadline {
@@ -154,6 +165,17 @@
 	return out
 }
 
+// awaitsList reports whether a list is arriving that may say what was reported during the pause.
+func (d *Detector) awaitsList(now time.Duration) bool {
+	return d.listsArriving > 0 && now < d.lastPause.End+d.limits.MaxArrival
+}
+
+// extendDeferral defers sends until the next check of the clocks.
+func (d *Detector) extendDeferral(now time.Duration, out []Action) []Action {
+	d.deadline = min(now+d.limits.CheckInterval, d.lastPause.End+d.limits.MaxArrival)
+	return append(out, CheckAgain{d.deadline - now})
+}
+
 // checkClocks takes a reading of the clocks, and reports whether it has detected a pause.
 func (d *Detector) checkClocks(now, totalSleep time.Duration) bool {
 	previous := d.lastReading
--- a/internal/pause/detector_test.go
+++ b/internal/pause/detector_test.go
@@ -100,6 +100,48 @@
 	}
 }
 
+// TestArrivingListExtendsDeferral guards guarantee 4: nothing is released while a list arrives, even after another was
+// fetched, until it is in force or MaxArrival has passed.
+func TestArrivingListExtendsDeferral(t *testing.T) {
+	for name, steps := range map[string][]struct {
+		at       time.Duration
+		event    Event
+		arriving int
+		want     []Action
+	}{
+		"a list that comes": {
+			{time.Second, checked, 0, paused(0, time.Second, 0)},
+			{1249 * ms, checked, 1, nil},
+			{1250 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{1260 * ms, checked, 1, nil},
+			{1270 * ms, refreshed, 1, []Action{CheckAgain{50 * ms}}},
+			{1320 * ms, checked, 0, []Action{Resumed{320 * ms}}},
+		},
+		"a list that stops half way": {
+			{time.Second, checked, 0, paused(0, time.Second, 0)},
+			{1250 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{1500 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{1750 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{2000 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{2250 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{2500 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{2750 * ms, checked, 1, []Action{CheckAgain{50 * ms}}},
+			{2990 * ms, checked, 1, []Action{CheckAgain{10 * ms}}},
+			{3000 * ms, checked, 1, []Action{Resumed{2 * time.Second}}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			detector := New(DefaultLimits, ClockReading{})
+			for i, step := range steps {
+				detector.SetListsArriving(step.arriving)
+				if got := detector.Handle(step.at, step.event, nil); !reflect.DeepEqual(got, step.want) {
+					t.Fatalf("step %d at %v: %+v, want %+v", i, step.at, got, step.want)
+				}
+			}
+		})
+	}
+}
+
 // randomGap is what happens between two checks of the clocks in a random run.
 type randomGap struct {
 	jitter time.Duration // by which the check is late, within its interval
