fleettest: judge a kill by when a connection was dialed, not when its goroutine ran

Cause: openedAt was read after the dial had returned. Where that goroutine was late, a connection to the process that was being killed counted as opened after its end, and as lost. Change: the time before the dial counts. As strict: a dial that begins after the process's end reaches its successor's listener or none, so nothing of another process is excused.

--- a/internal/fleettest/attempt.go
+++ b/internal/fleettest/attempt.go
@@ -131,6 +131,7 @@
 }
 
 func dial(address string) (*clientConn, error) {
+	start := time.Now()
 	socket, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, err
@@ -138,7 +139,7 @@
 	return &clientConn{
 		socket:   socket,
 		reader:   bufio.NewReaderSize(socket, connBufferBytes),
-		openedAt: time.Now(),
+		dialedAt: start,
 	}, nil
 }
 
--- a/internal/fleettest/judge.go
+++ b/internal/fleettest/judge.go
@@ -53,7 +53,7 @@
 	if w.isExcused(p, sent, sent.Add(took)) {
 		return timedOut
 	}
-	if p.wasKilledSince(conn.openedAt, sent) {
+	if p.wasKilledSince(conn.dialedAt, sent) {
 		w.recorder.atKilledProxy()
 		return timedOut // the client has to decide: it may have run
 	}
@@ -77,12 +77,13 @@
 	return crossedClose
 }
 
-// wasKilledSince reports whether the proxy was killed after a connection came up, and about when a request was sent.
-func (p *proxyInstance) wasKilledSince(opened, sent time.Time) bool {
+// wasKilledSince reports whether the proxy was killed after a connection was dialed, and about when a request was sent:
+// one that was dialed later came up at another process.
+func (p *proxyInstance) wasKilledSince(dialed, sent time.Time) bool {
 	p.mu.Lock()
 	killed := p.killedAt
 	p.mu.Unlock()
-	return killed.After(opened) && killed.After(sent.Add(-processTimeout)) && time.Since(killed) < processTimeout
+	return killed.After(dialed) && killed.After(sent.Add(-processTimeout)) && time.Since(killed) < processTimeout
 }
 
 // judgeCloseRace counts a request whose idle connection was closed as it was sent, by whether a node has seen it.
--- a/internal/fleettest/workload.go
+++ b/internal/fleettest/workload.go
@@ -74,7 +74,7 @@
 type clientConn struct {
 	socket    net.Conn
 	reader    *bufio.Reader
-	openedAt  time.Time
+	dialedAt  time.Time // when opening it began
 	idleSince time.Time
 	used      bool // it has carried a request
 	binary    bool
