--- a/cmd/mulleinpier/harness_test.go
+++ b/cmd/mulleinpier/harness_test.go
@@ -65,13 +65,7 @@
 		t.Cleanup(started.Close)
 		d.nodes = append(d.nodes, started)
 	}
-	// No connection has this as its source address, so none can take the port.
-	free, err := net.Listen("tcp", "127.0.0.3:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.address = free.Addr().String()
-	free.Close()
+	d.address = freeAddress(t)
 	d.path = filepath.Join(t.TempDir(), "daemon.toml")
 	d.configure("")
 	return d
--- a/cmd/mulleinpier/peers_test.go
+++ b/cmd/mulleinpier/peers_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestTerminationIsAcknowledged guards shutdowns of a whole fleet: two terminations that come while a process is stopped
-// are one to it, so who sends the second has to learn when the first was received.
+// TestTerminationIsAcknowledged guards shutdowns of a whole fleet: two terminations that come while a process is
+// stopped are one to it, so who sends the second has to learn when the first was received.
 func TestTerminationIsAcknowledged(t *testing.T) {
 	fleet := agent.Fleet{Name: "test", Voters: []agent.VoterAddress{{Name: "v0", Address: freeAddress(t)}}}
 	d := newTestDaemon(t, node.Config{})
--- a/internal/core/refresh.go
+++ b/internal/core/refresh.go
@@ -49,15 +49,6 @@
 	}
 }
 
-// noteListArrival counts a list as arriving, or not any more.
-func (c *Core) noteListArrival(arriving bool) {
-	if arriving {
-		c.pause.listsArriving.Add(1)
-	} else {
-		c.pause.listsArriving.Add(-1)
-	}
-}
-
 // awaitAnswer ends the returned context if no answer begins in the time for which sends are deferred. An answer that
 // has begun counts as a list that arrives until done.
 func (c *Core) awaitAnswer(ctx context.Context) (answered context.Context, done func()) {
@@ -67,14 +58,14 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		silence.Stop()
 		if arriving.CompareAndSwap(false, true) {
-			c.noteListArrival(true)
+			c.pause.listsArriving.Add(1)
 		}
 	}})
 	return ctx, func() {
 		silence.Stop()
 		cancel()
 		if arriving.Swap(true) {
-			c.noteListArrival(false)
+			c.pause.listsArriving.Add(-1)
 		}
 	}
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -72,26 +72,13 @@
 		c.observeSleep()
 	}
 	c.observeClocks()
-	tenant, known := c.rules.tenant(in.Tenant)
-	if !known {
-		c.answerInvalid(in, reply, "unknown tenant")
-		return nil
-	}
-	if class.Idempotency == policy.IdempotentWithKey && in.IdempotencyKey == "" {
-		c.answerInvalid(in, reply, "missing k") // no node could drop its repeats
-		return nil
-	}
-	// Answers and duplicates of a request are told apart by the id alone.
-	if _, taken := c.requestIDs[in.ID]; taken {
-		c.answerInvalid(in, reply, "id in use")
+	tenant, defect := c.checkRequest(in, class)
+	if defect != "" {
+		c.answerInvalid(in, reply, defect)
 		return nil
 	}
-	if c.aborted {
-		c.answerRejected(in, reply, "process ends", c.balancer.RetryAfter(classIndex))
-		return nil
-	}
-	if !c.hasCapacity(class) {
-		c.answerRejected(in, reply, "no capacity", c.balancer.RetryAfter(classIndex))
+	if reason := c.refusalOf(class); reason != "" {
+		c.answerRejected(in, reply, reason, c.balancer.RetryAfter(classIndex))
 		return nil
 	}
 	deadline, tooOld := c.decideByAge(in, class, effectiveTimeout(in, class))
@@ -107,6 +94,34 @@
 	return req
 }
 
+// checkRequest returns the index of a request's tenant, or what is wrong with the request, "" for nothing. c.mu is
+// held.
+func (c *Core) checkRequest(in *request.Request, class *policy.Class) (tenant int, defect string) {
+	tenant, known := c.rules.tenant(in.Tenant)
+	if !known {
+		return 0, "unknown tenant"
+	}
+	if class.Idempotency == policy.IdempotentWithKey && in.IdempotencyKey == "" {
+		return 0, "missing k" // no node could drop its repeats
+	}
+	// Answers and duplicates of a request are told apart by the id alone.
+	if _, taken := c.requestIDs[in.ID]; taken {
+		return 0, "id in use"
+	}
+	return tenant, ""
+}
+
+// refusalOf returns why no request of a class is accepted now, "" for no reason. c.mu is held.
+func (c *Core) refusalOf(class *policy.Class) string {
+	switch {
+	case c.aborted:
+		return "process ends"
+	case !c.hasCapacity(class):
+		return "no capacity"
+	}
+	return ""
+}
+
 // effectiveTimeout returns how long a client waits, at most as long as the class allows: a request that
 // claims more would occupy its capacity and its timers for as long.
 func effectiveTimeout(in *request.Request, class *policy.Class) time.Duration {
--- a/internal/core/sources.go
+++ b/internal/core/sources.go
@@ -115,7 +115,7 @@
 	}
 	for ctx.Err() == nil {
 		call.knownVersion = c.sourceVersion(name)
-		err := f.source.Watch(discovery.WithArrivals(ctx, c.noteListArrival), 0, apply)
+		err := f.source.Watch(discovery.WithArrivals(ctx, &c.pause.listsArriving), 0, apply)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -179,7 +179,7 @@
 
 // watch runs one watch to its end. It has a goroutine of its own.
 func (s *subscriptions) watch(ctx context.Context, sub *subscription) {
-	ctx = discovery.WithArrivals(ctx, s.noteListArrival)
+	ctx = discovery.WithArrivals(ctx, &s.pause.listsArriving)
 	err := sub.call.source.Watch(ctx, sub.call.knownVersion, func(list discovery.List) {
 		if ctx.Err() == nil {
 			s.applyList(sub.call, list, policy.EndpointsDelta)
--- a/internal/discovery/arrival.go
+++ b/internal/discovery/arrival.go
@@ -1,40 +1,43 @@
 package discovery
 
-import "context"
+import (
+	"context"
+	"sync/atomic"
+)
 
-// arrivalKey finds the function of WithArrivals in a context.
+// arrivalKey finds the counter of WithArrivals in a context.
 type arrivalKey struct{}
 
-// WithArrivals has report called with true as a part of a list has come to a watch under the context, and with false
-// once the list was delivered, or will never be.
-func WithArrivals(ctx context.Context, report func(arriving bool)) context.Context {
-	return context.WithValue(ctx, arrivalKey{}, report)
+// WithArrivals has the watches under the context count the lists of which a part has come and that have not been
+// delivered yet.
+func WithArrivals(ctx context.Context, arriving *atomic.Int32) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, arriving)
 }
 
-// arrival reports the lists of one watch, each from its first part to its delivery.
+// arrival counts the lists of one watch, each from its first part to its delivery.
 type arrival struct {
-	report func(arriving bool) // nil for nobody
-	begun  bool
+	arriving *atomic.Int32 // nil where nobody asks
+	begun    bool
 }
 
 // arrivalOf returns the arrivals that the context of a watch asks for.
 func arrivalOf(ctx context.Context) *arrival {
-	report, _ := ctx.Value(arrivalKey{}).(func(arriving bool))
-	return &arrival{report: report}
+	arriving, _ := ctx.Value(arrivalKey{}).(*atomic.Int32)
+	return &arrival{arriving: arriving}
 }
 
-// begin reports that a part of a list has come.
+// begin notes that a part of a list has come.
 func (a *arrival) begin() {
-	if a.report != nil && !a.begun {
+	if a.arriving != nil && !a.begun {
 		a.begun = true
-		a.report(true)
+		a.arriving.Add(1)
 	}
 }
 
-// end reports that the list was delivered, or will never be.
+// end notes that the list was delivered, or will never be.
 func (a *arrival) end() {
 	if a.begun {
 		a.begun = false
-		a.report(false)
+		a.arriving.Add(-1)
 	}
 }
