--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -47,11 +47,11 @@
 		}
 		l.TCPListener = opened.(*net.TCPListener)
 	} else {
-		duplicate, err := inherited.File()
+		shared, err := pollableDuplicate(inherited)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		l.shared = duplicate
+		l.shared = shared
 	}
 	s.listeners = append(s.listeners, l)
 	return nil
--- a/internal/proxy/sharedlistener.go
+++ b/internal/proxy/sharedlistener.go
@@ -5,11 +5,39 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 )
 
 // This file accepts connections by their descriptors: where the listener is shared with other processes, and where
 // nothing may wait.
 
+// maxDuplicates bounds the tries to duplicate a listener while another process makes it blocking.
+const maxDuplicates = 100
+
+// pollableDuplicate returns a duplicate of a listener for which deadlines work. They do not for one that is blocking as
+// it is duplicated, which another process may make it at any time.
+func pollableDuplicate(l *net.TCPListener) (*os.File, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	for range maxDuplicates {
+		controlErr := raw.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), true) })
+		if err = errors.Join(err, controlErr); err != nil {
+			return nil, err
+		}
+		duplicate, err := l.File()
+		if err != nil {
+			return nil, err
+		}
+		if duplicate.SetDeadline(time.Time{}) == nil {
+			return duplicate, nil
+		}
+		duplicate.Close()
+	}
+	return nil, os.ErrNoDeadline
+}
+
 // acceptShared is AcceptTCP for a listener whose flags are shared with other processes: passing it to a further process
 // makes it blocking in this one too, and no deadline reaches an accept that blocks. So it is made non-blocking again
 // right before each accept.
