Log what each connection to a node carried: writes, answers, malformed data

Change: three events, "attempt written", "node answered" and "node data malformed", and the number of the connection in them and in "node disconnected". They say how many answers the connection had before, how long ago the last one came, whether the answer names its request (request.Answer.Attributed, set by both dialects), and the first 64 bytes of data that is no answer. The line "node answer malformed" stays limited to one a second; the events are not.

Measured: tests of upstream, eventlog, request, meta, binary, core, proxy and doccheck pass with -race. No decision changes.

--- a/internal/binary/node.go
+++ b/internal/binary/node.go
@@ -61,7 +61,7 @@
 	case h.BodyLen > maxTextLen:
 		return request.Answer{}, fmt.Errorf("%w: text of %d bytes is too long", ErrMalformedAnswer, h.BodyLen)
 	}
-	answer := request.Answer{Kind: request.Failed}
+	answer := request.Answer{Kind: request.Failed, Attributed: true}
 	if h.Status == Busy {
 		answer.Kind = request.Busy
 	} else if h.Status == NotFound && r.Verb == request.Get {
@@ -96,7 +96,7 @@
 
 // storedAnswer returns the answer to a successful set, whose receipt is its CAS.
 func storedAnswer(h *Header) (request.Answer, error) {
-	answer := request.Answer{Kind: request.Stored, Receipt: strconv.FormatUint(h.CAS, 10)}
+	answer := request.Answer{Kind: request.Stored, Receipt: strconv.FormatUint(h.CAS, 10), Attributed: true}
 	if h.BodyLen != 0 {
 		return answer, fmt.Errorf("%w: answer to a set has a body of %d bytes", ErrMalformedAnswer, h.BodyLen)
 	}
@@ -114,6 +114,7 @@
 		return answer, err
 	}
 	answer.Flags = binary.BigEndian.Uint32(flags[:])
+	answer.Attributed = true
 	_, err = io.ReadFull(in, answer.AllocateValue(r.HeaderRoom, h.ValueLen()))
 	return answer, err
 }
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -128,6 +128,73 @@
 	}
 }
 
+// AttemptWritten reports an attempt whose last byte has been written to a node.
+type AttemptWritten struct {
+	RequestID  string
+	Attempt    int
+	Node       string
+	Connection uint64 // number of the connection, unique in this process
+	Answers    int    // answers that have been read on the connection before
+}
+
+func (e AttemptWritten) describe() (string, []slog.Attr) {
+	return "attempt written", []slog.Attr{
+		slog.String("request", e.RequestID),
+		slog.Int("attempt", e.Attempt),
+		slog.String("node", e.Node),
+		slog.Uint64("connection", e.Connection),
+		slog.Int("answers", e.Answers),
+	}
+}
+
+// NodeAnswered reports an answer that was read while an attempt was in flight.
+type NodeAnswered struct {
+	RequestID  string
+	Attempt    int
+	Node       string
+	Connection uint64
+	Answer     string        // kind of answer
+	Attributed bool          // the answer names the request that it belongs to
+	Answers    int           // answers that have been read on the connection before
+	SinceLast  time.Duration // time since the answer before it, zero for the first
+}
+
+func (e NodeAnswered) describe() (string, []slog.Attr) {
+	return "node answered", []slog.Attr{
+		slog.String("request", e.RequestID),
+		slog.Int("attempt", e.Attempt),
+		slog.String("node", e.Node),
+		slog.Uint64("connection", e.Connection),
+		slog.String("answer", e.Answer),
+		slog.Bool("attributed", e.Attributed),
+		slog.Int("answers", e.Answers),
+		slog.Duration("since_last", e.SinceLast),
+	}
+}
+
+// NodeDataMalformed reports data from a node that is no answer to an attempt in flight.
+type NodeDataMalformed struct {
+	Node       string
+	Connection uint64
+	Err        error
+	InFlight   int           // attempts that were written to the connection but not answered
+	Answers    int           // answers that have been read on the connection before
+	SinceLast  time.Duration // time since the answer before it, zero for the first
+	Data       string        // the first unread bytes
+}
+
+func (e NodeDataMalformed) describe() (string, []slog.Attr) {
+	return "node data malformed", []slog.Attr{
+		slog.String("node", e.Node),
+		slog.Uint64("connection", e.Connection),
+		slog.Any("error", e.Err),
+		slog.Int("in_flight", e.InFlight),
+		slog.Int("answers", e.Answers),
+		slog.Duration("since_last", e.SinceLast),
+		slog.String("data", e.Data),
+	}
+}
+
 // ClientConnected reports a new connection from a client.
 type ClientConnected struct {
 	Client string // address of the client
@@ -181,15 +248,17 @@
 
 // NodeDisconnected reports the end of a connection to a node.
 type NodeDisconnected struct {
-	Node     string
-	Reason   string
-	InFlight int // attempts that were written to the connection but not answered
-	Queued   int // attempts that were not yet written to the connection
+	Node       string
+	Connection uint64
+	Reason     string
+	InFlight   int // attempts that were written to the connection but not answered
+	Queued     int // attempts that were not yet written to the connection
 }
 
 func (e NodeDisconnected) describe() (string, []slog.Attr) {
 	return "node disconnected", []slog.Attr{
 		slog.String("node", e.Node),
+		slog.Uint64("connection", e.Connection),
 		slog.String("reason", e.Reason),
 		slog.Int("in_flight", e.InFlight),
 		slog.Int("queued", e.Queued),
--- a/internal/meta/node.go
+++ b/internal/meta/node.go
@@ -106,6 +106,7 @@
 		Coalesced:  line.Coalesced,
 		Receipt:    string(line.Receipt),
 		LoadReport: bytes.Clone(line.LoadReport), // the line is in the buffer of the reader
+		Attributed: len(line.ID) > 0,
 	}
 	if line.Kind == request.Value {
 		err = readValue(in, &answer, r.HeaderRoom, line.ValueLen)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -94,6 +94,7 @@
 	Miss       bool          // the node did not have the key cached
 	Coalesced  bool          // for a miss: another fetch of the key was already under way
 	LoadReport []byte        // the node's load report; nil for none
+	Attributed bool          // the node has named the request that this answers
 
 	buffer     []byte
 	start, end int // bounds of the value in buffer
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 // conn is one connection to a node. Its fields are guarded by Pool.mu.
 type conn struct {
 	pool       *Pool
+	number     uint64 // identifies the connection in the event log
 	node       *node
 	socket     *net.TCPConn
 	dialect    Dialect
@@ -29,7 +30,11 @@
 	writeFailed bool // nothing more is written; answers that came before the failure are still read
 	malformed   bool // the answer to the first attempt of inFlight can't be parsed
 	closed      bool
-	hasServed   bool // an answer other than busy has come; used by the reader only, without the lock
+	answers     int // answers read so far
+
+	// Used by the reader only, without the lock.
+	hasServed    bool      // an answer other than busy has come
+	lastAnswerAt time.Time // when the latest answer was read
 }
 
 // newConn wraps an established connection and starts its reader and writer. p.mu is held.
@@ -39,8 +44,10 @@
 	if dialect == nil {
 		dialect = p.dialect
 	}
+	p.connectionsOpened++
 	c := &conn{
 		pool:       p,
+		number:     p.connectionsOpened,
 		node:       n,
 		socket:     socket,
 		dialect:    dialect,
@@ -90,10 +97,11 @@
 	c.closed = true
 	if recorder := c.pool.recorder; recorder.Enabled() {
 		recorder.Record(eventlog.NodeDisconnected{
-			Node:     c.node.Name,
-			Reason:   reason,
-			InFlight: len(c.inFlight),
-			Queued:   len(c.queued) + c.beingChecked,
+			Node:       c.node.Name,
+			Connection: c.number,
+			Reason:     reason,
+			InFlight:   len(c.inFlight),
+			Queued:     len(c.queued) + c.beingChecked,
 		})
 	}
 	c.pool.connections--
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,8 +62,9 @@
 	limits             Limits
 	budget             connlimit.Budget
 	nodes              map[string]*node
-	connections        int  // open or being established, to all nodes
-	closed             bool // Run is ending: nothing is sent or dialed any more
+	connections        int    // open or being established, to all nodes
+	connectionsOpened  uint64 // established so far
+	closed             bool   // Run is ending: nothing is sent or dialed any more
 	counts             Counts
 	lastWarning        time.Time     // time of the last warning about a malformed answer
 	suppressedWarnings int           // malformed answers since lastWarning that were not logged
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -28,10 +28,12 @@
 // runReader reads answers until the connection ends. It closes the connection at the first byte that is not part of
 // the expected answer, since it can't find the start of the next answer from there.
 func (c *conn) runReader() {
-	err := c.readAnswers(bufio.NewReaderSize(c.socket, readBufferSize))
+	in := bufio.NewReaderSize(c.socket, readBufferSize)
+	err := c.readAnswers(in)
 	c.pool.mu.Lock()
 	if !c.closed && !c.writeFailed && isMalformed(err) {
 		c.malformed = true
+		c.recordMalformed(in, err)
 		c.pool.warnMalformed(c.node.Name, err)
 	}
 	c.close("read: " + err.Error())
@@ -71,7 +73,7 @@
 			busyResult = ConnectionLimitReached
 			c.pool.handleConnectionLimit(c)
 		}
-		c.completeFirst(in)
+		c.completeFirst(in, a, &answer)
 		c.reportAnswer(a, &answer, busyResult)
 	}
 }
@@ -106,10 +108,14 @@
 
 // completeFirst removes the attempt that was just answered. If data beyond its answer has arrived and nothing else is
 // in flight, the connection gets no new attempts, since the data could be read as the answer to the next attempt.
-func (c *conn) completeFirst(in *bufio.Reader) {
+func (c *conn) completeFirst(in *bufio.Reader, a *Attempt, answer *request.Answer) {
 	moreArrived := in.Buffered() > 0 || socket.Readable(c.socket)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.recordAnswer(a, answer)
+	c.answers++
+	c.lastActive = time.Now()
+	c.lastAnswerAt = c.lastActive
 	if !c.writeFailed {
 		c.socket.SetReadDeadline(time.Time{})
 	}
@@ -118,7 +124,6 @@
 	}
 	c.inFlight[0] = nil
 	c.inFlight = c.inFlight[1:]
-	c.lastActive = time.Now()
 	if moreArrived && len(c.inFlight) == 0 && !c.writing {
 		c.retired = true
 	}
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -78,6 +78,7 @@
 			c.pool.handler.WrittenLate(batch, delay)
 		}
 		c.pool.mu.Lock()
+		c.recordWritten(batch, written, written+n)
 		written += n
 		timedOut := socket.IsTimeout(err)
 		if timedOut && !c.closed {
