--- a/internal/fake/node/connection.go
+++ b/internal/fake/node/connection.go
@@ -18,6 +18,7 @@
 	socket  *net.TCPConn
 	changed sync.Cond // signalled when a field below changes or a request is answered; uses Node.mu
 	pending []*pendingRequest
+	second  []byte // a second answer to an earlier request, sent when the next request arrives; nil for none
 	closed  bool
 }
 
@@ -74,6 +75,7 @@
 	if c.closed {
 		return false
 	}
+	c.appendSecondAnswer()
 	c.pending = append(c.pending, r)
 	if r.answer == nil {
 		n.admit(r, arrived)
@@ -82,6 +84,14 @@
 	return true
 }
 
+// appendSecondAnswer queues the second answer to an earlier request, if there is one. Node.mu is held.
+func (c *connection) appendSecondAnswer() {
+	if c.second != nil {
+		c.pending = append(c.pending, &pendingRequest{connection: c, answer: c.second})
+		c.second = nil
+	}
+}
+
 // finish closes the connection once all requests are answered: a client that has stopped sending may still read.
 func (c *connection) finish() {
 	n := c.node
--- a/internal/fake/node/execution.go
+++ b/internal/fake/node/execution.go
@@ -164,7 +164,7 @@
 	n.mu.Lock()
 }
 
-// reply answers a request, and applies Garbage or Late if one of these affects it. n.mu is held.
+// reply answers a request, and applies Garbage, Late or SecondBusy if one of these affects it. n.mu is held.
 func (n *Node) reply(r *pendingRequest, result outcome) {
 	answer := n.encode(r, result)
 	deliver := func() {
@@ -174,6 +174,8 @@
 	switch r.fault {
 	case Garbage:
 		answer = n.malformedAnswer(r)
+	case SecondBusy:
+		r.connection.second = n.encode(r, outcome{kind: request.Busy})
 	case Late:
 		time.AfterFunc(n.fault.Delay, func() {
 			n.mu.Lock()
--- a/internal/fake/node/fault.go
+++ b/internal/fake/node/fault.go
@@ -13,23 +13,26 @@
 
 // The kinds of faults.
 const (
-	NoFault     FaultKind = ""
-	Stall       FaultKind = "stall"   // nothing is started or answered, but connections are accepted
-	Reset       FaultKind = "reset"   // the connection is reset once a request has been executed
-	Late        FaultKind = "late"    // an answer is delayed by Fault.Delay
-	Busy        FaultKind = "busy"    // requests are rejected without being executed
-	Garbage     FaultKind = "garbage" // the request is executed, the answer is malformed
-	ProcessDown FaultKind = "refuse"  // the process is down: connections are reset and refused
-	MachineDown FaultKind = "vanish"  // the machine is unreachable: nothing is sent, connection attempts time out
+	NoFault FaultKind = ""
+	Stall   FaultKind = "stall"   // nothing is started or answered, but connections are accepted
+	Reset   FaultKind = "reset"   // the connection is reset once a request has been executed
+	Late    FaultKind = "late"    // an answer is delayed by Fault.Delay
+	Busy    FaultKind = "busy"    // requests are rejected without being executed
+	Garbage FaultKind = "garbage" // the request is executed, the answer is malformed
+	// SecondBusy sends a second answer, busy, after the regular one: it arrives while the next request on the
+	// connection is in flight.
+	SecondBusy  FaultKind = "second-busy"
+	ProcessDown FaultKind = "refuse" // the process is down: connections are reset and refused
+	MachineDown FaultKind = "vanish" // the machine is unreachable: nothing is sent, connection attempts time out
 )
 
 // Faults lists all kinds of faults.
-var Faults = []FaultKind{NoFault, Stall, Reset, Late, Busy, Garbage, ProcessDown, MachineDown}
+var Faults = []FaultKind{NoFault, Stall, Reset, Late, Busy, Garbage, SecondBusy, ProcessDown, MachineDown}
 
 // Fault is a fault of a node and the share of requests that it affects. The zero value is no fault.
 type Fault struct {
 	Kind  FaultKind
-	OneIn int           // Reset, Late, Busy and Garbage affect one request in this many; 0 and 1 mean all
+	OneIn int           // faults of single requests affect one request in this many; 0 and 1 mean all
 	Delay time.Duration // of Late
 }
 
@@ -44,7 +47,7 @@
 
 // affectsSingleRequests reports whether requests are affected one by one, as opposed to the node as a whole.
 func (k FaultKind) affectsSingleRequests() bool {
-	return k == Reset || k == Late || k == Busy || k == Garbage
+	return k == Reset || k == Late || k == Busy || k == Garbage || k == SecondBusy
 }
 
 // SetFault replaces the node's present fault. The zero Fault ends it. An error means that the listener could not be
--- a/internal/fake/node/node_test.go
+++ b/internal/fake/node/node_test.go
@@ -171,6 +171,18 @@
 			t.Errorf("answered %q", got)
 		}
 	},
+	SecondBusy: func(t *testing.T, _ *Node, c *testClient) {
+		if got := c.answer(); !strings.HasPrefix(got, "VA ") || !c.isSilent() {
+			t.Errorf("answered %q, or twice at once", got)
+		}
+		c.send("mg k v O2 Pc=read\r\n")
+		if got := c.answer(); got != "SERVER_ERROR busy\r\n" {
+			t.Errorf("the second answer is %q", got)
+		}
+		if got := c.answer(); !strings.Contains(got, " O2 ") {
+			t.Errorf("the next request was answered %q", got)
+		}
+	},
 	ProcessDown: func(t *testing.T, n *Node, c *testClient) {
 		if got := c.answer(); got != "" {
 			t.Errorf("answered %q", got)
