Confirm answers that name no request before an attempt counts as not executed

Cause: "SERVER_ERROR busy", "SERVER_ERROR failed" and "EN" carry no id. The reader of a connection took such a line for the answer to the oldest attempt in flight (readAnswers, firstInFlight). Nodes may send a second answer to an earlier request some milliseconds later; if it arrived while the next attempt was in flight, that attempt ended as rejected, which promises that it never ran. The connection stayed in use, and the real answer then ended the attempt after it as malformed.

Change: for requests that must not run twice or beside another attempt (request.RunsAlone), and for EN always, such a line is held unless it is the first answer on its connection. "mn" is sent behind it. Nodes answer in order: if an answer with an id comes first, what was held belonged to earlier requests; if MN comes first, it was the answer. The connection then gets no new attempts, because a second MN would be as ambiguous. Where no "mn" may be sent (client gone, deadline over, node draining), the attempt counts as possibly executed. Several attempts in flight are told apart in the same way; held lines of different kinds that can't be told apart count as a failure. Safe requests that may be hedged end at once as before, and answers in the binary protocol name their request by the opaque.

Why this holds: it rests on the order of answers on a connection alone, which the protocol page promises, not on times.

New tests of the pool: ten answers of one attempt, seven of three in flight.

--- a/internal/binary/node.go
+++ b/internal/binary/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,57 +47,81 @@
 // AppendTail appends what follows a request's value: nothing.
 func (NodeDialect) AppendTail(dst []byte, _ *request.Request) []byte { return dst }
 
-// ReadAnswer reads the answer to a request. After an error the start of the next answer is unknown, so the connection
-// cannot be used any more.
-func (NodeDialect) ReadAnswer(in *bufio.Reader, r *request.Request) (request.Answer, error) {
-	h, err := readAnswerHeader(in, r)
+// AppendNoop appends a command without effect. A node answers it after all commands before it. It is never needed,
+// since each answer names its request.
+func (NodeDialect) AppendNoop(dst []byte) []byte {
+	h := Header{Opcode: Noop}
+	return h.Append(dst, RequestMagic)
+}
+
+// ReadAnswer reads the answer to one of the expected requests, and returns the index of that request. After an error
+// the start of the next answer is unknown, so the connection cannot be used any more.
+func (NodeDialect) ReadAnswer(
+	in *bufio.Reader, expected []*request.Request,
+) (answer request.Answer, index int, err error) {
+	h, index, err := readAnswerHeader(in, expected)
 	if err != nil {
-		return request.Answer{}, err
+		return answer, 0, err
 	}
+	r := expected[index]
 	switch {
 	case h.Status == OK && r.Verb == request.Set:
-		return storedAnswer(&h)
+		answer, err = storedAnswer(&h)
 	case h.Status == OK:
-		return readValue(in, &h, r)
-	case h.BodyLen > maxTextLen:
-		return request.Answer{}, fmt.Errorf("%w: text of %d bytes is too long", ErrMalformedAnswer, h.BodyLen)
+		answer, err = readValue(in, &h, r)
+	default:
+		answer, err = readError(in, &h, r)
 	}
-	answer := request.Answer{Kind: request.Failed, Attributed: true}
-	if h.Status == Busy {
+	answer.Attributed = true
+	return answer, index, err
+}
+
+// readError reads the rest of an answer that has no value.
+func readError(in *bufio.Reader, h *Header, r *request.Request) (request.Answer, error) {
+	answer := request.Answer{Kind: request.Failed}
+	switch {
+	case h.BodyLen > maxTextLen:
+		return answer, fmt.Errorf("%w: text of %d bytes is too long", ErrMalformedAnswer, h.BodyLen)
+	case h.Status == Busy:
 		answer.Kind = request.Busy
-	} else if h.Status == NotFound && r.Verb == request.Get {
+	case h.Status == NotFound && r.Verb == request.Get:
 		answer.Kind = request.NotFound
 	}
-	_, err = in.Discard(h.BodyLen)
+	_, err := in.Discard(h.BodyLen)
 	return answer, err
 }
 
-// readAnswerHeader reads the header of an answer. It returns an error for an answer to another request: passing it on
-// would be worse than losing the connection.
-func readAnswerHeader(in *bufio.Reader, r *request.Request) (Header, error) {
+// readAnswerHeader reads the header of an answer, and returns the index of the expected request that it names. It
+// returns an error for an answer to another request: passing it on would be worse than losing the connection.
+func readAnswerHeader(in *bufio.Reader, expected []*request.Request) (h Header, index int, err error) {
 	text, err := in.Peek(HeaderLen)
 	if err != nil {
-		return Header{}, err
+		return h, 0, err
 	}
-	h, err := ParseHeader(text, ResponseMagic)
+	h, err = ParseHeader(text, ResponseMagic)
 	if err != nil {
-		return h, fmt.Errorf("%w: %w", ErrMalformedAnswer, err)
+		return h, 0, fmt.Errorf("%w: %w", ErrMalformedAnswer, err)
 	}
-	want := Get
-	if r.Verb == request.Set {
-		want = Set
-	}
-	if h.Opcode != want || h.Opaque != r.Serial || h.DataType != 0 {
-		return h, fmt.Errorf("%w: opcode %#x with opaque %#x: want %#x with %#x",
-			ErrMalformedAnswer, h.Opcode, h.Opaque, want, r.Serial)
+	index = slices.IndexFunc(expected, func(r *request.Request) bool { return r.Serial == h.Opaque })
+	if index < 0 || h.Opcode != opcodeOf(expected[index]) || h.DataType != 0 {
+		return h, 0, fmt.Errorf("%w: opcode %#x with opaque %#x: want %#x with %#x",
+			ErrMalformedAnswer, h.Opcode, h.Opaque, opcodeOf(expected[0]), expected[0].Serial)
 	}
 	in.Discard(HeaderLen) // cannot fail after Peek
-	return h, nil
+	return h, index, nil
+}
+
+// opcodeOf returns the opcode of a request.
+func opcodeOf(r *request.Request) Opcode {
+	if r.Verb == request.Set {
+		return Set
+	}
+	return Get
 }
 
 // storedAnswer returns the answer to a successful set, whose receipt is its CAS.
 func storedAnswer(h *Header) (request.Answer, error) {
-	answer := request.Answer{Kind: request.Stored, Receipt: strconv.FormatUint(h.CAS, 10), Attributed: true}
+	answer := request.Answer{Kind: request.Stored, Receipt: strconv.FormatUint(h.CAS, 10)}
 	if h.BodyLen != 0 {
 		return answer, fmt.Errorf("%w: answer to a set has a body of %d bytes", ErrMalformedAnswer, h.BodyLen)
 	}
@@ -114,7 +139,6 @@
 		return answer, err
 	}
 	answer.Flags = binary.BigEndian.Uint32(flags[:])
-	answer.Attributed = true
 	_, err = io.ReadFull(in, answer.AllocateValue(r.HeaderRoom, h.ValueLen()))
 	return answer, err
 }
--- a/internal/binary/node_test.go
+++ b/internal/binary/node_test.go
@@ -22,7 +22,7 @@
 			r.Verb = request.Set
 		}
 		in := bufio.NewReader(bytes.NewReader(text))
-		answer, err := NodeDialect{}.ReadAnswer(in, r)
+		answer, _, err := NodeDialect{}.ReadAnswer(in, []*request.Request{r})
 		if err != nil {
 			return
 		}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -182,6 +182,15 @@
 	return slices.DeleteFunc(batch, func(sent *upstream.Attempt) bool { return !c.startAttempt(sent) })
 }
 
+// MayConfirm implements upstream.Handler. A command without effect is sent only while the attempt itself might still be
+// sent to its node: somebody waits for it, and the node serves.
+func (c *Core) MayConfirm(sent *upstream.Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	req, attempt := c.findAttempt(sent)
+	return req != nil && !req.finished && c.balancer.MaySend(c.policyTime(), req.id, attempt.Number)
+}
+
 // startAttempt reports whether the first byte of an attempt may be written now. If not, the attempt has ended or
 // was deferred. c.mu is held.
 func (c *Core) startAttempt(sent *upstream.Attempt) bool {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -68,6 +68,7 @@
 	}
 	class := &c.rules.policy.Classes[classIndex]
 	in.SideEffects = class.Idempotency != policy.Idempotent
+	in.RunsAlone = in.SideEffects || !c.rules.policy.Limits.AllowHedging
 	if in.SideEffects {
 		c.observeSleep()
 	}
--- a/internal/fake/scriptednode/dialect.go
+++ b/internal/fake/scriptednode/dialect.go
@@ -25,6 +25,7 @@
 type received struct {
 	ReceivedRequest
 	header binary.Header // in the binary protocol
+	noop   bool          // it is a no-op, which nodes answer without asking the script; only in meta
 }
 
 // codec reads requests and encodes answers in one dialect.
@@ -49,6 +50,10 @@
 	if err != nil {
 		return r, err
 	}
+	if c.Noop {
+		r.noop = true
+		return r, nil
+	}
 	body := make([]byte, c.ValueLen+len("\r\n"))
 	if c.Verb == request.Set {
 		if _, err := io.ReadFull(in, body); err != nil {
--- a/internal/fake/scriptednode/nodes.go
+++ b/internal/fake/scriptednode/nodes.go
@@ -163,6 +163,10 @@
 		if err != nil {
 			return
 		}
+		if r.noop {
+			c.Write([]byte("MN\r\n"))
+			continue
+		}
 		r.Node = i
 		r.ReceivedAt = arrived
 		ns.mu.Lock()
--- a/internal/meta/meta_test.go
+++ b/internal/meta/meta_test.go
@@ -106,7 +106,8 @@
 		{get, "VA 2 O7\nhi\r\n", ""},
 		{get, "VA 2 O7\r\nh", ""},
 	} {
-		answer, err := NodeDialect{}.ReadAnswer(bufio.NewReader(strings.NewReader(test.node)), test.request)
+		in := bufio.NewReader(strings.NewReader(test.node))
+		answer, _, err := NodeDialect{}.ReadAnswer(in, []*request.Request{test.request})
 		switch {
 		case test.want == "" && err == nil:
 			t.Errorf("%q was accepted", test.node)
@@ -141,7 +142,7 @@
 		text = NodeDialect{}.AppendHead(text[:0], &command.Request, 400*time.Millisecond)
 		source.Reset(nodeAnswer)
 		in.Reset(source)
-		answer, err := NodeDialect{}.ReadAnswer(in, &command.Request)
+		answer, _, err := NodeDialect{}.ReadAnswer(in, []*request.Request{&command.Request})
 		if err != nil || len(FormatAnswer(&answer, command.ID)) == 0 {
 			b.Fatal(err)
 		}
--- a/internal/meta/node.go
+++ b/internal/meta/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -81,23 +82,36 @@
 	return dst
 }
 
-// ReadAnswer reads the answer to a request. After an error the start of the next answer is unknown, so the connection
-// cannot be used any more.
-func (NodeDialect) ReadAnswer(in *bufio.Reader, r *request.Request) (answer request.Answer, err error) {
+// noopCommand is the command without effect, and noopAnswer what it is answered.
+const (
+	noopCommand = "mn"
+	noopAnswer  = "MN"
+)
+
+// AppendNoop appends a command without effect. A node answers it after all commands before it.
+func (NodeDialect) AppendNoop(dst []byte) []byte { return append(dst, noopCommand+lineEnd...) }
+
+// ReadAnswer reads the answer to one of the expected requests, and returns the index of that request: the one that the
+// answer names, or the first if it names none. After an error the start of the next answer is unknown, so the
+// connection cannot be used any more.
+func (NodeDialect) ReadAnswer(
+	in *bufio.Reader, expected []*request.Request,
+) (answer request.Answer, index int, err error) {
 	text, err := in.ReadSlice('\n')
 	if err != nil {
-		return answer, err
+		return answer, 0, err
 	}
 	text, ok := bytes.CutSuffix(text, []byte(lineEnd))
 	if !ok || len(text) > MaxLine {
-		return answer, ErrMalformedAnswer
+		return answer, 0, ErrMalformedAnswer
 	}
 	line, err := ParseAnswer(text)
 	if err != nil {
-		return answer, err
+		return answer, 0, err
 	}
-	if err := line.checkBelongsTo(r); err != nil {
-		return answer, err
+	index, err = line.match(expected)
+	if err != nil {
+		return answer, 0, err
 	}
 	answer = request.Answer{
 		Kind:       line.Kind,
@@ -109,9 +123,9 @@
 		Attributed: len(line.ID) > 0,
 	}
 	if line.Kind == request.Value {
-		err = readValue(in, &answer, r.HeaderRoom, line.ValueLen)
+		err = readValue(in, &answer, expected[index].HeaderRoom, line.ValueLen)
 	}
-	return answer, err
+	return answer, index, err
 }
 
 // readValue reads a value and its end.
@@ -138,19 +152,21 @@
 	LoadReport []byte // flag L
 }
 
-// checkBelongsTo returns an error if the answer is not for this request: passing on another request's answer would be
-// worse than losing the connection.
-func (a *AnswerLine) checkBelongsTo(r *request.Request) error {
+// match returns the index of the expected request that the answer names, 0 if it names none. It returns an error if the
+// answer is for another request: passing that on would be worse than losing the connection.
+func (a *AnswerLine) match(expected []*request.Request) (index int, err error) {
+	if len(a.ID) > 0 {
+		index = slices.IndexFunc(expected, func(r *request.Request) bool { return string(a.ID) == r.ID })
+	}
 	isValue, isStored := a.Kind == request.Value, a.Kind == request.Stored
-	mustHaveID := isValue || isStored
-	if (mustHaveID || len(a.ID) > 0) && string(a.ID) != r.ID {
-		return fmt.Errorf("%w: answer to id %q: want %q", ErrMalformedAnswer, a.ID, r.ID)
+	if index < 0 || (isValue || isStored) && len(a.ID) == 0 {
+		return 0, fmt.Errorf("%w: answer to id %q: want %q", ErrMalformedAnswer, a.ID, expected[0].ID)
 	}
-	isRead := r.Verb == request.Get
+	isRead := expected[index].Verb == request.Get
 	if isValue && !isRead || isStored && isRead || a.Kind == request.NotFound && !isRead {
-		return fmt.Errorf("%w: answer does not match the kind of command", ErrMalformedAnswer)
+		return 0, fmt.Errorf("%w: answer does not match the kind of command", ErrMalformedAnswer)
 	}
-	return nil
+	return index, nil
 }
 
 // ParseAnswer parses the first line of an answer, without its end.
@@ -174,6 +190,12 @@
 			return a, ErrMalformedAnswer
 		}
 		return a, nil
+	case noopAnswer:
+		a.Kind = request.Noop
+		if len(rest) > 0 {
+			return a, ErrMalformedAnswer
+		}
+		return a, nil
 	case "SERVER_ERROR":
 		var what []byte
 		what, rest = nextWordBytes(rest)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -44,8 +44,11 @@
 	HeaderRoom     int           // the maximum number of bytes that the client's frontend writes before a value
 	Raw            RawLine
 
-	SideEffects bool   // set by the core: the class is not idempotent, so executing the request twice may do harm
-	Serial      uint32 // set by the core: matches answers to requests in dialects that can't carry the ID
+	SideEffects bool // set by the core: the class is not idempotent, so executing the request twice may do harm
+	// RunsAlone is set by the core: no other attempt may be made while one may be running, for the sake of its effect
+	// or because the settings allow only one attempt at a time.
+	RunsAlone bool
+	Serial    uint32 // set by the core: matches answers to requests in dialects that can't carry the ID
 }
 
 // RawLine is the command line of a request as its client wrote it. It is empty in dialects without command lines.
@@ -61,7 +64,7 @@
 type AnswerKind uint8
 
 // The kinds of answers. Nodes return all of them except Invalid, which a frontend or the core returns for an
-// invalid request.
+// invalid request. Noop never leaves package upstream.
 const (
 	Value    AnswerKind = iota // the value of a key, for a Get
 	Stored                     // a Set was executed
@@ -69,6 +72,7 @@
 	Failed                     // the request failed, but may have been executed
 	NotFound                   // the key of a Get does not exist
 	Invalid                    // the request is invalid and was not sent to a node
+	Noop                       // the answer to a command without effect
 )
 
 var answerKindNames = [...]string{
@@ -78,6 +82,7 @@
 	Failed:   "failed",
 	NotFound: "not found",
 	Invalid:  "invalid",
+	Noop:     "noop",
 }
 
 // String returns the kind's name for logs.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulleinpier/internal/eventlog"
+	"mulleinpier/internal/request"
 )
 
 // conn is one connection to a node. Its fields are guarded by Pool.mu.
@@ -30,7 +31,11 @@
 	writeFailed bool // nothing more is written; answers that came before the failure are still read
 	malformed   bool // the answer to the first attempt of inFlight can't be parsed
 	closed      bool
-	answers     int // answers read so far
+
+	answers    int              // answers read so far
+	held       []request.Answer // answers of which it is not known which attempt they belong to, see attribution.go
+	noop       noopState
+	beforeNoop int // number of attempts at the start of inFlight that were written before the command without effect
 
 	// Used by the reader only, without the lock.
 	hasServed    bool      // an answer other than busy has come
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -41,6 +41,8 @@
 
 func (e ends) BeforeWrite(batch []*Attempt) []*Attempt { return batch }
 
+func (e ends) MayConfirm(*Attempt) bool { return true }
+
 func (e ends) WrittenLate([]*Attempt, time.Duration) {}
 
 func (e ends) Answered(a *Attempt, answer *request.Answer) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,8 @@
 //  2. The handler checks an attempt right before its first byte is written, and again if the node accepted no
 //     data in the meantime.
 //  3. An answer is matched to the right attempt, or the connection ends: after the first unexpected byte,
-//     everything that arrives on a connection is ignored.
+//     everything that arrives on a connection is ignored. An answer that names no request ends an attempt that
+//     must not run twice only once it is certain that it is the answer to this attempt, see attribution.go.
 //  4. No new attempt waits behind an abandoned one: a connection with an abandoned attempt gets no new ones.
 //  5. No lock is held during network I/O or calls of the handler. Warnings about malformed answers are logged
 //     with the lock held, at most one per second.
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -52,32 +52,97 @@
 
 // readAnswers reads answers and reports them to the handler until an error occurs, which it returns.
 func (c *conn) readAnswers(in *bufio.Reader) error {
+	var expected []*request.Request // reused between answers
 	for {
 		if _, err := in.Peek(1); err != nil {
 			return err
 		}
 		c.socket.SetReadDeadline(time.Now().Add(answerTimeout))
-		a, err := c.firstInFlight()
-		if err != nil {
+		var err error
+		if expected, err = c.expectedRequests(expected[:0]); err != nil {
 			return err
 		}
-		answer, err := c.dialect.ReadAnswer(in, a.Request)
+		answer, index, err := c.dialect.ReadAnswer(in, expected)
 		if err != nil {
 			return err
 		}
-		busyResult := Busy // the result if the answer is busy
-		switch {
-		case answer.Kind != request.Busy:
-			c.hasServed = true
-		case !c.hasServed && c.closedByNode(in):
-			busyResult = ConnectionLimitReached
-			c.pool.handleConnectionLimit(c)
+		if err := c.handleAnswer(in, &answer, index); err != nil {
+			return err
 		}
-		c.completeFirst(in, a, &answer)
-		c.reportAnswer(a, &answer, busyResult)
 	}
 }
 
+// expectedRequests appends the requests in flight that the next answer may belong to: the oldest one, and those behind
+// it that the answers held before may belong to. It returns an error if no attempt is in flight or the connection is
+// closed.
+func (c *conn) expectedRequests(expected []*request.Request) ([]*request.Request, error) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.closed {
+		return nil, net.ErrClosed
+	}
+	if len(c.inFlight) == 0 {
+		return nil, errUnexpectedAnswer
+	}
+	c.lastActive = time.Now()
+	for _, a := range c.inFlight[:min(len(c.held)+1, len(c.inFlight))] {
+		expected = append(expected, a.Request)
+	}
+	return expected, nil
+}
+
+// handleAnswer completes the attempts that an answer ends, or holds the answer. index is the index in flight of the
+// attempt that the answer names, 0 if it names none. An error means that the answer belongs to no attempt.
+func (c *conn) handleAnswer(in *bufio.Reader, answer *request.Answer, index int) error {
+	if answer.Kind == request.Noop {
+		return c.handleNoop(in)
+	}
+	a, held := c.countAnswer(answer, index)
+	switch {
+	case a == nil:
+		return net.ErrClosed
+	case held:
+		return c.hold(a, answer)
+	}
+	c.resolveHeld(in, index)
+	c.complete(in, a, answer, c.busyResult(in, answer))
+	return nil
+}
+
+// countAnswer counts an answer, and returns the attempt in flight with an index, nil if the connection was closed. held
+// reports whether the answer must be held.
+func (c *conn) countAnswer(answer *request.Answer, index int) (a *Attempt, held bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if index >= len(c.inFlight) {
+		return nil, false
+	}
+	a = c.inFlight[index]
+	held = c.mustHold(a, answer)
+	c.recordAnswer(a, answer, held)
+	c.answers++
+	c.lastAnswerAt = c.lastActive
+	return a, held
+}
+
+// complete ends the oldest attempt in flight with its answer. busyResult is the result to report for a busy answer.
+func (c *conn) complete(in *bufio.Reader, a *Attempt, answer *request.Answer, busyResult Result) {
+	c.completeFirst(in)
+	c.reportAnswer(a, answer, busyResult)
+}
+
+// busyResult returns the result of an attempt if the answer to it, which has just been read, is busy.
+func (c *conn) busyResult(in *bufio.Reader, answer *request.Answer) Result {
+	switch {
+	case answer.Kind != request.Busy:
+		c.hasServed = true
+	case !c.hasServed && c.closedByNode(in):
+		c.pool.handleConnectionLimit(c)
+		return ConnectionLimitReached
+	}
+	return Busy
+}
+
 // reportAnswer reports an answer to the handler. busyResult is the result to report for a busy answer.
 func (c *conn) reportAnswer(a *Attempt, answer *request.Answer, busyResult Result) {
 	handler := c.pool.handler
@@ -91,31 +156,13 @@
 	}
 }
 
-// firstInFlight returns the oldest attempt in flight, which the next answer belongs to. It returns an error if no
-// attempt is in flight or the connection is closed.
-func (c *conn) firstInFlight() (*Attempt, error) {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	if c.closed {
-		return nil, net.ErrClosed
-	}
-	if len(c.inFlight) == 0 {
-		return nil, errUnexpectedAnswer
-	}
-	c.lastActive = time.Now()
-	return c.inFlight[0], nil
-}
-
 // completeFirst removes the attempt that was just answered. If data beyond its answer has arrived and nothing else is
 // in flight, the connection gets no new attempts, since the data could be read as the answer to the next attempt.
-func (c *conn) completeFirst(in *bufio.Reader, a *Attempt, answer *request.Answer) {
+func (c *conn) completeFirst(in *bufio.Reader) {
 	moreArrived := in.Buffered() > 0 || socket.Readable(c.socket)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.recordAnswer(a, answer)
-	c.answers++
 	c.lastActive = time.Now()
-	c.lastAnswerAt = c.lastActive
 	if !c.writeFailed {
 		c.socket.SetReadDeadline(time.Time{})
 	}
@@ -124,6 +171,7 @@
 	}
 	c.inFlight[0] = nil
 	c.inFlight = c.inFlight[1:]
+	c.beforeNoop = max(c.beforeNoop-1, 0)
 	if moreArrived && len(c.inFlight) == 0 && !c.writing {
 		c.retired = true
 	}
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// recordAnswer records an answer. It is called by the reader, with Pool.mu held.
-func (c *conn) recordAnswer(a *Attempt, answer *request.Answer) {
+// recordAnswer records an answer, and whether it is held. It is called by the reader, with Pool.mu held.
+func (c *conn) recordAnswer(a *Attempt, answer *request.Answer, held bool) {
 	recorder := c.pool.recorder
 	if !recorder.Enabled() {
 		return
@@ -48,6 +48,7 @@
 		Connection: c.number,
 		Answer:     answer.Kind.String(),
 		Attributed: answer.Attributed,
+		Held:       held,
 		Answers:    c.answers,
 		SinceLast:  c.sinceLastAnswer(),
 	})
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -26,15 +26,19 @@
 	var buffer []byte // reused between batches
 	c.pool.mu.Lock()
 	for c.waitQueued() {
-		buffer = c.writeQueued(buffer)
+		if c.noop == noopWanted {
+			c.writeNoop()
+		} else {
+			buffer = c.writeQueued(buffer)
+		}
 	}
 	c.endAttempts()
 }
 
-// waitQueued waits until attempts are queued, and returns false once the connection is closed. After a failed write
-// it only waits for the connection to be closed. Pool.mu is held, except while it waits.
+// waitQueued waits until there is something to write, and returns false once the connection is closed. After a failed
+// write it only waits for the connection to be closed. Pool.mu is held, except while it waits.
 func (c *conn) waitQueued() bool {
-	for (len(c.queued) == 0 || c.writeFailed) && !c.closed {
+	for (len(c.queued) == 0 && c.noop != noopWanted || c.writeFailed) && !c.closed {
 		c.writerWake.Wait()
 	}
 	return !c.closed
