Repeat a request that must run alone over another connection of its node

What callers could see: an unsafe request answered busy, or sent to a third node, while the node of its second attempt executes it.

Cause: where all nodes were tried, the policy may choose one of them again. The second attempt could then use the connection of the first. A second answer to the first attempt that came late named the same request (the opaque of the binary protocol is the request's, and an id in a meta error line is accepted too), so it was taken for the answer to the second attempt.

Change: an attempt knows the earlier attempts of its request at the same node, and is given no connection that has carried one of them, if the request must run alone. If no other connection can be had, it ends as not sent.

Measured: TestRepeatAvoidsTheConnectionOfItsFirstAttempt fails without the check in leastLoaded (1 of 1: the repeat is written on the first connection), passes 5 of 5 with -race. Packages upstream and core pass with -race.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -38,6 +38,7 @@
 			Number:   len(req.attempts),
 			Request:  req.request,
 			Deadline: req.expiresAt,
+			Previous: req.attemptsAt(action.Server),
 		},
 	}
 	attempt.HandlerState = attempt
@@ -59,6 +60,16 @@
 	}
 }
 
+// attemptsAt returns the attempts of a request at a node.
+func (r *InFlightRequest) attemptsAt(node string) (attempts []*upstream.Attempt) {
+	for _, attempt := range r.attempts {
+		if attempt.nodeName == node {
+			attempts = append(attempts, &attempt.Attempt)
+		}
+	}
+	return attempts
+}
+
 // cancelAttempt ends an attempt that is no longer wanted. If it has not started, it ends as NotSent instead of with
 // result: it can't start any more, even if a connection's writer already has it. c.mu is held.
 func (c *Core) cancelAttempt(req *InFlightRequest, attempt *nodeAttempt, result policy.Result) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"slices"
 	"time"
 
 	"mulleinpier/internal/request"
@@ -28,14 +29,24 @@
 	Request      *request.Request // must not be changed after Pool.Send
 	Deadline     time.Time        // when the proxy stops waiting for the answer
 	HandlerState any              // for the handler; not used by this package
+	// Previous are the earlier attempts of the request at the same node. An attempt with RunsAlone is not sent on their
+	// connections, where a second answer to one of them would be taken for the answer to it.
+	Previous []*Attempt
 
 	// Guarded by Pool.mu, except for endOffset, which only the connection's writer uses.
 	node      string // name of the node
+	conn      uint64 // number of the connection that has carried it; zero for none
 	endOffset int    // offset of the end of its bytes in the batch being written
 	requeued  bool   // already moved once from a connection that ended
 	abandoned bool   // nobody waits for the answer
 }
 
+// mayUse reports whether an attempt may be sent on a connection. Pool.mu is held.
+func (a *Attempt) mayUse(c *conn) bool {
+	return !a.Request.RunsAlone ||
+		!slices.ContainsFunc(a.Previous, func(previous *Attempt) bool { return previous.conn == c.number })
+}
+
 // Handler checks attempts before they are written and is notified of how they end. The package holds no lock while it
 // calls the handler.
 type Handler interface {
--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"mulleinpier/internal/meta"
 	"mulleinpier/internal/request"
@@ -208,6 +209,31 @@
 	}
 }
 
+// TestRepeatAvoidsTheConnectionOfItsFirstAttempt checks that a second attempt of a request that must run alone uses
+// another connection to the same node than the first: a second answer to the first names the same request.
+func TestRepeatAvoidsTheConnectionOfItsFirstAttempt(t *testing.T) {
+	limits := testLimits
+	limits.MaxPerNode = 2
+	g := startGated(t, limits)
+	g.open()
+	first := sendAlone(t, g.Pool, "a")
+	node := g.nextConnection(t)
+	bufio.NewReader(node).ReadString('\n')
+	writeSteps(node, []confirmationStep{"SERVER_ERROR busy Oa\r\n"})
+	if got := g.next(t); got.attempt != first || got.result != Busy {
+		t.Fatalf("the first attempt ended with result %d", got.result)
+	}
+	repeat := &Attempt{Request: first.Request, Deadline: time.Now().Add(testTimeout), Previous: []*Attempt{first}}
+	if !g.Send("n", repeat) {
+		t.Fatal("no connection for the repeat")
+	}
+	second := g.nextConnection(t)
+	writeSteps(node, []confirmationStep{"SERVER_ERROR busy Oa\r\n"})
+	bufio.NewReader(second).ReadString('\n')
+	serve("a", second)
+	g.expectServed(t, repeat)
+}
+
 // TestHeldAnswer checks which answer an attempt gets if it can't be told which of the held ones it is.
 func TestHeldAnswer(t *testing.T) {
 	answers := func(kinds ...request.AnswerKind) (held []request.Answer) {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -38,13 +38,13 @@
 	return open
 }
 
-// leastLoaded returns the connection with the fewest outstanding attempts, or nil if all have limit or more.
-// Among equals it returns the most recently used one, so that the others become idle and can be closed.
-func (n *node) leastLoaded(limit int) *conn {
+// leastLoaded returns the connection that an attempt may use with the fewest outstanding attempts, or nil if all have
+// limit or more. Among equals it returns the most recently used one, so that the others become idle and can be closed.
+func (n *node) leastLoaded(a *Attempt, limit int) *conn {
 	var best *conn
 	for _, c := range n.connections {
 		load := c.outstanding()
-		if c.retired || load >= limit {
+		if c.retired || load >= limit || !a.mayUse(c) {
 			continue
 		}
 		if best == nil || load < best.outstanding() ||
@@ -60,7 +60,7 @@
 	if len(n.waiting) == 0 {
 		return
 	}
-	if idle := n.leastLoaded(1); idle != nil {
+	if idle := n.leastLoaded(n.waiting[0], 1); idle != nil {
 		idle.enqueue(n.waiting[0])
 		n.waiting = n.waiting[1:]
 	}
@@ -123,7 +123,7 @@
 // on each. It returns those that can't be sent because no connection has capacity and none is being established.
 func (n *node) reassignWaiting(maxPipelined int) (unsent []*Attempt) {
 	for len(n.waiting) > n.dialing {
-		best := n.leastLoaded(maxPipelined)
+		best := n.leastLoaded(n.waiting[0], maxPipelined)
 		switch {
 		case best != nil:
 			best.enqueue(n.waiting[0])
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -195,7 +195,7 @@
 	if n == nil || p.closed {
 		return false
 	}
-	best := n.leastLoaded(p.limits.MaxPipelined)
+	best := n.leastLoaded(a, p.limits.MaxPipelined)
 	switch {
 	case best != nil && best.outstanding() == 0:
 		best.enqueue(a)
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -59,6 +59,9 @@
 		c.queued, c.writing = append(batch, c.queued...), false
 		return buffer
 	}
+	for _, a := range batch {
+		a.conn = c.number
+	}
 	c.inFlight, c.incomplete = append(c.inFlight, batch...), len(batch)
 	batch = c.writeBatch(parts, batch, checkedAt)
 	c.writing = false
