--- a/cmd/mulleinpier/harness_test.go
+++ b/cmd/mulleinpier/harness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,6 +39,13 @@
 
 // newTestDaemon starts two nodes and writes a configuration with a free address. The method start starts the daemon.
 func newTestDaemon(t *testing.T, n node.Config) *testDaemon {
+	t.Helper()
+	n.Slots, n.Queue = 64, 1024
+	return newTestDaemonWith(t, 2, n)
+}
+
+// newTestDaemonWith is like newTestDaemon with a number of nodes.
+func newTestDaemonWith(t *testing.T, nodes int, n node.Config) *testDaemon {
 	t.Helper()
 	d := &testDaemon{
 		t:            t,
@@ -48,11 +56,10 @@
 	}
 	t.Cleanup(d.origin.Close)
 	group := node.NewGroup(1500 * time.Millisecond)
-	for i := range 2 {
+	for i := range nodes {
 		c := n
 		c.Name = fmt.Sprint("n", i)
 		c.Origin, c.Group = d.origin, group
-		c.Slots, c.Queue = 64, 1024
 		c.OnRequest = func(_, id, _ string, _ time.Time) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -73,8 +80,12 @@
 
 // configText returns a configuration that consists of the address, the nodes and the text more.
 func (d *testDaemon) configText(more string) string {
-	const format = "listen = %q\nnodes.addresses = [%q, %q]\n%s"
-	return fmt.Sprintf(format, d.address, d.nodes[0].Address(), d.nodes[1].Address(), more)
+	var addresses []string
+	for _, n := range d.nodes {
+		addresses = append(addresses, strconv.Quote(n.Address()))
+	}
+	const format = "listen = %q\nnodes.addresses = [%s]\n%s"
+	return fmt.Sprintf(format, d.address, strings.Join(addresses, ", "), more)
 }
 
 // configure writes the configuration file with the result of configText.
--- a/internal/fake/node/execution.go
+++ b/internal/fake/node/execution.go
@@ -164,8 +164,11 @@
 	n.mu.Lock()
 }
 
-// reply answers a request, and applies Garbage, Late or SecondBusy if one of these affects it. n.mu is held.
+// reply answers a request, and applies Garbage, Late or a second answer if one of these affects it. n.mu is held.
 func (n *Node) reply(r *pendingRequest, result outcome) {
+	if result.kind != request.Busy && n.config.OnExecuted != nil {
+		n.config.OnExecuted(n.config.Name, r.command.ID)
+	}
 	answer := n.encode(r, result)
 	deliver := func() {
 		r.answer = answer
@@ -176,6 +179,14 @@
 		answer = n.malformedAnswer(r)
 	case SecondBusy:
 		r.connection.second = n.encode(r, outcome{kind: request.Busy})
+	case SecondFailed:
+		r.connection.second = n.encode(r, outcome{kind: request.Failed})
+	case SecondAbsent:
+		if r.command.Verb == request.Get {
+			r.connection.second = n.encode(r, outcome{kind: request.NotFound})
+		}
+	case SecondCopy:
+		r.connection.second = answer
 	case Late:
 		time.AfterFunc(n.fault.Delay, func() {
 			n.mu.Lock()
--- a/internal/fake/node/fault.go
+++ b/internal/fake/node/fault.go
@@ -19,15 +19,21 @@
 	Late    FaultKind = "late"    // an answer is delayed by Fault.Delay
 	Busy    FaultKind = "busy"    // requests are rejected without being executed
 	Garbage FaultKind = "garbage" // the request is executed, the answer is malformed
-	// SecondBusy sends a second answer, busy, after the regular one: it arrives while the next request on the
-	// connection is in flight.
-	SecondBusy  FaultKind = "second-busy"
-	ProcessDown FaultKind = "refuse" // the process is down: connections are reset and refused
-	MachineDown FaultKind = "vanish" // the machine is unreachable: nothing is sent, connection attempts time out
+	// The next four send a second answer after the regular one, when the next request on the connection has arrived. In
+	// the meta protocol only the copy names the request that it belongs to.
+	SecondBusy   FaultKind = "second-busy"
+	SecondFailed FaultKind = "second-failed"
+	SecondAbsent FaultKind = "second-absent" // no such key; only after a read
+	SecondCopy   FaultKind = "second-copy"
+	ProcessDown  FaultKind = "refuse" // the process is down: connections are reset and refused
+	MachineDown  FaultKind = "vanish" // the machine is unreachable: nothing is sent, connection attempts time out
 )
 
 // Faults lists all kinds of faults.
-var Faults = []FaultKind{NoFault, Stall, Reset, Late, Busy, Garbage, SecondBusy, ProcessDown, MachineDown}
+var Faults = []FaultKind{
+	NoFault, Stall, Reset, Late, Busy, Garbage, SecondBusy, SecondFailed, SecondAbsent, SecondCopy,
+	ProcessDown, MachineDown,
+}
 
 // Fault is a fault of a node and the share of requests that it affects. The zero value is no fault.
 type Fault struct {
@@ -47,7 +53,11 @@
 
 // affectsSingleRequests reports whether requests are affected one by one, as opposed to the node as a whole.
 func (k FaultKind) affectsSingleRequests() bool {
-	return k == Reset || k == Late || k == Busy || k == Garbage || k == SecondBusy
+	switch k {
+	case Reset, Late, Busy, Garbage, SecondBusy, SecondFailed, SecondAbsent, SecondCopy:
+		return true
+	}
+	return false
 }
 
 // SetFault replaces the node's present fault. The zero Fault ends it. An error means that the listener could not be
--- a/internal/fake/node/node.go
+++ b/internal/fake/node/node.go
@@ -53,6 +53,9 @@
 	// binary protocol, which has none), its value, and the time when its first byte arrived. Calls for different
 	// connections may be concurrent.
 	OnRequest func(node, id, value string, at time.Time)
+	// OnExecuted, if set, is called for each request that the node has executed, right before it is answered. It must
+	// not call the node.
+	OnExecuted func(node, id string)
 }
 
 const (
--- a/internal/fake/node/node_test.go
+++ b/internal/fake/node/node_test.go
@@ -134,6 +134,23 @@
 
 const lateDelay = 50 * time.Millisecond
 
+// secondAnswerCheck returns a check that a request's second answer has a prefix, and that it comes when the next
+// request has arrived, before the answer to that.
+func secondAnswerCheck(prefix string) func(t *testing.T, n *Node, c *testClient) {
+	return func(t *testing.T, _ *Node, c *testClient) {
+		if got := c.answer(); !strings.HasPrefix(got, "VA ") || !c.isSilent() {
+			t.Errorf("answered %q, or twice at once", got)
+		}
+		c.send("mg k v O2 Pc=read\r\n")
+		if got := c.answer(); !strings.HasPrefix(got, prefix) {
+			t.Errorf("the second answer is %q, want %q", got, prefix)
+		}
+		if got := c.answer(); !strings.Contains(got, " O2 ") {
+			t.Errorf("the next request was answered %q", got)
+		}
+	}
+}
+
 // faultChecks check, for each fault, what a client receives that has sent a request after the fault was set.
 var faultChecks = map[FaultKind]func(t *testing.T, n *Node, c *testClient){
 	NoFault: func(t *testing.T, _ *Node, c *testClient) {
@@ -171,18 +188,10 @@
 			t.Errorf("answered %q", got)
 		}
 	},
-	SecondBusy: func(t *testing.T, _ *Node, c *testClient) {
-		if got := c.answer(); !strings.HasPrefix(got, "VA ") || !c.isSilent() {
-			t.Errorf("answered %q, or twice at once", got)
-		}
-		c.send("mg k v O2 Pc=read\r\n")
-		if got := c.answer(); got != "SERVER_ERROR busy\r\n" {
-			t.Errorf("the second answer is %q", got)
-		}
-		if got := c.answer(); !strings.Contains(got, " O2 ") {
-			t.Errorf("the next request was answered %q", got)
-		}
-	},
+	SecondBusy:   secondAnswerCheck("SERVER_ERROR busy\r\n"),
+	SecondFailed: secondAnswerCheck("SERVER_ERROR failed\r\n"),
+	SecondAbsent: secondAnswerCheck("EN\r\n"),
+	SecondCopy:   secondAnswerCheck("VA 64 O1 "),
 	ProcessDown: func(t *testing.T, n *Node, c *testClient) {
 		if got := c.answer(); got != "" {
 			t.Errorf("answered %q", got)
