Confirm unnamed answers to writes that are resumed for another proxy, too

What callers could see: with takeover on, a keyed write whose proxy was lost is told as not executed while a node executes it, so its retry may be sent outside the window in which nodes drop repeats.

Cause: ResumeWrite registers its write without Submit and did not set RunsAlone, so left these writes as they were: a second answer to an earlier write on the connection still ended them as rejected.

Change: ResumeWrite sets it.

--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -144,7 +144,7 @@
 		return 0, false
 	}
 	c.lastID++
-	in.Serial, in.SideEffects = uint32(c.lastID), true
+	in.Serial, in.SideEffects, in.RunsAlone = uint32(c.lastID), true, true
 	timeout := c.rules.policy.Classes[class].Deadline
 	req := &InFlightRequest{
 		id:         c.lastID,
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"slices"
@@ -67,21 +66,42 @@
 	t.Helper()
 	var mu sync.Mutex
 	var lines []string
+	c = coreWithWriteNode(t, coordinator, func(connection net.Conn, line string) {
+		id, isWrite := writeID(line)
+		if !isWrite {
+			return
+		}
+		mu.Lock()
+		lines = append(lines, line)
+		mu.Unlock()
+		storeWrite(connection, id)
+	})
+	return c, func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(lines)
+	}
+}
+
+// writeID returns the id of the write whose command line is given. It returns false for any other line.
+func writeID(line string) (id string, isWrite bool) {
+	_, rest, _ := strings.Cut(line, " O")
+	id, _, _ = strings.Cut(rest, " ")
+	return id, strings.HasPrefix(line, "ms ")
+}
+
+// storeWrite answers that a write was stored.
+func storeWrite(connection net.Conn, id string) { fmt.Fprintf(connection, "HD O%s c7\r\n", id) }
+
+// coreWithWriteNode runs a core with one node, which calls script for each line that it receives.
+func coreWithWriteNode(
+	t *testing.T, coordinator *fakeCoordinator, script func(connection net.Conn, line string),
+) *Core {
+	t.Helper()
 	address := testutil.ServeConnections(t, func(connection net.Conn) {
 		defer connection.Close()
 		for in := bufio.NewScanner(connection); in.Scan(); {
-			words := strings.Fields(in.Text())
-			if len(words) == 0 || words[0] != "ms" {
-				continue
-			}
-			mu.Lock()
-			lines = append(lines, in.Text())
-			mu.Unlock()
-			for _, word := range words {
-				if strings.HasPrefix(word, "O") {
-					io.WriteString(connection, fmt.Sprintf("HD %s c7\r\n", word))
-				}
-			}
+			script(connection, in.Text())
 		}
 	})
 	class := policy.Class{Name: "write", Idempotency: policy.IdempotentWithKey, DedupWindow: 30 * time.Second}
@@ -98,11 +118,7 @@
 		cancel()
 		task.Wait()
 	})
-	return c, func() []string {
-		mu.Lock()
-		defer mu.Unlock()
-		return slices.Clone(lines)
-	}
+	return c
 }
 
 func keyedWrite(id string) *request.Request {
@@ -227,3 +243,35 @@
 			lines, len(reply.answers))
 	}
 }
+
+// TestLateAnswerRejectsNoResumedWrite checks that a write that is resumed for another proxy is not reported as not
+// executed because a second answer to an earlier write arrives while its node executes it.
+func TestLateAnswerRejectsNoResumedWrite(t *testing.T) {
+	coordinator := &fakeCoordinator{}
+	c := coreWithWriteNode(t, coordinator, func(connection net.Conn, line string) {
+		id, isWrite := writeID(line)
+		switch {
+		case isWrite && id == "resumed":
+			fmt.Fprint(connection, "SERVER_ERROR busy\r\n") // the second answer to the first write
+		case isWrite:
+			storeWrite(connection, id)
+		case line == "mn":
+			storeWrite(connection, "resumed")
+			fmt.Fprint(connection, "MN\r\n")
+		}
+	})
+	reply := newRecordedReply()
+	c.Submit(keyedWrite("first"), reply)
+	c.ClaimDecided(coordinator.claims[0], takeover.Proceed, time.Minute, "")
+	if answer := testutil.Receive(t, "an answer", reply.answers); answer.Kind != request.Stored {
+		t.Fatalf("the first write was answered %+v", answer)
+	}
+	id, ok := c.ResumeWrite(keyedWrite("resumed"), time.Minute)
+	if !ok {
+		t.Fatal("the write of another proxy was not resumed")
+	}
+	testutil.WaitUntil(t, "the resumed write to be completed", func() bool { return coordinator.outcome(id) != 0 })
+	if outcome := coordinator.outcome(id); outcome != takeover.Served {
+		t.Errorf("completed as %d, want %d", outcome, takeover.Served)
+	}
+}
