Call unconfirmed answers by standard terms; an abandoned attempt needs no confirmation

An unattributed answer to an attempt that was abandoned closed the connection, because such an attempt may not be confirmed, and with it the attempts in flight behind it.

Change: names and comments; the event "node answered" says confirmed in place of held. An abandoned attempt ends with such an answer at once, as nobody waits for it. Whether the node may get a no-op is asked once a connection. The tests share startReused.

--- a/internal/binary/node.go
+++ b/internal/binary/node.go
@@ -47,7 +47,7 @@
 // AppendTail appends what follows a request's value: nothing.
 func (NodeDialect) AppendTail(dst []byte, _ *request.Request) []byte { return dst }
 
-// AppendNoop appends a command without effect. A node answers it after all commands before it. It is never needed,
+// AppendNoop appends a no-op. A node answers it after all commands before it. It is never needed,
 // since each answer names its request.
 func (NodeDialect) AppendNoop(dst []byte) []byte {
 	h := Header{Opcode: Noop}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -193,7 +193,7 @@
 	return slices.DeleteFunc(batch, func(sent *upstream.Attempt) bool { return !c.startAttempt(sent) })
 }
 
-// MayConfirm implements upstream.Handler. A command without effect is sent only while the attempt itself might still be
+// MayConfirm implements upstream.Handler. A no-op is sent only while the attempt itself might still be
 // sent to its node: somebody waits for it, and the node serves.
 func (c *Core) MayConfirm(sent *upstream.Attempt) bool {
 	c.mu.Lock()
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -155,7 +155,7 @@
 	Connection uint64
 	Answer     string        // kind of answer
 	Attributed bool          // the answer names the request that it belongs to
-	Held       bool          // it is held until it is known whether it is the answer to this request
+	Confirmed  bool          // it counts as the answer to this request; otherwise a no-op must show whether it is
 	Answers    int           // answers that have been read on the connection before
 	SinceLast  time.Duration // time since the answer before it, zero for the first
 }
@@ -168,7 +168,7 @@
 		slog.Uint64("connection", e.Connection),
 		slog.String("answer", e.Answer),
 		slog.Bool("attributed", e.Attributed),
-		slog.Bool("held", e.Held),
+		slog.Bool("confirmed", e.Confirmed),
 		slog.Int("answers", e.Answers),
 		slog.Duration("since_last", e.SinceLast),
 	}
--- a/internal/meta/node.go
+++ b/internal/meta/node.go
@@ -82,13 +82,13 @@
 	return dst
 }
 
-// noopCommand is the command without effect, and noopAnswer what it is answered.
+// noopCommand is the no-op, and noopAnswer what it is answered.
 const (
 	noopCommand = "mn"
 	noopAnswer  = "MN"
 )
 
-// AppendNoop appends a command without effect. A node answers it after all commands before it.
+// AppendNoop appends a no-op. A node answers it after all commands before it.
 func (NodeDialect) AppendNoop(dst []byte) []byte { return append(dst, noopCommand+lineEnd...) }
 
 // ReadAnswer reads the answer to one of the expected requests, and returns the index of that request: the one that the
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -72,7 +72,7 @@
 	Failed                     // the request failed, but may have been executed
 	NotFound                   // the key of a Get does not exist
 	Invalid                    // the request is invalid and was not sent to a node
-	Noop                       // the answer to a command without effect
+	Noop                       // the answer to a no-op
 )
 
 var answerKindNames = [...]string{
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -53,7 +53,7 @@
 	// BeforeWrite returns the attempts of a batch that may still be written. The handler drops the others, for which
 	// Ended is not called. The result may reuse the batch's memory.
 	BeforeWrite(batch []*Attempt) []*Attempt
-	// MayConfirm reports whether a command without effect may be sent on the connection of an attempt, to find out
+	// MayConfirm reports whether a no-op may be sent on the connection of an attempt, to find out
 	// whether an answer that names no request is the answer to it.
 	MayConfirm(a *Attempt) bool
 	// WrittenLate reports that the first bytes of a batch were written long after BeforeWrite had returned it,
@@ -72,10 +72,10 @@
 	AppendHead(dst []byte, r *request.Request, timeout time.Duration) []byte
 	// AppendTail appends the part of a request after its value.
 	AppendTail(dst []byte, r *request.Request) []byte
-	// AppendNoop appends a command without effect. Nodes answer it after all commands before it.
+	// AppendNoop appends a no-op. Nodes answer it after all commands before it.
 	AppendNoop(dst []byte) []byte
 	// ReadAnswer reads the next answer, which must be the answer to one of the expected requests, of which there is at
-	// least one, or to a command without effect. It returns the index of the request that the answer names, and 0 for
+	// least one, or to a no-op. It returns the index of the request that the answer names, and 0 for
 	// an answer that names none. After an error the position in the stream is undefined. Network errors are
 	// *net.OpError, io.EOF or io.ErrUnexpectedEOF; any other error means that the answer is malformed.
 	ReadAnswer(in *bufio.Reader, expected []*request.Request) (answer request.Answer, index int, err error)
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -13,17 +13,17 @@
 // send a second answer to an earlier request some time after the first one. If it were taken for the answer to the
 // attempt in flight, that attempt would count as not executed while the node executes it.
 //
-// Such an answer is held, and a command without effect is sent behind the attempts in flight. Nodes answer commands in
-// order. So if the answer to the attempt follows, the held answer belonged to an earlier request. If the command
-// without effect is answered first, the held answer is the one to the attempt.
+// Such an answer is kept unconfirmed, and a no-op is sent behind the attempts in flight. Nodes answer commands in
+// order. So if the answer to the attempt follows, the unconfirmed answer belonged to an earlier request. If the no-op
+// is answered first, the unconfirmed answer is the one to the attempt.
 
-// maxHeld is the number of answers that are held on one connection. More are taken for a defect of the node.
-const maxHeld = 256
+// maxUnconfirmed bounds the unconfirmed answers of one connection. More are taken for a defect of the node.
+const maxUnconfirmed = 256
 
 // errUnattributed is the error for an answer of which it can't be found out whether it belongs to an attempt in flight.
 var errUnattributed = errors.New("answer names no request")
 
-// noopState is the state of the command without effect, of which a connection carries one at most.
+// noopState is the state of the no-op, of which a connection carries one at most.
 type noopState uint8
 
 const (
@@ -33,33 +33,37 @@
 	noopDone              // it was answered
 )
 
-// mustHold reports whether an answer must be held. It need not be if it names its request, if it can only be the answer
-// to the attempt because it is the first answer on the connection, or if a mistake does no harm because the attempt may
-// be repeated while the node executes it. Pool.mu is held.
-func (c *conn) mustHold(a *Attempt, answer *request.Answer) bool {
+// needsConfirmation reports whether an answer must be confirmed before it ends an attempt. It need not be if it names
+// its request, if it can only be the answer to the attempt because it is the first answer on the connection, or if a
+// mistake does no harm because the attempt was abandoned or may be repeated while the node executes it. Pool.mu is
+// held.
+func (c *conn) needsConfirmation(a *Attempt, answer *request.Answer) bool {
 	switch {
 	case answer.Attributed:
 		return false
-	case len(c.held) > 0:
+	case len(c.unconfirmed) > 0:
 		return true
+	case c.answers == 0 || a.abandoned:
+		return false
 	}
-	return c.answers > 0 && (a.Request.RunsAlone || answer.Kind == request.NotFound)
+	return a.Request.RunsAlone || answer.Kind == request.NotFound
 }
 
-// hold holds an answer until it is known which attempt it belongs to. The connection gets no new attempts any more,
-// since a second answer to the command without effect would be as ambiguous. It returns an error if the answer can't be
-// held.
-func (c *conn) hold(a *Attempt, answer *request.Answer) error {
-	mayConfirm := c.pool.handler.MayConfirm(a)
+// confirm keeps an answer until it is known which attempt it belongs to. The connection gets no new attempts any more,
+// since a second answer to the no-op would be as ambiguous. It returns an error if the answer can't be confirmed.
+func (c *conn) confirm(a *Attempt, answer *request.Answer) error {
+	if !c.noopSent() && !c.pool.handler.MayConfirm(a) {
+		return errUnattributed
+	}
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	switch {
 	case c.closed:
 		return net.ErrClosed
-	case !mayConfirm || c.writeFailed || c.noop == noopDone || len(c.held) >= maxHeld:
+	case c.writeFailed || c.noop == noopDone || len(c.unconfirmed) >= maxUnconfirmed:
 		return errUnattributed
 	}
-	c.held = append(c.held, *answer)
+	c.unconfirmed = append(c.unconfirmed, *answer)
 	c.retired = true
 	if c.noop == noopNone {
 		c.noop = noopWanted
@@ -69,7 +73,14 @@
 	return nil
 }
 
-// writeNoop writes the command without effect. Pool.mu is held, except during the write.
+// noopSent reports whether the connection has carried a no-op or is to carry it.
+func (c *conn) noopSent() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.noop != noopNone
+}
+
+// writeNoop writes the no-op. Pool.mu is held, except during the write.
 func (c *conn) writeNoop() {
 	c.noop, c.writing = noopWritten, true
 	c.beforeNoop = len(c.inFlight)
@@ -87,10 +98,10 @@
 	}
 }
 
-// handleNoop handles the answer to the command without effect: all answers to the attempts before it have come.
+// handleNoop handles the answer to the no-op: all answers to the attempts before it have come.
 func (c *conn) handleNoop(in *bufio.Reader) error {
 	c.pool.mu.Lock()
-	expected := c.noop == noopWritten && len(c.held) >= c.beforeNoop
+	expected := c.noop == noopWritten && len(c.unconfirmed) >= c.beforeNoop
 	count := c.beforeNoop
 	if expected {
 		c.noop = noopDone
@@ -99,31 +110,31 @@
 	if !expected {
 		return errUnexpectedAnswer
 	}
-	c.resolveHeld(in, count)
+	c.resolveUnconfirmed(in, count)
 	return nil
 }
 
-// resolveHeld completes the first count attempts in flight, whose answers must be among those held, since answers come
-// in the order of the attempts. The others held belonged to earlier requests.
-func (c *conn) resolveHeld(in *bufio.Reader, count int) {
-	held := c.takeHeld()
+// resolveUnconfirmed completes the first count attempts in flight, whose answers must be among the unconfirmed ones,
+// since answers come in the order of the attempts. The other unconfirmed answers belonged to earlier requests.
+func (c *conn) resolveUnconfirmed(in *bufio.Reader, count int) {
+	unconfirmed := c.takeUnconfirmed()
 	for i := range count {
 		a := c.firstInFlight()
 		if a == nil {
 			return
 		}
-		answer := heldAnswer(held, i, count)
+		answer := confirmedAnswer(unconfirmed, i, count)
 		c.complete(in, a, &answer, Busy)
 	}
 }
 
-// takeHeld returns the answers held, and holds none any more.
-func (c *conn) takeHeld() []request.Answer {
+// takeUnconfirmed returns the unconfirmed answers and removes them.
+func (c *conn) takeUnconfirmed() []request.Answer {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	held := c.held
-	c.held = nil
-	return held
+	unconfirmed := c.unconfirmed
+	c.unconfirmed = nil
+	return unconfirmed
 }
 
 // firstInFlight returns the oldest attempt in flight, nil if the connection was closed.
@@ -136,16 +147,17 @@
 	return c.inFlight[0]
 }
 
-// heldAnswer returns the answer to the attempt with an index among count attempts, all of whose answers are among those
-// held. If it can't be told which ones these are, and they are not all alike, the attempt may have been executed.
-func heldAnswer(held []request.Answer, index, count int) request.Answer {
-	if len(held) == count {
-		return held[index]
+// confirmedAnswer returns the answer to the attempt with an index among count attempts, all of whose answers are among
+// the unconfirmed ones. If it is ambiguous which of them belong to the attempts, and they are not all alike, the
+// attempt may have been executed.
+func confirmedAnswer(unconfirmed []request.Answer, index, count int) request.Answer {
+	if len(unconfirmed) == count {
+		return unconfirmed[index]
 	}
-	for i := range held {
-		if held[i].Kind != held[0].Kind {
+	for i := range unconfirmed {
+		if unconfirmed[i].Kind != unconfirmed[0].Kind {
 			return request.Answer{Kind: request.Failed}
 		}
 	}
-	return request.Answer{Kind: held[0].Kind}
+	return request.Answer{Kind: unconfirmed[0].Kind}
 }
--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -34,10 +34,10 @@
 	noop   confirmationStep = "MN\r\n"
 )
 
-// TestUnnamedAnswerIsConfirmed checks that an answer that names no request, on a connection that has carried others,
-// ends an attempt only once the node has shown that it is the answer to this attempt, and that nothing else is sent on
-// the connection then (guarantee 3).
-func TestUnnamedAnswerIsConfirmed(t *testing.T) {
+// TestUnattributedAnswerIsConfirmed checks that an answer that names no request, on a connection that has carried
+// others, ends an attempt only once the node has shown that it is the answer to this attempt, and that nothing else is
+// sent on the connection then (guarantee 3).
+func TestUnattributedAnswerIsConfirmed(t *testing.T) {
 	for _, test := range []struct {
 		name                  string
 		beforeNoop, afterNoop []confirmationStep // what the node sends before and after it has received the no-op
@@ -75,22 +75,37 @@
 			}
 			handler.expectServed(t, sendAlone(t, pool, "c"))
 			if n := pool.TakeCounts(); n.Dials != 2 {
-				t.Errorf("%d connections, want another after the unnamed answer", n.Dials)
+				t.Errorf("%d connections, want another after the unattributed answer", n.Dials)
 			}
 		})
 	}
 }
 
+// startReused starts a pool whose only connection has served a request. It returns the node's end of the connection,
+// and a reader of it.
+func startReused(t *testing.T) (g *gatedPool, node *net.TCPConn, in *bufio.Reader) {
+	t.Helper()
+	g = startGated(t, testLimits)
+	g.open()
+	a := sendAlone(t, g.Pool, "a")
+	node = g.nextConnection(t)
+	in = bufio.NewReader(node)
+	in.ReadString('\n')
+	serve("a", node)
+	g.expectServed(t, a)
+	return g, node, in
+}
+
 func writeSteps(connection net.Conn, steps []confirmationStep) {
 	for _, step := range steps {
 		fmt.Fprint(connection, string(step))
 	}
 }
 
-// TestUnnamedAnswerThatNeedsNoConfirmation checks that the first answer on a connection, and each answer to a request
-// that may be repeated while a node executes it, ends its attempt at once and keeps the connection. Under overload
-// nodes reject many requests.
-func TestUnnamedAnswerThatNeedsNoConfirmation(t *testing.T) {
+// TestUnattributedAnswerThatNeedsNoConfirmation checks that the first answer on a connection, and each answer to a
+// request that may be repeated while a node executes it, ends its attempt at once and keeps the connection. Under
+// overload nodes reject many requests.
+func TestUnattributedAnswerThatNeedsNoConfirmation(t *testing.T) {
 	pool, handler := startPool(t, func(id string, connection net.Conn) {
 		if id == "" {
 			t.Error("a no-op was sent")
@@ -108,13 +123,13 @@
 	}
 }
 
-// refusesNoop is a Handler that allows no command without effect, as for a node that drains.
+// refusesNoop is a Handler that allows no no-op, as for a node that drains.
 type refusesNoop struct{ ends }
 
 func (refusesNoop) MayConfirm(*Attempt) bool { return false }
 
-// TestUnconfirmedAnswerMayHaveRun checks that an attempt whose unnamed answer may not be confirmed counts as possibly
-// executed.
+// TestUnconfirmedAnswerMayHaveRun checks that an attempt whose unattributed answer may not be confirmed counts as
+// possibly executed.
 func TestUnconfirmedAnswerMayHaveRun(t *testing.T) {
 	pool, handler := startPool(t, func(id string, connection net.Conn) {
 		if id == "b" {
@@ -131,9 +146,9 @@
 	}
 }
 
-// TestUnnamedAnswersOfPipelinedAttempts checks that attempts in flight together get their own answers, whichever of
-// them the node names: an earlier request's answer in front of them moves none to its neighbour.
-func TestUnnamedAnswersOfPipelinedAttempts(t *testing.T) {
+// TestUnattributedAnswersOfPipelinedAttempts checks that attempts in flight together get their own answers, whichever
+// of them the node names: an earlier request's answer in front of them moves none to its neighbour.
+func TestUnattributedAnswersOfPipelinedAttempts(t *testing.T) {
 	named := func(id string) confirmationStep {
 		return confirmationStep(fmt.Sprintf("VA 2 O%s h1\r\nhi\r\n", id))
 	}
@@ -159,14 +174,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			g := startGated(t, testLimits)
-			g.open()
-			a := sendAlone(t, g.Pool, "a")
-			node := g.nextConnection(t)
-			in := bufio.NewReader(node)
-			in.ReadString('\n')
-			serve("a", node)
-			g.expectServed(t, a)
+			g, node, in := startReused(t)
 			for i, id := range []string{"b", "c", "d"} {
 				test.want[i].attempt = sendAlone(t, g.Pool, id)
 				in.ReadString('\n')
@@ -186,17 +194,30 @@
 	}
 }
 
+// TestUnattributedAnswerOfAnAbandonedAttempt checks that an answer that names no request ends an abandoned attempt
+// without a no-op, so that the attempt behind it gets its own answer.
+func TestUnattributedAnswerOfAnAbandonedAttempt(t *testing.T) {
+	g, node, in := startReused(t)
+	abandoned := sendAlone(t, g.Pool, "b")
+	in.ReadString('\n')
+	behind := sendAlone(t, g.Pool, "c")
+	in.ReadString('\n')
+	g.Abandon(abandoned)
+	writeSteps(node, []confirmationStep{busy})
+	if got := g.next(t); got.attempt != abandoned || got.result != Busy {
+		t.Errorf("the abandoned attempt ended with result %d", got.result)
+	}
+	serve("c", node)
+	g.expectServed(t, behind)
+	if line, err := in.ReadString('\n'); err == nil {
+		t.Errorf("the node received %q", line)
+	}
+}
+
 // TestNoopAtANodeThatReadsNothing checks that an attempt with an unconfirmed answer ends with its connection, as
 // possibly executed, if the node answers nothing more.
 func TestNoopAtANodeThatReadsNothing(t *testing.T) {
-	g := startGated(t, testLimits)
-	g.open()
-	a := sendAlone(t, g.Pool, "a")
-	node := g.nextConnection(t)
-	in := bufio.NewReader(node)
-	in.ReadString('\n')
-	serve("a", node)
-	g.expectServed(t, a)
+	g, node, in := startReused(t)
 	b := sendAlone(t, g.Pool, "b")
 	in.ReadString('\n')
 	writeSteps(node, []confirmationStep{busy})
@@ -234,16 +255,16 @@
 	g.expectServed(t, repeat)
 }
 
-// TestHeldAnswer checks which answer an attempt gets if it can't be told which of the held ones it is.
-func TestHeldAnswer(t *testing.T) {
-	answers := func(kinds ...request.AnswerKind) (held []request.Answer) {
+// TestConfirmedAnswer checks which answer an attempt gets if it is ambiguous which of the unconfirmed ones is its own.
+func TestConfirmedAnswer(t *testing.T) {
+	answers := func(kinds ...request.AnswerKind) (list []request.Answer) {
 		for _, kind := range kinds {
-			held = append(held, request.Answer{Kind: kind})
+			list = append(list, request.Answer{Kind: kind})
 		}
-		return held
+		return list
 	}
 	for _, test := range []struct {
-		held         []request.Answer
+		unconfirmed  []request.Answer
 		index, count int
 		want         request.AnswerKind
 	}{
@@ -253,8 +274,9 @@
 		{answers(request.Busy, request.Failed), 0, 1, request.Failed},
 		{answers(request.Busy, request.NotFound), 0, 1, request.Failed},
 	} {
-		if got := heldAnswer(test.held, test.index, test.count); got.Kind != test.want {
-			t.Errorf("attempt %d of %d got %v of %v, want %v", test.index, test.count, got.Kind, test.held, test.want)
+		if got := confirmedAnswer(test.unconfirmed, test.index, test.count); got.Kind != test.want {
+			t.Errorf("attempt %d of %d got %v of %v, want %v",
+				test.index, test.count, got.Kind, test.unconfirmed, test.want)
 		}
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,10 +32,10 @@
 	malformed   bool // the answer to the first attempt of inFlight can't be parsed
 	closed      bool
 
-	answers    int              // answers read so far
-	held       []request.Answer // answers of which it is not known which attempt they belong to, see attribution.go
-	noop       noopState
-	beforeNoop int // number of attempts at the start of inFlight that were written before the command without effect
+	answers     int              // answers read so far
+	unconfirmed []request.Answer // answers of which it is not known which attempt they belong to, see attribution.go
+	noop        noopState
+	beforeNoop  int // number of attempts at the start of inFlight that were written before the no-op
 
 	// Used by the reader only, without the lock.
 	hasServed    bool      // an answer other than busy has come
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -73,7 +73,7 @@
 }
 
 // expectedRequests appends the requests in flight that the next answer may belong to: the oldest one, and those behind
-// it that the answers held before may belong to. It returns an error if no attempt is in flight or the connection is
+// it that the unconfirmed answers may belong to. It returns an error if no attempt is in flight or the connection is
 // closed.
 func (c *conn) expectedRequests(expected []*request.Request) ([]*request.Request, error) {
 	c.pool.mu.Lock()
@@ -85,44 +85,44 @@
 		return nil, errUnexpectedAnswer
 	}
 	c.lastActive = time.Now()
-	for _, a := range c.inFlight[:min(len(c.held)+1, len(c.inFlight))] {
+	for _, a := range c.inFlight[:min(len(c.unconfirmed)+1, len(c.inFlight))] {
 		expected = append(expected, a.Request)
 	}
 	return expected, nil
 }
 
-// handleAnswer completes the attempts that an answer ends, or holds the answer. index is the index in flight of the
-// attempt that the answer names, 0 if it names none. An error means that the answer belongs to no attempt.
+// handleAnswer completes the attempts that an answer ends, or has the answer confirmed. index is the index in flight
+// of the attempt that the answer names, 0 if it names none. An error means that the answer belongs to no attempt.
 func (c *conn) handleAnswer(in *bufio.Reader, answer *request.Answer, index int) error {
 	if answer.Kind == request.Noop {
 		return c.handleNoop(in)
 	}
-	a, held := c.countAnswer(answer, index)
+	a, confirmed := c.countAnswer(answer, index)
 	switch {
 	case a == nil:
 		return net.ErrClosed
-	case held:
-		return c.hold(a, answer)
+	case !confirmed:
+		return c.confirm(a, answer)
 	}
-	c.resolveHeld(in, index)
+	c.resolveUnconfirmed(in, index)
 	c.complete(in, a, answer, c.busyResult(in, answer))
 	return nil
 }
 
-// countAnswer counts an answer, and returns the attempt in flight with an index, nil if the connection was closed. held
-// reports whether the answer must be held.
-func (c *conn) countAnswer(answer *request.Answer, index int) (a *Attempt, held bool) {
+// countAnswer counts an answer, and returns the attempt in flight with an index, nil if the connection was closed.
+// confirmed reports whether the answer is certainly the one to this attempt, or counts as such.
+func (c *conn) countAnswer(answer *request.Answer, index int) (a *Attempt, confirmed bool) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	if index >= len(c.inFlight) {
 		return nil, false
 	}
 	a = c.inFlight[index]
-	held = c.mustHold(a, answer)
-	c.recordAnswer(a, answer, held)
+	confirmed = !c.needsConfirmation(a, answer)
+	c.recordAnswer(a, answer, confirmed)
 	c.answers++
 	c.lastAnswerAt = c.lastActive
-	return a, held
+	return a, confirmed
 }
 
 // complete ends the oldest attempt in flight with its answer. busyResult is the result to report for a busy answer.
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// recordAnswer records an answer, and whether it is held. It is called by the reader, with Pool.mu held.
-func (c *conn) recordAnswer(a *Attempt, answer *request.Answer, held bool) {
+// recordAnswer records an answer, and whether it is confirmed. It is called by the reader, with Pool.mu held.
+func (c *conn) recordAnswer(a *Attempt, answer *request.Answer, confirmed bool) {
 	recorder := c.pool.recorder
 	if !recorder.Enabled() {
 		return
@@ -48,7 +48,7 @@
 		Connection: c.number,
 		Answer:     answer.Kind.String(),
 		Attributed: answer.Attributed,
-		Held:       held,
+		Confirmed:  confirmed,
 		Answers:    c.answers,
 		SinceLast:  c.sinceLastAnswer(),
 	})
