Keep unconfirmed answers with the reader alone, without the pool's lock

Cause: only the reader of a connection uses them, yet each answer took the lock of all connections once more to look for them. Change: they belong to the reader, like the other fields it alone uses.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -55,15 +55,15 @@
 	if !c.noopSent() && !c.pool.handler.MayConfirm(a) {
 		return errUnattributed
 	}
+	c.unconfirmed = append(c.unconfirmed, *answer)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	switch {
 	case c.closed:
 		return net.ErrClosed
-	case c.writeFailed || c.noop == noopDone || len(c.unconfirmed) >= maxUnconfirmed:
+	case c.writeFailed || c.noop == noopDone || len(c.unconfirmed) > maxUnconfirmed:
 		return errUnattributed
 	}
-	c.unconfirmed = append(c.unconfirmed, *answer)
 	c.retired = true
 	if c.noop == noopNone {
 		c.noop = noopWanted
@@ -117,7 +117,8 @@
 // resolveUnconfirmed completes the first count attempts in flight, whose answers must be among the unconfirmed ones,
 // since answers come in the order of the attempts. The other unconfirmed answers belonged to earlier requests.
 func (c *conn) resolveUnconfirmed(in *bufio.Reader, count int) {
-	unconfirmed := c.takeUnconfirmed()
+	unconfirmed := c.unconfirmed
+	c.unconfirmed = nil
 	for i := range count {
 		a := c.firstInFlight()
 		if a == nil {
@@ -128,15 +129,6 @@
 	}
 }
 
-// takeUnconfirmed returns the unconfirmed answers and removes them.
-func (c *conn) takeUnconfirmed() []request.Answer {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	unconfirmed := c.unconfirmed
-	c.unconfirmed = nil
-	return unconfirmed
-}
-
 // firstInFlight returns the oldest attempt in flight, nil if the connection was closed.
 func (c *conn) firstInFlight() *Attempt {
 	c.pool.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,14 +32,14 @@
 	malformed   bool // the answer to the first attempt of inFlight can't be parsed
 	closed      bool
 
-	answers     int              // answers read so far
-	unconfirmed []request.Answer // answers of which it is not known which attempt they belong to, see attribution.go
-	noop        noopState
-	beforeNoop  int // number of attempts at the start of inFlight that were written before the no-op
+	answers    int // answers read so far
+	noop       noopState
+	beforeNoop int // number of attempts at the start of inFlight that were written before the no-op
 
 	// Used by the reader only, without the lock.
-	hasServed    bool      // an answer other than busy has come
-	lastAnswerAt time.Time // when the latest answer was read
+	hasServed    bool             // an answer other than busy has come
+	lastAnswerAt time.Time        // when the latest answer was read
+	unconfirmed  []request.Answer // answers of which it is not known which attempt they belong to, see attribution.go
 }
 
 // newConn wraps an established connection and starts its reader and writer. p.mu is held.
