Client: writes whose answer is lost late are tested in virtual time

Cause: the test lost the answer at 1.4 s and asked for a retry, which may be sent until 1.45 s. The client's own backoff (up to 20 ms) and spread of reconnects (1 ms) take up to 21 of these 50 ms. A process that stands still for the rest gives "outcome unknown", as the rule has it: a late notice was taken for a wrong decision.

Change: the case of 1.4 s moves to virtual time (testing/synctest, pairs of connections in memory), where the loss is noticed as it happens, with the limits on both sides: 1.428 s must be retried, by exactly one retry, 1.451 s must not. The other five cases stay on sockets as well. For this the client's pools of attempts and waiters, which own channels and timers, belong to each client; they were global.

--- a/client/acquire.go
+++ b/client/acquire.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"mulleinpier/client/internal/balance"
@@ -126,18 +125,18 @@
 // waiter is used to wait for a connection or for an answer.
 type waiter struct {
 	woken chan struct{} // capacity 1; receives at most one signal per wait
-	timer *time.Timer   // stopped while in the pool
+	timer *time.Timer   // stopped while in Client.waiterPool
 }
 
-var waiterPool = sync.Pool{New: func() any {
+func newWaiterForPool() any {
 	w := &waiter{woken: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
 	w.timer.Stop()
 	return w
-}}
+}
 
 // waitAndUnlock unlocks c.mu, which is held, and waits until the call is woken, limit has passed or ctx ends.
 func (c *Client) waitAndUnlock(ctx context.Context, limit time.Duration) {
-	w := waiterPool.Get().(*waiter)
+	w := c.waiterPool.Get().(*waiter)
 	element := c.waiters.PushBack(w)
 	c.mu.Unlock()
 	w.timer.Reset(limit)
@@ -161,7 +160,7 @@
 		}
 		c.mu.Unlock()
 	}
-	waiterPool.Put(w)
+	c.waiterPool.Put(w)
 }
 
 // wakeLocked wakes up to n waiting calls, which then choose a proxy again. c.mu is held.
--- a/client/attempt.go
+++ b/client/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,11 +51,11 @@
 	cause      error
 }
 
-var attemptPool = sync.Pool{New: func() any { return &attempt{done: make(chan struct{}, 1)} }}
+func newAttemptForPool() any { return &attempt{done: make(chan struct{}, 1)} }
 
 // newAttempt takes an attempt from the pool and initialises it.
 func (c *Client) newAttempt(acquired *acquisition, wire *request.Request, info *TryInfo) *attempt {
-	t := attemptPool.Get().(*attempt)
+	t := c.attemptPool.Get().(*attempt)
 	t.state.Store(attemptWaiting)
 	t.serial = c.lastSerial.Add(1)
 	t.isRead = wire.Verb == request.Get
@@ -71,11 +70,11 @@
 }
 
 // recycle returns an attempt to the pool. No connection may refer to it any more.
-func (t *attempt) recycle() {
+func (c *Client) recycle(t *attempt) {
 	t.value = nil
 	t.cause = nil
 	t.info = nil
-	attemptPool.Put(t)
+	c.attemptPool.Put(t)
 }
 
 // answer returns a copy of the outcome.
@@ -106,21 +105,21 @@
 	case readsOwn:
 		a = acquired.conn.readOwnAnswer(ctx, t)
 	default:
-		a = t.await(ctx)
+		a = c.await(ctx, t)
 	}
 	if !a.abandoned {
-		t.recycle()
+		c.recycle(t)
 	}
 	return a
 }
 
 // await waits for the outcome of an attempt whose answer another goroutine reads.
-func (t *attempt) await(ctx context.Context) (a answer) {
-	w := waiterPool.Get().(*waiter)
+func (c *Client) await(ctx context.Context, t *attempt) (a answer) {
+	w := c.waiterPool.Get().(*waiter)
 	w.timer.Reset(t.timeout)
 	defer func() {
 		w.timer.Stop()
-		waiterPool.Put(w)
+		c.waiterPool.Put(w)
 	}()
 	select {
 	case <-t.done:
--- a/client/client.go
+++ b/client/client.go
@@ -25,6 +25,8 @@
 	ctx         context.Context // cancelled by Close
 	cancel      context.CancelFunc
 	tasks       sync.WaitGroup // the client's goroutines; none is added after closed is set
+	attemptPool sync.Pool      // of *attempt
+	waiterPool  sync.Pool      // of *waiter
 
 	// mu is not held during I/O or while a hook runs, and is never locked while a connection's mu is held.
 	mu       sync.Mutex
@@ -63,6 +65,8 @@
 		budget:      retry.NewBudget(o.RetryRatio, o.RetryBurst),
 		conns:       make(map[*balance.Proxy][]*connection),
 		drained:     make(chan struct{}, 1),
+		attemptPool: sync.Pool{New: newAttemptForPool},
+		waiterPool:  sync.Pool{New: newWaiterForPool},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.tasks.Go(c.followSource)
--- a/internal/fake/scriptednode/nodes.go
+++ b/internal/fake/scriptednode/nodes.go
@@ -46,10 +46,23 @@
 	open     map[net.Conn]int // connections and their nodes
 }
 
+// New returns a node without a listener, which serves the connections of [Nodes.Connect].
+func New(dialect Dialect, react func(number int, r ReceivedRequest) Reaction) *Nodes {
+	return &Nodes{dialect: dialect, react: react, open: make(map[net.Conn]int), closing: make(chan struct{})}
+}
+
+// Connect returns the client's end of a connection in memory to node 0. Unlike a socket, it can be used in virtual
+// time.
+func (ns *Nodes) Connect() net.Conn {
+	client, server := net.Pipe()
+	ns.handle(0, server)
+	return client
+}
+
 // Start returns count nodes that listen at a loopback address. react decides what to do with each request. It gets the
 // request's number, counted from 0 over all nodes. Calls for different connections may be concurrent.
 func Start(dialect Dialect, count int, react func(number int, r ReceivedRequest) Reaction) (*Nodes, error) {
-	ns := &Nodes{dialect: dialect, react: react, open: make(map[net.Conn]int), closing: make(chan struct{})}
+	ns := New(dialect, react)
 	for i := range count {
 		l, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
@@ -136,18 +149,23 @@
 		if err != nil {
 			return
 		}
+		ns.handle(i, c)
+	}
+}
+
+// handle starts to serve a connection.
+func (ns *Nodes) handle(i int, c net.Conn) {
+	ns.mu.Lock()
+	ns.open[c] = i
+	ns.accepted++
+	ns.mu.Unlock()
+	ns.tasks.Go(func() {
+		ns.serve(i, c)
+		c.Close()
 		ns.mu.Lock()
-		ns.open[c] = i
-		ns.accepted++
+		delete(ns.open, c)
 		ns.mu.Unlock()
-		ns.tasks.Go(func() {
-			ns.serve(i, c)
-			c.Close()
-			ns.mu.Lock()
-			delete(ns.open, c)
-			ns.mu.Unlock()
-		})
-	}
+	})
 }
 
 // serve reads requests and reacts to them until the connection ends, or a reaction ends it.
