Log lines wait in a bounded queue, so that an unread standard error stops nothing

Cause: the logger wrote to standard error from the goroutine that logs, at times under the core's lock or the pool's, and a write to a full pipe waits for its reader.

Change: package logqueue. A write queues its line in up to 1 MiB of memory; one goroutine writes. What does not fit, or could not be written (EPIPE, ENOSPC), is counted, and `log lines dropped` with the count stands in its place once lines are written again. EAGAIN is tried again, a line that an error cut off is ended before the next one.

A panic's trace still waits for a reader, as the runtime writes it.

--- a/cmd/mulleinpier/commandline_test.go
+++ b/cmd/mulleinpier/commandline_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"mulleinpier/internal/daemon"
+	"mulleinpier/internal/logqueue"
 )
 
 // TestCountsAndReduceAreExclusive checks that the options --counts and --reduce together are a usage error. Counts and
@@ -23,7 +24,7 @@
 func TestHelpSucceeds(t *testing.T) {
 	for _, args := range [][]string{{"--help"}, {"serve", "--help"}} {
 		var out strings.Builder
-		err := run(args, &out, daemon.Options{Log: io.Discard, Getenv: func(string) string { return "" }})
+		err := run(args, &out, daemon.Options{Log: logqueue.New(io.Discard), Getenv: func(string) string { return "" }})
 		if err != nil || !strings.Contains(out.String(), "Usage: mulleinpier") {
 			t.Errorf("%q: %v: %s", args, err, out.String())
 		}
--- a/cmd/mulleinpier/harness_test.go
+++ b/cmd/mulleinpier/harness_test.go
@@ -29,6 +29,7 @@
 	path     string // path of the configuration file
 	address  string // address that clients connect to
 	process  *exec.Cmd
+	stderr   *os.File      // standard error of the process; a pipe whose lines go to lines if nil
 	lines    <-chan string // lines of the daemon's log
 	notified chan string   // lines that the service manager has received
 	exited   chan error
@@ -132,10 +133,7 @@
 // run starts d.process, sends the lines of its log to d.lines, and sends the result of its exit to d.exited.
 func (d *testDaemon) run() {
 	d.t.Helper()
-	out, err := d.process.StderrPipe()
-	if err != nil {
-		d.t.Fatal(err)
-	}
+	out := d.logOutput()
 	if err := d.process.Start(); err != nil {
 		d.t.Fatal(err)
 	}
@@ -153,6 +151,20 @@
 	d.t.Cleanup(func() { process.Process.Kill() })
 }
 
+// logOutput sets the standard error of d.process, and returns what the test reads of it.
+func (d *testDaemon) logOutput() io.Reader {
+	d.t.Helper()
+	if d.stderr != nil {
+		d.process.Stderr = d.stderr
+		return strings.NewReader("")
+	}
+	out, err := d.process.StderrPipe()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return out
+}
+
 // awaitNotified waits until the service manager has received a line with a prefix. It discards the lines before.
 func (d *testDaemon) awaitNotified(prefix string) {
 	d.t.Helper()
--- a/cmd/mulleinpier/main.go
+++ b/cmd/mulleinpier/main.go
@@ -17,12 +17,14 @@
 	"mulleinpier/internal/cli"
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/daemon"
+	"mulleinpier/internal/logqueue"
 )
 
 const programName = "mulleinpier"
 
-// The exit codes other than success.
+// The exit codes.
 const (
+	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
 )
@@ -54,6 +56,9 @@
 // successive reads have returned the same text.
 const stableInterval = 50 * time.Millisecond
 
+// logCloseTimeout is how long the end of the process waits for a reader of standard error that is slow or absent.
+const logCloseTimeout = 200 * time.Millisecond
+
 var errUsage = cli.ErrUsage
 
 func main() {
@@ -63,20 +68,29 @@
 	hangups, terminations := make(chan os.Signal, 1), make(chan os.Signal, 2)
 	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Notify(terminations, syscall.SIGTERM, os.Interrupt)
+	log := logqueue.New(os.Stderr)
 	err := run(os.Args[1:], os.Stdout, daemon.Options{
 		Getenv:       os.Getenv,
-		Log:          os.Stderr,
+		Log:          log,
 		Hangups:      hangups,
 		Terminations: terminations,
 	})
+	code := report(err, log)
+	log.Close(logCloseTimeout)
+	os.Exit(code)
+}
+
+// report writes an error of run to log, and returns the exit code.
+func report(err error, log io.Writer) (code int) {
 	switch {
 	case errors.Is(err, errUsage):
-		fmt.Fprintf(os.Stderr, "%s: %v; see %s --help\n", programName, err, programName)
-		os.Exit(exitUsage)
+		fmt.Fprintf(log, "%s: %v; see %s --help\n", programName, err, programName)
+		return exitUsage
 	case err != nil:
-		fmt.Fprintf(os.Stderr, "%s: %s\n", programName, oneLine(err))
-		os.Exit(exitFailed)
+		fmt.Fprintf(log, "%s: %s\n", programName, oneLine(err))
+		return exitFailed
 	}
+	return exitOK
 }
 
 // oneLine returns the text of an error as one line: the first of the joined errors, and the number of the others.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"os"
 	"sync"
@@ -23,6 +22,7 @@
 
 	"mulleinpier/internal/config"
 	"mulleinpier/internal/lifecycle"
+	"mulleinpier/internal/logqueue"
 	"mulleinpier/internal/proxy"
 	"mulleinpier/internal/sdnotify"
 )
@@ -36,8 +36,8 @@
 	Platform bool
 	// Getenv returns the value of an environment variable, such as those that the service manager sets.
 	Getenv func(string) string
-	// Log receives the log lines.
-	Log io.Writer
+	// Log receives the log lines. The caller closes it after Run has returned.
+	Log *logqueue.Queue
 	// Hangups delivers SIGHUP. The channel must have a buffer of one, so that no hangup is lost while Run is busy. One
 	// is enough, as one read of the configuration covers all hangups before it.
 	Hangups <-chan os.Signal
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -73,13 +75,25 @@
 	debug.SetMemoryLimit(int64(c.MemoryBytes) / 10 * memoryLimitTenths)
 }
 
-// newLogger returns a logger with the configured format. Its level follows d.logLevel, which a reload can change.
+// newLogger returns a logger with the configured format, which also reports dropped log lines. Its level follows
+// d.logLevel, which a reload can change.
 func (d *daemon) newLogger(c *config.Config) *slog.Logger {
 	d.logLevel.Set(c.Log.Level)
+	d.Log.SetReport(func(dropped int) []byte {
+		var line bytes.Buffer
+		log := d.newLoggerTo(&line, c)
+		log.Warn("log lines dropped", "count", dropped)
+		return line.Bytes()
+	})
+	return d.newLoggerTo(d.Log, c)
+}
+
+// newLoggerTo returns a logger with the configured format that writes to out.
+func (d *daemon) newLoggerTo(out io.Writer, c *config.Config) *slog.Logger {
 	options := &slog.HandlerOptions{Level: &d.logLevel}
-	var handler slog.Handler = slog.NewTextHandler(d.Log, options)
+	var handler slog.Handler = slog.NewTextHandler(out, options)
 	if c.Log.JSON {
-		handler = slog.NewJSONHandler(d.Log, options)
+		handler = slog.NewJSONHandler(out, options)
 	}
 	return slog.New(handler).With("proxy", c.Proxy.Name)
 }
