A node file over 8 MiB is rejected; it was cut, and its last nodes were lost

Callers saw: no error, and no requests to nodes that stand beyond the first 8 MiB of a node file: as if they had left the list.

Cause: discovery.ReadFile read through io.LimitReader, which ends the file at the bound. What is before may be valid TOML.

The former list stays in force, as for any invalid file.

Result: TestTooLargeFileIsError failed before (a file of the bound and one byte: no error), passes now; a file of exactly 8 MiB is read.

--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -3,13 +3,14 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"os"
 	"slices"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"mulleinpier/internal/readlimit"
 )
 
 // maxFileBytes is the maximum size of a file. The daemon keeps serving while it reads a file, and an endless file must
@@ -62,12 +63,9 @@
 		return "", err // err already names the file
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	text, err := readlimit.All(f, maxFileBytes)
 	if err != nil {
-		return "", err
-	}
-	if len(text) > maxFileBytes {
-		return "", fmt.Errorf("%s: is larger than %d bytes", path, maxFileBytes)
+		return "", fmt.Errorf("%s: %w", path, err)
 	}
 	if len(text) == 0 {
 		return "", fmt.Errorf("%s: is empty", path) // a file can be empty while it is being written
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"mulleinpier/internal/readlimit"
 )
 
 const (
@@ -54,9 +56,9 @@
 		return List{}, err
 	}
 	defer body.Close()
-	text, err := io.ReadAll(io.LimitReader(body, maxListBytes))
+	text, err := readlimit.All(body, maxListBytes)
 	if err != nil {
-		return List{}, fmt.Errorf("discovery: %w", err)
+		return List{}, fmt.Errorf("discovery: endpoint list: %w", err)
 	}
 	l, err := Parse(text)
 	l.Snapshot = true
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"mulleinpier/internal/readlimit"
 )
 
 // fileReadInterval is the time between reads of a node file. It is well below the 500 ms within which a drain must be
@@ -79,9 +80,9 @@
 		return List{}, "", fmt.Errorf("endpoint list: %w", err)
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxListBytes))
+	text, err := readlimit.All(f, maxListBytes)
 	if err != nil {
-		return List{}, "", fmt.Errorf("endpoint list: %w", err)
+		return List{}, "", fmt.Errorf("endpoint list: %s: %w", path, err)
 	}
 	l, err := parseFile(path, string(text))
 	if err != nil {
--- a/internal/discovery/file_test.go
+++ b/internal/discovery/file_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"mulleinpier/internal/testutil"
@@ -76,6 +78,26 @@
 	}
 }
 
+// TestTooLargeFileIsError checks that a file over the bound is rejected. A part of it may be valid and contain fewer
+// nodes.
+func TestTooLargeFileIsError(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "nodes.toml")
+	second := strings.TrimPrefix(twoNodes, oneNode)
+	padding := maxListBytes - len(twoNodes)
+	writeFile(t, path, oneNode+comment(padding)+second)
+	if l, err := ReadFile(path); err != nil || len(l.Endpoints) != 2 {
+		t.Errorf("a file of the largest size: %d nodes, %v", len(l.Endpoints), err)
+	}
+	writeFile(t, path, oneNode+comment(padding+1)+second)
+	want := fmt.Sprintf("endpoint list: %s: is larger than %d bytes", path, maxListBytes)
+	if l, err := ReadFile(path); err == nil || err.Error() != want {
+		t.Errorf("a larger file: %d nodes, %v", len(l.Endpoints), err)
+	}
+}
+
+// comment returns a TOML comment of this size.
+func comment(size int) string { return strings.Repeat("#", size-1) + "\n" }
+
 // TestHalfWrittenFileIsNotUsed checks that a file is not used while it is being overwritten. Its first half may be
 // valid and contain fewer nodes.
 func TestHalfWrittenFileIsNotUsed(t *testing.T) {
