READY is reported after the fleet is joined, so that it means serving

Callers saw: READY, and for up to 1 s after it `busy` or no answer, where the proxy's voter waited for its file. A SIGTERM between READY and the join drained without a permit, and the permits of a predecessor were not released.

Cause: the task that reports READY was started before the fleet was joined. Joining is done before serving, and opens the voter's file, for whose lock it waits up to 1 s, as when a predecessor still drains.

Change: the task starts after the join. Its wait for the endpoint list (`wait_for_nodes`) begins then, too.

--- a/cmd/mulleinpier/stderr_test.go
+++ b/cmd/mulleinpier/stderr_test.go
@@ -113,27 +113,17 @@
 			messages <- in.Text()
 		}
 	}()
-	awaitMessage(t, messages, "msg=\"listener opened\"")
-	report := awaitMessage(t, messages, "msg=\"log lines dropped\" proxy=")
+	waitLine(t, messages, "msg=\"listener opened\"")
+	report := waitLine(t, messages, "msg=\"log lines dropped\" proxy=")
 	if !strings.Contains(report, "level=WARN") || strings.HasSuffix(report, "count=0") {
 		t.Errorf("reported %q", report)
 	}
 	c.serveReads(1)
 	d.signal(syscall.SIGTERM)
-	awaitMessage(t, messages, "msg=\"drain completed\"")
+	waitLine(t, messages, "msg=\"drain completed\"")
 	d.awaitExit()
 }
 
-// awaitMessage waits for a log line with a text, and discards the lines before.
-func awaitMessage(t *testing.T, messages <-chan string, text string) string {
-	t.Helper()
-	for {
-		if line := testutil.Receive(t, "a log line with "+text, messages); strings.Contains(line, text) {
-			return line
-		}
-	}
-}
-
 // TestFailedStartWithUnwritableLogEnds checks that a start that fails ends the process although its error cannot be
 // written.
 func TestFailedStartWithUnwritableLogEnds(t *testing.T) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -51,6 +51,8 @@
 		log.Warn("environment variable deprecated", "variable", v.Name, "replacement", v.Replacement)
 	}
 	d.reports <- taskReport{server: server, log: log}
+	deregister := startRegistration(ctx, server, c, log)
+	d.fleet.start(c, server.Core(), log)
 	var ready sync.WaitGroup
 	ready.Go(func() {
 		if d.awaitStarted(ctx, server, c, log) {
@@ -58,8 +60,6 @@
 			d.fleet.releasePredecessorPermits(ctx)
 		}
 	})
-	deregister := startRegistration(ctx, server, c, log)
-	d.fleet.start(c, server.Core(), log)
 	server.Serve(ctx)
 	ready.Wait()
 	d.fleet.stop()
