--- a/cmd/mulleinpier/ready_test.go
+++ b/cmd/mulleinpier/ready_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -8,6 +9,7 @@
 
 	"mulleinpier/internal/fake/node"
 	"mulleinpier/internal/lease/agent"
+	"mulleinpier/internal/testutil"
 )
 
 // lockedVoter is a daemon with a voter whose file another process has locked, as a predecessor that still drains does.
@@ -39,6 +41,26 @@
 	return v
 }
 
+// TestVoterWaitsForPredecessor checks that a daemon is ready and serves although its voter has to wait for its file,
+// and that the voter votes once the predecessor has closed the file.
+func TestVoterWaitsForPredecessor(t *testing.T) {
+	d := newLockedVoter(t)
+	d.start()
+	d.awaitNotified("READY=1")
+	c := d.connect()
+	c.serveReads(10)
+	waitLine(t, d.lines, `msg="voter start delayed"`)
+	d.file.Close()
+	leases := leaseClient(t, d.fleet)
+	testutil.WaitUntil(t, "the voter to lead", func() bool {
+		state, err := leases.LeaderState(context.Background())
+		return err == nil && state.IsLeader
+	})
+	d.signal(syscall.SIGTERM)
+	waitLine(t, d.lines, `msg="permit granted"`)
+	d.awaitExit()
+}
+
 // TestReadyMeansServing checks that a daemon that has reported READY answers a request in time, and that a termination
 // right after READY waits for a permit.
 func TestReadyMeansServing(t *testing.T) {
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -20,11 +20,15 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // ErrNotFound says that the file does not exist: it was never created, or was lost.
 var ErrNotFound = errors.New("store: no such file")
 
+// ErrLocked says that another process has the file open.
+var ErrLocked = errors.New("store: file is locked by another process")
+
 const (
 	// lockTimeout limits the wait for another process to close the file.
 	lockTimeout = time.Second
@@ -105,12 +109,16 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
-// Open opens a file that Create has made. If there is none, the error is [ErrNotFound].
+// Open opens a file that Create has made. If there is none, the error is [ErrNotFound]; if another process does not
+// close it within lockTimeout, [ErrLocked].
 func Open(path string) (*Log, error) {
 	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("%w: %s", ErrNotFound, path)
 	}
 	db, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return nil, fmt.Errorf("%w: %s", ErrLocked, path)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("store: %s: %w", path, err)
 	}
