Isolation of an instance is reported as a change to those who wait for one

Callers saw: nothing at once.

Cause: Client.publish closed the channel of Members only when a member changed, so the takeover coordinator did not learn of an isolation, and at the return had nothing to compare with.

Change: a change of the isolation wakes them, too.

Result: TestIsolationIsAChange failed before (no change in 30 s), passes 3 of 3 with -race; packages transport, takeover and coordinator pass.

--- a/internal/peer/transport/client.go
+++ b/internal/peer/transport/client.go
@@ -153,28 +153,38 @@
 	}
 }
 
-// publish logs changes, and wakes the callers of Members that wait for one. c.mu is held.
+// publish logs changes of the members and of the isolation, and wakes the callers of Members that wait for one. c.mu is
+// held.
 func (c *Client) publish(changes []peer.Change) {
-	if isolated, _ := c.view.Isolated(); isolated != c.isolated {
-		c.isolated = isolated
-		if isolated { // the list of members may be outdated
-			c.log.Warn("watcher majority lost")
-		} else {
-			c.log.Info("watcher majority reached")
-		}
-	}
+	isolationChanged := c.updateIsolated()
 	for _, change := range changes {
 		if change.Name != c.self.Name && isArrivalOrEnd(change) {
 			c.log.Info("member state changed",
 				"member", change.Name, "state", change.State, "previous", change.Previous)
 		}
 	}
-	if len(changes) > 0 {
+	if isolationChanged || len(changes) > 0 {
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
 }
 
+// updateIsolated logs whether this instance became isolated or no longer is, and reports whether that changed. c.mu is
+// held.
+func (c *Client) updateIsolated() (changed bool) {
+	isolated, _ := c.view.Isolated()
+	if isolated == c.isolated {
+		return false
+	}
+	c.isolated = isolated
+	if isolated { // the list of members may be outdated
+		c.log.Warn("watcher majority lost")
+	} else {
+		c.log.Info("watcher majority reached")
+	}
+	return true
+}
+
 // isArrivalOrEnd reports whether a member is new, has become gone, or has come back.
 func isArrivalOrEnd(c peer.Change) bool {
 	return c.State != c.Previous && (c.State == peer.Gone || c.Previous == peer.Gone || c.Previous == 0)
@@ -195,7 +205,8 @@
 	return c.lastResult == peer.Replaced
 }
 
-// Members returns all known members, whether the list may be outdated, and a channel that is closed on its next change.
+// Members returns all known members, whether the list may be outdated, and a channel that is closed when one of
+// them changes.
 func (c *Client) Members() (list []peer.MemberState, isolated bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/transport/transport_test.go
+++ b/internal/peer/transport/transport_test.go
@@ -148,6 +148,43 @@
 	}
 }
 
+// TestIsolationIsAChange checks that those who wait for a change of the members are woken when an instance becomes
+// isolated, and when it no longer is, although no member changes its state.
+func TestIsolationIsAChange(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.join("a", 1)
+	f.waitForState(a, "a", peer.Alive)
+	for _, s := range f.servers[:2] {
+		s.watcher.Stop()
+		s.server.Close()
+	}
+	isIsolated := func() bool {
+		_, isolated := member(a, "a")
+		return isolated
+	}
+	f.waitForChange(a, "a to be isolated", isIsolated)
+	for i := range 2 {
+		f.startWatcher(f.watchers[i].Name, f.watchers[i].Address)
+	}
+	f.waitForChange(a, "a to be back", func() bool { return !isIsolated() })
+}
+
+// waitForChange waits for reported changes of an instance until ok, whose meaning is what, returns true.
+func (f *testFleet) waitForChange(c *Client, what string, ok func() bool) {
+	f.t.Helper()
+	for {
+		_, _, changed := c.Members()
+		if ok() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(testutil.Timeout):
+			f.t.Fatalf("no change was reported within %v: %s", testutil.Timeout, what)
+		}
+	}
+}
+
 // TestOtherFleetsAreIgnored checks that this fleet's watchers ignore the heartbeats of instances of another fleet.
 func TestOtherFleetsAreIgnored(t *testing.T) {
 	f := newFleet(t)
