A lease whose Expire could not be proposed is expired at the next tick

Cause: the expiry manager proposed an Expire once for each grant, and the replica ignored that raft had dropped the proposal. A dropped Release of a silent waiter was lost in the same way.

Change: the replica tells the manager of a dropped proposal. An Expire is proposed again at the next tick, a waiter counts as silent from then on.

Result: TestDroppedExpireIsProposedAgain (one voter, a stalled disk, a full queue) failed before: the grant was there 3 s after the disk came back. It passes now; lease, quorum (400 random schedules) and agent pass, the last two with -race.

--- a/internal/lease/expiry.go
+++ b/internal/lease/expiry.go
@@ -81,6 +81,8 @@
 		return m.renew(e, out)
 	case LeadershipConfirmed:
 		return m.confirmRenewals(now, e.Sequence, out)
+	case ProposalDropped:
+		m.proposalDropped(now, &e.Command)
 	case Tick:
 		if m.leading {
 			return m.proposeWaiterReleases(now, m.proposeExpired(now, out))
@@ -190,6 +192,19 @@
 	return out
 }
 
+// proposalDropped lets the next Tick propose a dropped Expire again, and counts a waiter whose Release was dropped as
+// silent from now on.
+func (m *ExpiryManager) proposalDropped(now time.Duration, c *Command) {
+	if c.Kind == Release {
+		m.waiterLastSeen[waiterKey{c.Task, c.Holder, c.Nonce}] = now
+		return
+	}
+	if d, ok := m.deadlines[c.Token]; ok {
+		d.expiring = false
+		m.deadlines[c.Token] = d
+	}
+}
+
 // proposeWaiterReleases proposes to remove from the queue each waiter that has sent nothing for its waiterTimeout. Two
 // waiters with the same nonce and equally long holder names are released in no fixed order.
 func (m *ExpiryManager) proposeWaiterReleases(now time.Duration, out []ExpiryAction) []ExpiryAction {
--- a/internal/lease/expiry_messages.go
+++ b/internal/lease/expiry_messages.go
@@ -27,6 +27,8 @@
 	// LeadershipConfirmed says that this voter still led after it had emitted the ConfirmLeadership with this
 	// sequence. It confirms all earlier sequences, too.
 	LeadershipConfirmed struct{ Sequence uint64 }
+	// ProposalDropped says that a command of a Propose was not proposed, and may be proposed again at the next Tick.
+	ProposalDropped struct{ Command Command }
 	// Tick makes the manager check all deadlines and timeouts.
 	Tick struct{}
 )
@@ -37,6 +39,7 @@
 func (Renew) expiryEvent()               {}
 func (WaiterSeen) expiryEvent()          {}
 func (LeadershipConfirmed) expiryEvent() {}
+func (ProposalDropped) expiryEvent()     {}
 func (Tick) expiryEvent()                {}
 
 // ExpiryAction is an output of an [ExpiryManager], which its caller carries out.
--- a/internal/lease/quorum/requests.go
+++ b/internal/lease/quorum/requests.go
@@ -91,7 +91,9 @@
 func (r *Replica) propose(requestID uint64, c lease.Command) {
 	err := r.proposeEntry(requestID, c)
 	switch {
-	case requestID == 0: // from the expiry manager: there is no request to answer
+	case requestID == 0 && err != nil:
+		r.handleExpiryEvent(lease.ProposalDropped{Command: c})
+	case requestID == 0: // there is no request to answer
 	case err != nil:
 		r.emit(Response{RequestID: requestID})
 	default:
