Client: a long line in a file of proxies does not cut the list

Callers saw: no error, and no requests to proxies that stand after a line of over 64 KiB, a long comment for instance.

Cause: the file was read by lines with bufio.Scanner, which ends at such a line, and its error was not looked at. The file's size is bounded already (1 MiB).

Change: lines are split in memory, where nothing can fail.

Result: TestLongLinesDoNotCutFile failed before (one address of two), passes now.

--- a/client/source.go
+++ b/client/source.go
@@ -1,8 +1,6 @@
 package client
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -78,8 +76,8 @@
 		return nil, fmt.Errorf("mulleinpier: %s: longer than %d bytes", f.path, maxFileBytes)
 	}
 	var list []string
-	for lines := bufio.NewScanner(bytes.NewReader(text)); lines.Scan(); {
-		line, _, _ := strings.Cut(lines.Text(), "#")
+	for line := range strings.Lines(string(text)) {
+		line, _, _ = strings.Cut(line, "#")
 		if line = strings.TrimSpace(line); line != "" {
 			list = append(list, line)
 		}
