Bounded input over its bound is an error that names it, in every reader

Callers saw: a Consul token file of over 4 KiB was cut and its first part sent as the token, with no error. Answers of voters, peers, proxies and Consul over their bounds failed as if their format were wrong.

Cause: io.LimitReader ends the input at the bound.

Change: package readlimit in all readers of files and messages that had a bound: Consul's token and instances, peers, voters' state, `work list`, `mulleinctl set`. The last reads up to the limit of a value; it read 1 MiB, of which the client refused all over 64 KiB, so no cut value was ever written.

Result: TestTokenIsReadForEachCall, with a file over the bound, failed before (no error), passes now. TestTooLargeValueIsNotCut passes before and after. Packages consul, peer, rpc, transport, agent, mulleinctl pass.

--- a/cmd/mulleinctl/getset.go
+++ b/cmd/mulleinctl/getset.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"mulleinpier/client"
+	"mulleinpier/internal/meta"
+	"mulleinpier/internal/readlimit"
 )
 
 // proxyFlags select the proxies, and configure the requests to them.
@@ -107,10 +109,6 @@
 	"safe":   client.Safe,
 }
 
-// maxInputBytes bounds the part of standard input that is read as a value. Proxies reject values above a lower limit of
-// their own.
-const maxInputBytes = 1 << 20
-
 func (c *setCommand) run(ctx context.Context, in io.Reader, out, log io.Writer) error {
 	proxies, err := c.open(log)
 	if err != nil {
@@ -119,7 +117,7 @@
 	defer proxies.Close()
 	value := []byte(c.Value)
 	if c.Value == "" {
-		value, err = io.ReadAll(io.LimitReader(in, maxInputBytes))
+		value, err = readValue(in)
 		if err != nil {
 			return fmt.Errorf("read the value from standard input: %w", err)
 		}
@@ -148,3 +146,13 @@
 	fmt.Fprintf(log, "mulleinctl: the write may have been carried out, or may still be until %s: "+
 		"read %s after that, and repeat the write only if it had no effect\n", e.Settled.Format(time.TimeOnly), c.Key)
 }
+
+// readValue reads a value. A value that is larger than proxies accept is a usage error.
+func readValue(in io.Reader) ([]byte, error) {
+	value, err := readlimit.All(in, meta.MaxValue)
+	var tooLarge *readlimit.TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, fmt.Errorf("%w: value %w", errUsage, err)
+	}
+	return value, err
+}
--- a/cmd/mulleinctl/main_test.go
+++ b/cmd/mulleinctl/main_test.go
@@ -11,6 +11,7 @@
 
 	"mulleinpier/internal/fake/scriptednode"
 	"mulleinpier/internal/loadgen"
+	"mulleinpier/internal/meta"
 )
 
 // reactByKey returns the reaction of the scripted proxy to a request, which depends on its key.
@@ -85,6 +86,22 @@
 	}
 }
 
+// TestTooLargeValueIsNotCut checks that a value on standard input over the limit is a usage error, and is not written.
+func TestTooLargeValueIsNotCut(t *testing.T) {
+	proxy, _ := startProxy(t)
+	for size, want := range map[int]int{meta.MaxValue: 0, meta.MaxValue + 1: exitUsage, 3 << 20: exitUsage} {
+		args := []string{"set", "--proxies=" + proxy.Address(0), "k"}
+		var out bytes.Buffer
+		err := run(context.Background(), args, strings.NewReader(strings.Repeat("v", size)), &out, &out)
+		if exitCode(err) != want {
+			t.Errorf("%d bytes: %v (exit %d, want %d)", size, err, exitCode(err), want)
+		}
+	}
+	if requests := proxy.Requests(); len(requests) != 1 || len(requests[0].Value) != meta.MaxValue {
+		t.Errorf("%d values were written", len(requests))
+	}
+}
+
 func TestLoadWritesItsResults(t *testing.T) {
 	proxy, _ := startProxy(t)
 	path := filepath.Join(t.TempDir(), "load.json")
--- a/cmd/mulleinctl/work.go
+++ b/cmd/mulleinctl/work.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulleinpier/internal/peer/rpc"
+	"mulleinpier/internal/readlimit"
 	"mulleinpier/internal/takeover"
 	"mulleinpier/internal/takeover/coordinator"
 )
@@ -59,7 +60,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("list the writes of %s: %s", c.At, response.Status)
 	}
-	body := io.LimitReader(response.Body, rpc.MaxBodyBytes)
+	body := readlimit.NewReader(response.Body, rpc.MaxBodyBytes)
 	if err := json.NewDecoder(body).Decode(&writes); err != nil {
 		return nil, fmt.Errorf("decode the writes of %s: %w", c.At, err)
 	}
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -28,6 +28,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mulleinpier/internal/readlimit"
 )
 
 // Agent says how to reach a Consul agent and how to authenticate. It is comparable.
@@ -112,8 +114,11 @@
 		return "", err
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxTokenBytes))
-	return strings.TrimSpace(string(text)), err
+	text, err := readlimit.All(f, maxTokenBytes)
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", c.agent.TokenFile, err)
+	}
+	return strings.TrimSpace(string(text)), nil
 }
 
 type call struct {
--- a/internal/consul/client_test.go
+++ b/internal/consul/client_test.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"mulleinpier/internal/readlimit"
 )
 
 // TestTokenIsReadForEachCall checks that each call uses the current content of the token file. Otherwise calls
@@ -27,6 +29,11 @@
 	if _, err := s.Fetch(t.Context()); err != nil {
 		t.Errorf("with the new token: %v", err)
 	}
+	writeFile(t, file, []byte("second"+strings.Repeat("\n", maxTokenBytes)))
+	var tooLarge *readlimit.TooLargeError
+	if _, err := s.Fetch(t.Context()); !errors.As(err, &tooLarge) || !strings.Contains(err.Error(), file) {
+		t.Errorf("with a file that is too large: %v", err)
+	}
 }
 
 // TestCertificatesAreChecked checks that only agents with a certificate from the configured CA are trusted.
--- a/internal/consul/instances.go
+++ b/internal/consul/instances.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"mulleinpier/internal/discovery"
+	"mulleinpier/internal/readlimit"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // readInstances decodes a list one entry at a time, which bounds the memory in use.
 func (s *source) readInstances(body io.Reader) ([]discovery.Endpoint, error) {
-	in := json.NewDecoder(io.LimitReader(body, maxListBytes))
+	in := json.NewDecoder(readlimit.NewReader(body, maxListBytes))
 	if t, err := in.Token(); err != nil || t != json.Delim('[') {
 		return nil, fmt.Errorf("not a JSON list: %v, %w", t, errors.Join(err, io.ErrUnexpectedEOF))
 	}
--- a/internal/lease/agent/client.go
+++ b/internal/lease/agent/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/peer"
 	"mulleinpier/internal/peer/rpc"
+	"mulleinpier/internal/readlimit"
 )
 
 // executeRetryDelay is the delay between two attempts of Client.Execute.
@@ -89,7 +89,7 @@
 		return s, err
 	}
 	defer response.Body.Close()
-	return s, json.NewDecoder(io.LimitReader(response.Body, rpc.MaxBodyBytes)).Decode(&s)
+	return s, json.NewDecoder(readlimit.NewReader(response.Body, rpc.MaxBodyBytes)).Decode(&s)
 }
 
 // VoterStates returns the state of each voter that answers.
--- a/internal/peer/rpc/rpc.go
+++ b/internal/peer/rpc/rpc.go
@@ -19,6 +19,8 @@
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"mulleinpier/internal/readlimit"
 )
 
 const (
@@ -113,7 +115,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes))
+	text, err := readlimit.All(response.Body, MaxBodyBytes)
 	countMessage(len(text))
 	switch {
 	case err != nil:
