--- a/cmd/mulleinpier/stderr_test.go
+++ b/cmd/mulleinpier/stderr_test.go
@@ -59,9 +59,9 @@
 	},
 }
 
-// TestUnwritableLogHoldsUpNothing checks that a daemon whose log lines cannot be written starts, serves, reloads and
+// TestUnwritableLogDelaysNothing checks that a daemon whose log lines cannot be written starts, serves, reloads and
 // ends in time. At level debug each request logs several lines.
-func TestUnwritableLogHoldsUpNothing(t *testing.T) {
+func TestUnwritableLogDelaysNothing(t *testing.T) {
 	for name, open := range unwritableOutputs {
 		t.Run(name, func(t *testing.T) {
 			d := newTestDaemon(t, node.Config{})
@@ -124,9 +124,9 @@
 	d.awaitExit()
 }
 
-// TestFailedStartWithUnwritableLogEnds checks that a start that fails ends the process although its error cannot be
+// TestFailedStartWithUnwritableLogExits checks that a start that fails ends the process although its error cannot be
 // written.
-func TestFailedStartWithUnwritableLogEnds(t *testing.T) {
+func TestFailedStartWithUnwritableLogExits(t *testing.T) {
 	for name, open := range unwritableOutputs {
 		t.Run(name, func(t *testing.T) {
 			process := exec.Command(os.Args[0], "serve", "--config", "/nonexistent")
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -201,13 +201,3 @@
 	}
 	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/consul/registrar.go
+++ b/internal/consul/registrar.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"mulleinpier/internal/delay"
 )
 
 // Registration is the entry of a proxy in the catalogue, and the agent that keeps it.
@@ -111,7 +113,7 @@
 		} else if ctx.Err() == nil {
 			interval = r.noteFailure(&s, err, interval)
 		}
-		sleep(ctx, interval)
+		delay.Wait(ctx, interval)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
--- a/internal/consul/source.go
+++ b/internal/consul/source.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/discovery"
 )
 
@@ -153,7 +154,7 @@
 		if err != nil {
 			var status *StatusError
 			if errors.As(err, &status) && status.RetryAfter > 0 {
-				sleep(ctx, status.RetryAfter/2+rand.N(status.RetryAfter))
+				delay.Wait(ctx, status.RetryAfter/2+rand.N(status.RetryAfter))
 			}
 			return err
 		}
@@ -166,7 +167,7 @@
 			deliver(result.list)
 			delivered = true
 		}
-		sleep(ctx, queryInterval(index, result.readTime+time.Since(start)))
+		delay.Wait(ctx, queryInterval(index, result.readTime+time.Since(start)))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/core/sources.go
+++ b/internal/core/sources.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/discovery"
 	"mulleinpier/internal/membership"
 )
@@ -120,10 +121,7 @@
 			return
 		}
 		c.log.Warn("endpoint list source lost", "source", name, "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(rewatchDelay):
-		}
+		delay.Wait(ctx, rewatchDelay)
 	}
 }
 
--- a/internal/daemon/permit.go
+++ b/internal/daemon/permit.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
 )
@@ -71,20 +72,12 @@
 			return nil
 		}
 		if !errors.Is(err, context.DeadlineExceeded) { // the request has lost its place in the queue of waiters
-			sleep(ctx, permitRetryInterval)
+			delay.Wait(ctx, permitRetryInterval)
 		}
 	}
 	return nil
 }
 
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // keepPermit stores p, the permit to drain, for stop. p may be nil.
 func (f *fleetMember) keepPermit(p *permit) {
 	f.mu.Lock()
--- a/internal/daemon/voter.go
+++ b/internal/daemon/voter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulleinpier/internal/config"
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/lease/agent"
 	"mulleinpier/internal/store"
 )
@@ -65,7 +66,7 @@
 			waiting = true
 			log.Warn("voter start delayed", "error", err)
 		}
-		sleep(ctx, voterRetryInterval)
+		delay.Wait(ctx, voterRetryInterval)
 	}
 }
 
--- a/internal/fleettest/clientfaults.go
+++ b/internal/fleettest/clientfaults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fake/node"
 )
 
@@ -95,7 +96,7 @@
 			p.changing.Lock()
 			defer p.changing.Unlock()
 			p.killProcess()
-			sleep(ctx, d)
+			delay.Wait(ctx, d)
 			if err := p.start(); err != nil {
 				f.addCrash("%v", err)
 			}
@@ -116,6 +117,6 @@
 		}
 	}
 	each(func(n *node.Node) error { return n.SetFault(node.Fault{Kind: node.ProcessDown}) })
-	sleep(ctx, d)
+	delay.Wait(ctx, d)
 	each((*node.Node).Restart)
 }
--- a/internal/fleettest/clients.go
+++ b/internal/fleettest/clients.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulleinpier/client"
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fake/origin"
 	"mulleinpier/internal/loadgen"
 )
@@ -138,7 +139,7 @@
 		tasks.Go(func() { p.Results[i], errs[i] = loadgen.Run(ctx, c) })
 	}
 	tasks.Go(func() {
-		sleep(ctx, rampUpTime+t.before)
+		delay.Wait(ctx, rampUpTime+t.before)
 		t.inject(ctx, f)
 	})
 	tasks.Wait()
--- a/internal/fleettest/events.go
+++ b/internal/fleettest/events.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fake/endpointlist"
 	"mulleinpier/internal/fake/node"
 )
@@ -50,7 +51,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	for _, e := range events {
-		sleep(ctx, time.Until(start.Add(time.Duration(e.At))))
+		delay.Wait(ctx, time.Until(start.Add(time.Duration(e.At))))
 		if ctx.Err() != nil {
 			return
 		}
@@ -153,7 +154,7 @@
 			mode = restartModes[1+i%2]
 		}
 		p.restart(mode)
-		sleep(ctx, time.Duration(e.Interval)-time.Since(start))
+		delay.Wait(ctx, time.Duration(e.Interval)-time.Since(start))
 		if ctx.Err() != nil {
 			f.addProblem("the wave was cut short at proxy %d", i)
 			return
--- a/internal/fleettest/faultinject/disk.go
+++ b/internal/fleettest/faultinject/disk.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mulleinpier/internal/delay"
 )
 
 // FullDisk simulates a full disk for a process, for the duration d or until ctx ends: each write to a file fails (with
@@ -19,7 +21,7 @@
 	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, &full, nil); err != nil {
 		return fmt.Errorf("full disk of process %d: %w", pid, err)
 	}
-	Sleep(ctx, d)
+	delay.Wait(ctx, d)
 	unix.Prlimit(pid, unix.RLIMIT_FSIZE, &before, nil) // fails only if the process has ended
 	return nil
 }
--- a/internal/fleettest/faultinject/stop.go
+++ b/internal/fleettest/faultinject/stop.go
@@ -7,6 +7,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"mulleinpier/internal/delay"
 )
 
 // StopSchedule describes stops of a process, such as a paused virtual machine, a swapping host or a debugger causes.
@@ -28,7 +30,7 @@
 			return err
 		}
 		if i+1 < s.Count {
-			Sleep(ctx, s.Interval-time.Since(from))
+			delay.Wait(ctx, s.Interval-time.Since(from))
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -51,7 +53,7 @@
 			return fmt.Errorf("stop process %d: it is still running", pid)
 		}
 	}
-	Sleep(ctx, d-time.Since(from))
+	delay.Wait(ctx, d-time.Since(from))
 	return nil
 }
 
@@ -64,16 +66,3 @@
 	_, rest, _ := strings.Cut(string(text), ") ") // the state follows the program's name, which may contain spaces
 	return strings.HasPrefix(rest, "T")
 }
-
-// Sleep sleeps for the duration d, or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/fleettest/lease.go
+++ b/internal/fleettest/lease.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fleettest/faultinject"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
@@ -130,7 +131,7 @@
 	tasks.Go(func() { w.run(ctx) })
 	tasks.Go(func() { r.watchLag(ctx) })
 	t.injectFaults(ctx)
-	sleep(ctx, time.Until(start.Add(t.o.Duration)))
+	delay.Wait(ctx, time.Until(start.Add(t.o.Duration)))
 	tasks.Wait()
 	t.stopAll()
 	waitUntilSteady(func() int { return t.fleet.origin.Stats().Writes })
--- a/internal/fleettest/leasefaults.go
+++ b/internal/fleettest/leasefaults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fleettest/faultinject"
 )
 
@@ -55,7 +56,7 @@
 func (t *leaseTest) injectFaults(ctx context.Context) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	sleep(ctx, leaseFaultFreeTime)
+	delay.Wait(ctx, leaseFaultFreeTime)
 	for ctx.Err() == nil {
 		f := t.drawFault()
 		t.report.Faults++
@@ -67,7 +68,7 @@
 		if f.kind <= leaseFaultDisk && f.process < leaseVoters {
 			<-ended
 		}
-		sleep(ctx, time.Duration(200+t.rng.IntN(800))*time.Millisecond)
+		delay.Wait(ctx, time.Duration(200+t.rng.IntN(800))*time.Millisecond)
 	}
 }
 
@@ -148,6 +149,6 @@
 	if f.linkFault == "twice" { // the fault affects only new connections
 		link.Reset()
 	}
-	sleep(ctx, f.duration)
+	delay.Wait(ctx, f.duration)
 	link.SetFault(faultinject.Fault{})
 }
--- a/internal/fleettest/leaseholder.go
+++ b/internal/fleettest/leaseholder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulleinpier/internal/clock"
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/lease"
 	"mulleinpier/internal/lease/agent"
 )
@@ -106,7 +107,7 @@
 		if answer = strings.TrimSpace(answer); answer != wordAccepted {
 			return fmt.Errorf("%s %d: %s", verb, token, answer)
 		}
-		sleep(ctx, time.Duration(1+rng.IntN(maxActionTime))*time.Millisecond)
+		delay.Wait(ctx, time.Duration(1+rng.IntN(maxActionTime))*time.Millisecond)
 	}
 	return nil
 }
--- a/internal/fleettest/links.go
+++ b/internal/fleettest/links.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fake/endpointlist"
 	"mulleinpier/internal/fleettest/faultinject"
 )
@@ -181,7 +182,7 @@
 		return
 	}
 	f.setFaults(links, faultinject.LinkFaults[e.FaultKind](time.Duration(e.Delay)))
-	sleep(ctx, time.Duration(e.Duration))
+	delay.Wait(ctx, time.Duration(e.Duration))
 	f.setFaults(links, faultinject.Fault{})
 }
 
--- a/internal/fleettest/members.go
+++ b/internal/fleettest/members.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fake/consul"
 )
 
@@ -80,7 +81,7 @@
 	if err := p.awaitReady(); err != nil {
 		return nil, err
 	}
-	sleep(ctx, time.Second)
+	delay.Wait(ctx, time.Second)
 	_, _, bytesBefore := agent.Stats()
 	listsBefore, _, _ := agent.Stats()
 	before, err := cpuTime(p.cmd.Process.Pid)
@@ -98,7 +99,7 @@
 	}
 	r.CPUShare = (after - before).Seconds() / r.Seconds
 	r.ResidentMB, _ = footprintOf(p.cmd.Process.Pid)
-	sleep(ctx, time.Second)
+	delay.Wait(ctx, time.Second)
 	lists, _, bytes := agent.Stats()
 	r.ListsReceived = lists - listsBefore
 	r.BytesPerChange = float64(bytes-bytesBefore) / float64(max(r.ChangesPerSecond, 1))
@@ -131,7 +132,7 @@
 		host, id := instanceNames(i)
 		c.SetMaintenance(host, id, true, "fleet test")
 		changedAt = append(changedAt, time.Now())
-		sleep(ctx, time.Until(start.Add(time.Duration(i+1)*time.Second/time.Duration(o.ChangesPerSecond))))
+		delay.Wait(ctx, time.Until(start.Add(time.Duration(i+1)*time.Second/time.Duration(o.ChangesPerSecond))))
 	}
 	return changedAt
 }
--- a/internal/fleettest/peers.go
+++ b/internal/fleettest/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fleettest/faultinject"
 	"mulleinpier/internal/lease/agent"
 )
@@ -115,7 +116,7 @@
 		return nil, err
 	}
 	defer p.fleet.close()
-	sleep(ctx, 2*time.Second)
+	delay.Wait(ctx, 2*time.Second)
 	if err := p.measureIdle(ctx); err != nil {
 		return nil, err
 	}
@@ -176,7 +177,7 @@
 		}
 	}
 	messages, bytes, diskSyncs := traffic()
-	sleep(ctx, idleMeasureTime)
+	delay.Wait(ctx, idleMeasureTime)
 	messagesNow, bytesNow, diskSyncsNow := traffic()
 	var voters, others PeersIdleCost
 	voters.Process, others.Process = "a voter", "one that does not vote"
@@ -217,7 +218,7 @@
 	return []peersFault{
 		{"kill -9", true, func(d *proxyInstance) error {
 			d.currentProcess().end(syscall.SIGKILL)
-			sleep(ctx, time.Second)
+			delay.Wait(ctx, time.Second)
 			return d.start()
 		}},
 		{"stop of 300 ms", false, func(d *proxyInstance) error {
@@ -251,7 +252,7 @@
 				p.report.Problems = append(p.report.Problems, fmt.Sprintf("%s: %v", fault.name, err))
 				return
 			}
-			sleep(ctx, time.Second)
+			delay.Wait(ctx, time.Second)
 			for other := range p.fleet.proxies {
 				if other == victim {
 					continue
@@ -285,7 +286,7 @@
 	for _, l := range p.links[i] {
 		errs = append(errs, l.SetFault(faultinject.LinkFaults[kind](0)))
 	}
-	sleep(ctx, 2*time.Second)
+	delay.Wait(ctx, 2*time.Second)
 	for _, l := range p.links[i] {
 		errs = append(errs, l.SetFault(faultinject.Fault{}))
 	}
--- a/internal/fleettest/recorder.go
+++ b/internal/fleettest/recorder.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mulleinpier/internal/delay"
 )
 
 // recorder counts the outcomes of requests, by the phase in which they started. It is safe for concurrent use.
@@ -47,7 +49,7 @@
 func (r *recorder) watchLag(ctx context.Context) {
 	for ctx.Err() == nil {
 		before := time.Now()
-		sleep(ctx, lagTick)
+		delay.Wait(ctx, lagTick)
 		now := time.Now()
 		r.addLag(now, now.Sub(before)-lagTick)
 	}
--- a/internal/fleettest/run.go
+++ b/internal/fleettest/run.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"mulleinpier/internal/fleettest/faultinject"
+	"mulleinpier/internal/delay"
 )
 
 // Options say how to run a scenario.
@@ -70,7 +70,7 @@
 	for i, p := range r.phases {
 		f.progress("%s: %d proxies, %v", p.Name, len(f.proxies), time.Duration(p.Duration))
 		end = end.Add(time.Duration(p.Duration))
-		sleep(ctx, time.Until(end))
+		delay.Wait(ctx, time.Until(end))
 		fetches = append(fetches, f.origin.Stats().Fetches)
 		if i == 0 {
 			report.FirstFootprints = f.footprints()
@@ -98,8 +98,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) { faultinject.Sleep(ctx, d) }
-
 // footprints returns the footprints of all proxies, by number.
 func (f *fleet) footprints() (list []Footprint) {
 	for _, p := range f.proxies {
--- a/internal/fleettest/takeover.go
+++ b/internal/fleettest/takeover.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/fleettest/faultinject"
 )
 
@@ -157,7 +158,7 @@
 		return nil, err
 	}
 	defer f.close()
-	sleep(ctx, time.Second)
+	delay.Wait(ctx, time.Second)
 	report := &TakeoverReport{Faults: make(map[string]int)}
 	start := time.Now()
 	r := newRecorder(s.Phases, start)
@@ -167,7 +168,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { w.run(runCtx) })
 	tasks.Go(func() { r.watchLag(runCtx) })
-	sleep(runCtx, takeoverCalm)
+	delay.Wait(runCtx, takeoverCalm)
 	f.injectRandomFaults(runCtx, start.Add(takeoverCalm+o.Duration), rand.New(rand.NewPCG(s.Seed, 11)), report.Faults)
 	f.origin.SetServiceTime(time.Duration(s.Fleet.OriginServiceTime))
 	tasks.Wait() // also waits for late retries
@@ -238,7 +239,7 @@
 				f.cutFor(ctx, f.peerLinks[i])
 			}
 		})
-		sleep(ctx, 2*time.Second)
+		delay.Wait(ctx, 2*time.Second)
 	}
 }
 
@@ -247,7 +248,7 @@
 	if err := l.SetFault(faultinject.LinkFaults["cut"](0)); err != nil {
 		f.addProblem("link: %v", err)
 	}
-	sleep(ctx, 3*time.Second)
+	delay.Wait(ctx, 3*time.Second)
 	if err := l.SetFault(faultinject.Fault{}); err != nil {
 		f.addProblem("link: %v", err)
 	}
--- a/internal/fleettest/workload.go
+++ b/internal/fleettest/workload.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulleinpier/client"
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/loadgen"
 )
 
@@ -152,6 +153,6 @@
 			})
 		}
 		next = next.Add(interval)
-		sleep(ctx, time.Until(next))
+		delay.Wait(ctx, time.Until(next))
 	}
 }
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -3,12 +3,12 @@
 //
 // Guarantees:
 //
-//  1. [Queue.Write] does no I/O and does not wait for the output, so it may be called with a lock held.
+//  1. [Queue.Write] does no I/O and does not wait for the output, so callers may have locked a mutex.
 //  2. At most maxQueuedBytes of lines wait to be written. Lines that do not fit, and lines that could not be written,
 //     are counted. Their number is reported at the place where they are missing, once the output accepts data again.
 //  3. The output receives each line in one write, in the order of the calls of Write.
 //
-// A queue owns one goroutine. It ends after [Queue.Close], unless the output blocks for ever.
+// A queue owns one goroutine, which returns after [Queue.Close], unless the output blocks for ever.
 package logqueue
 
 import (
@@ -83,7 +83,7 @@
 	return len(line), nil
 }
 
-// dropLocked counts a dropped line in the last entry. q.mu is held.
+// dropLocked counts a dropped line in the last entry. q.mu is locked.
 func (q *Queue) dropLocked() {
 	if n := len(q.entries); n > 0 && q.entries[n-1].dropped > 0 {
 		q.entries[n-1].dropped++
--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -28,9 +28,9 @@
 	return b.String()
 }
 
-// TestBlockedOutputHoldsUpNobody checks that writes return while the output is blocked, that the queue keeps what fits,
-// and that the number of dropped lines is reported at their place once the output accepts data again.
-func TestBlockedOutputHoldsUpNobody(t *testing.T) {
+// TestWritesReturnWhileOutputIsBlocked checks that writes return while the output is blocked, that the queue keeps what
+// fits, and that the number of dropped lines is reported at their place once the output accepts data again.
+func TestWritesReturnWhileOutputIsBlocked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got bytes.Buffer
 		unblock := make(chan struct{})
@@ -72,7 +72,7 @@
 			synctest.Wait()
 			fmt.Fprint(q, text)
 		}
-		allowed <- struct{}{} // first; then big leaves the queue, which has room again
+		allowed <- struct{}{} // first; then big leaves the queue, which accepts lines again
 		synctest.Wait()
 		fmt.Fprint(q, "fourth\n")
 		close(allowed)
--- a/internal/peer/transport/client.go
+++ b/internal/peer/transport/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mulleinpier/internal/delay"
 	"mulleinpier/internal/peer"
 	"mulleinpier/internal/peer/rpc"
 )
@@ -99,13 +100,14 @@
 		r, err := c.exchange(ctx, w, known)
 		if err != nil {
 			known = reportID{}
-			sleep(ctx, retryDelay)
+			delay.Wait(ctx, retryDelay)
 			continue
 		}
 		known = reportID{r.ServerIncarnation, r.Version}
 		c.merge(w, r)
 		if r.Result != peer.Accepted {
-			sleep(ctx, peer.DefaultParameters.HeartbeatInterval) // the watcher responds to a rejected heartbeat at once
+			// The watcher responds to a rejected heartbeat at once.
+			delay.Wait(ctx, peer.DefaultParameters.HeartbeatInterval)
 		}
 	}
 }
@@ -146,13 +148,6 @@
 	c.publish(c.view.Merge(c.clock(), w.Name, peer.Report{Complete: r.Complete, Members: r.Members}))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // publish logs changes of the members and of the isolation, and wakes the callers of Members that wait for one. c.mu is
 // held.
 func (c *Client) publish(changes []peer.Change) {
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -26,7 +26,7 @@
 	return &reader{in: in, limit: limit, left: limit}
 }
 
-// All reads the whole input. Its error is a [TooLargeError] if the input is larger than limit bytes.
+// All reads the input to its end. Its error is a [TooLargeError] if the input is larger than limit bytes.
 func All(in io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(NewReader(in, limit))
 	if err != nil {
@@ -35,7 +35,7 @@
 	return data, nil
 }
 
-// Read reads one byte more than is left, to tell input of exactly limit bytes from larger input.
+// Read reads one byte more than is left, to distinguish input of exactly limit bytes from larger input.
 func (r *reader) Read(buffer []byte) (int, error) {
 	if r.left < 0 {
 		return 0, &TooLargeError{r.limit}
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// TestErrorsOfInputAreKept checks that an error of the input is returned as it is, also on further reads.
-func TestErrorsOfInputAreKept(t *testing.T) {
+// TestErrorsOfInputAreReturned checks that an error of the input is returned as it is, also on further reads.
+func TestErrorsOfInputAreReturned(t *testing.T) {
 	in := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("xx")))
 	if _, err := All(in, 10); err != iotest.ErrTimeout {
 		t.Errorf("got %v", err)
