--- a/client/client_test.go
+++ b/client/client_test.go
@@ -105,6 +105,33 @@
 	})
 }
 
+// TestLeakCheckCountsClientGoroutines checks that the check for leaked goroutines finds those of a client, and ignores
+// those that a helper of a test has started.
+func TestLeakCheckCountsClientGoroutines(t *testing.T) {
+	release := make(chan struct{})
+	var helper sync.WaitGroup
+	startWaiting(&helper, release)
+	if stacks := clientGoroutines(); stacks != "" {
+		t.Errorf("found without a client:\n%s", stacks)
+	}
+	c := open(t, Options{Proxies: silentSource{}})
+	if clientGoroutines() == "" {
+		t.Error("found none with a client")
+	}
+	c.Close()
+	close(release)
+	helper.Wait()
+}
+
+// startWaiting starts a goroutine that waits for release.
+func startWaiting(helper *sync.WaitGroup, release <-chan struct{}) {
+	helper.Add(1)
+	go func() {
+		defer helper.Done()
+		<-release
+	}()
+}
+
 // TestEmptyListIsIgnored checks that an empty list does not take effect, and that a proxy that leaves the list gets no
 // new requests.
 func TestEmptyListIsIgnored(t *testing.T) {
--- a/client/helpers_test.go
+++ b/client/helpers_test.go
@@ -67,7 +67,8 @@
 	stacks = stacks[:runtime.Stack(stacks, true)]
 	for stack := range strings.SplitSeq(string(stacks), "\n\n") {
 		caller := strings.Contains(stack, "client.(*Client).Do(")
-		test := strings.Contains(stack, "testing.tRunner") || strings.Contains(stack, "client.Test")
+		test := strings.Contains(stack, "testing.tRunner") || strings.Contains(stack, "client.Test") ||
+			startedByTest(stack)
 		if strings.Contains(stack, "mulleinpier/client.") && !caller && !test {
 			found += stack + "\n\n"
 		}
@@ -75,6 +76,13 @@
 	return found
 }
 
+// startedByTest reports whether a goroutine was started by a statement in a test file. That also holds for a goroutine
+// that is about to exit, whose stack has no function of the test any more.
+func startedByTest(stack string) bool {
+	_, startedAt, _ := strings.Cut(stack, "\ncreated by ")
+	return strings.Contains(startedAt, "_test.go:")
+}
+
 // always reacts to every request in the same way.
 func always(r scriptednode.Reaction) reaction {
 	return func(int, scriptednode.ReceivedRequest) scriptednode.Reaction { return r }
