Client tests: the check of the leak check waits until a client's goroutine runs

Cause: a goroutine that was started but has not run yet has no function of the client on its stack, so the check right after New found none.

Change: the test waits for one, for the usual limit of a wait.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -115,9 +115,7 @@
 		t.Errorf("found without a client:\n%s", stacks)
 	}
 	c := open(t, Options{Proxies: silentSource{}})
-	if clientGoroutines() == "" {
-		t.Error("found none with a client")
-	}
+	testutil.WaitUntil(t, "a goroutine of the client", func() bool { return clientGoroutines() != "" })
 	c.Close()
 	close(release)
 	helper.Wait()
