Review: end workers of case 2 by the process ids that they tell

The stand-in looked for its workers' command line among all processes; they now write their ids to a file.

--- a/review/testdata/standin/hold.go
+++ b/review/testdata/standin/hold.go
@@ -20,6 +20,7 @@
 // worker is what a holder's command runs: it acts every 50 ms for 10 s, and does not stop at SIGTERM. Each act is a line
 // with the fencing token and the time.
 const worker = `trap "" TERM
+echo $$ >> "$ACTS.pids"
 i=0
 while [ $i -lt 200 ]; do
 	echo "$MULLEIN_LEASE $(date +%s.%N)" >> "$ACTS"
@@ -110,14 +111,15 @@
 	return judgeActs(rec, acts)
 }
 
-// endWorkers ends workers that have outlived their holders, by the ids that they have told.
+// endWorkers ends workers that have outlived their holders, by the process ids that they have told.
 func endWorkers(acts, script string) {
-	os.Remove(acts)
-	entries, _ := filepath.Glob("/proc/[0-9]*/cmdline")
-	for _, path := range entries {
-		text, _ := os.ReadFile(path)
-		if strings.Contains(string(text), script) {
-			pid, _ := strconv.Atoi(strings.Split(path, "/")[2])
+	text, _ := os.ReadFile(acts + ".pids")
+	for line := range strings.Lines(string(text)) {
+		pid, err := strconv.Atoi(strings.TrimSpace(line))
+		if err != nil {
+			continue
+		}
+		if command, _ := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", pid)); strings.Contains(string(command), script) {
 			syscall.Kill(pid, syscall.SIGKILL)
 		}
 	}
