Client: a write that is given up is reset at its timeout and can't arrive later

Cause: the library lets every attempt end within the dedup window, but ended only its own wait. The connection stayed open, for callers that waited there and 1 s more, with a cancelled context for as long as it was used, and was then closed plainly, after which the kernel delivers what it holds.

Change: a write that is unanswered at its timeout has its connection reset before a retry is sent, one that is cancelled earlier as soon as its timeout is over; a connection that ends otherwise with requests unanswered is reset as well. What the reset finds undelivered never arrives, what came before it came within the timeout, which lies in the window.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -107,8 +107,11 @@
 	default:
 		a = c.await(ctx, t)
 	}
-	if !a.abandoned {
+	switch {
+	case !a.abandoned:
 		c.recycle(t)
+	case !t.isRead:
+		acquired.conn.endAbandonedWrite(t)
 	}
 	return a
 }
@@ -137,6 +140,36 @@
 	return a
 }
 
+// endAbandonedWrite keeps a write whose caller has given up from taking effect after its timeout, on which retries and
+// [Error.Settled] rely: unless it is answered by then, it resets the connection. The proxy may be cut off, and TCP
+// would deliver the write when the network is back. Other requests on the connection are lost with it.
+func (c *connection) endAbandonedWrite(t *attempt) {
+	left := t.sentAt + t.timeout - c.client.options.clock().Monotonic
+	if left <= 0 {
+		c.failUnlessAnswered(t)
+		return
+	}
+	c.client.startTask(func() {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			c.failUnlessAnswered(t)
+		case <-c.ended:
+		}
+	})
+}
+
+// failUnlessAnswered ends the connection if an abandoned attempt on it was not answered.
+func (c *connection) failUnlessAnswered(t *attempt) {
+	c.mu.Lock()
+	answered := t.endOffset <= c.answeredBytes
+	c.mu.Unlock()
+	if !answered {
+		c.fail(errNoAnswer)
+	}
+}
+
 // attemptEnded counts how an attempt ended and decides what follows. closed reports whether the client is closed.
 func (c *Client) attemptEnded(
 	conn *connection, r *retry.Request, a *answer, now retry.Timestamp,
@@ -150,7 +183,7 @@
 	if !a.abandoned {
 		conn.inFlight--
 	}
-	c.balancer.RequestEnded(conn.proxy, now.Monotonic, balanceOutcome(a.outcome), a.retryAfter)
+	c.balancer.RequestEnded(conn.proxy, now.Monotonic, balanceOutcome(a), a.retryAfter)
 	c.throttle.RecordOutcome(now.Monotonic, a.outcome)
 	if a.outcome == retry.TimedOut {
 		c.drainLocked(conn)
@@ -173,10 +206,16 @@
 	return d, closed
 }
 
-// balanceOutcome returns what an attempt's outcome means for the choice of proxies.
-func balanceOutcome(o retry.Outcome) balance.Outcome {
-	switch o {
-	case retry.TimedOut, retry.ConnectionLost, retry.MalformedAnswer:
+// balanceOutcome returns what the end of an attempt means for the choice of proxies. A connection that the client
+// itself has ended says nothing about its proxy: the attempt that was the reason counts.
+func balanceOutcome(a *answer) balance.Outcome {
+	switch a.outcome {
+	case retry.ConnectionLost:
+		if closedByClient(a.cause) {
+			return balance.Answered
+		}
+		return balance.Failed
+	case retry.TimedOut, retry.MalformedAnswer:
 		return balance.Failed
 	case retry.Rejected:
 		return balance.Rejected
--- a/client/client.go
+++ b/client/client.go
@@ -166,6 +166,15 @@
 	return done(value), nil
 }
 
+// startTask runs a function in a goroutine for which [Client.Close] waits. A closed client does not run it.
+func (c *Client) startTask(task func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.tasks.Go(task)
+	}
+}
+
 // Shutdown rejects new calls, waits until the active ones have ended or ctx ends, and closes the client.
 func (c *Client) Shutdown(ctx context.Context) (err error) {
 	c.draining.Store(true)
--- a/client/connection.go
+++ b/client/connection.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// lingerTimeout is how long a connection on which an attempt timed out stays open for late answers after the last
+	// lingerTimeout is how long a connection on which a read timed out stays open for late answers after the last
 	// caller has stopped waiting. The connection takes no more requests.
 	lingerTimeout = time.Second
 	// maxDirectBytes is the number of unanswered bytes up to which callers write to the socket themselves. The kernel
@@ -227,7 +227,8 @@
 }
 
 // fail ends the connection because of err. If a goroutine is writing, that goroutine ends the pending attempts after
-// its write, because only then is it known what was written.
+// its write, because only then is it known what was written. A connection with unanswered requests is reset: they count
+// as ended from now on, and must not reach the proxy later.
 func (c *connection) fail(err error) {
 	c.mu.Lock()
 	if c.err != nil {
@@ -236,8 +237,13 @@
 	}
 	c.err = err
 	writing := c.writing
+	unanswered := c.firstPending < len(c.pending)
 	c.mu.Unlock()
-	c.socket.Close()
+	if unanswered {
+		closeWithReset(c.socket)
+	} else {
+		c.socket.Close()
+	}
 	signal(c.writeWanted)
 	signal(c.readWanted)
 	if !writing {
--- a/client/options.go
+++ b/client/options.go
@@ -68,7 +68,9 @@
 	// Idle is how long a connection without requests is kept; default 1.5 s. A proxy closes its idle connections after
 	// 2 s, so with a longer time a request may cross with that close.
 	Idle time.Duration
-	// Dial opens connections; default a [net.Dialer] with a timeout of 1 s.
+	// Dial opens connections; default a [net.Dialer] with a timeout of 1 s. A write that is given up is kept from
+	// arriving late by resetting its connection, for which the connection must have the method SetLinger of
+	// [net.TCPConn], or NetConn, as a [crypto/tls.Conn] has, to reach one that does.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	Trace Trace
