A draining connection is read until its last command, not closed after 32 rejections

Cause: once the drain's cutoff had passed, a connection was closed after 32 rejected commands even if it had more; the rest was read, so that the close was no reset, and thrown away. The number was to bound a client that never stops sending, and bound every longer pipeline as well.

Change: commands are read and rejected for as long as any is unread or unanswered. A client that never stops is bounded by the drain's end: 25 ms after the last requests were aborted (EndReading) nothing more is read, what has been read is answered, and closing over the unread rest resets the connection. So a command is answered or was never read.

--- a/internal/frontend/arrival.go
+++ b/internal/frontend/arrival.go
@@ -38,14 +38,19 @@
 }
 
 // Read implements io.Reader. If it times out because the process was paused, it extends the command's deadline and
-// continues.
+// continues. After [Conn.EndReading] it returns errReadingEnded.
 func (r *timedReader) Read(p []byte) (int, error) {
 	for {
 		started := r.core.Now()
 		n, err := r.conn.socket.Read(p)
 		ended := r.core.Now()
-		if n == 0 && socket.IsTimeout(err) && r.conn.extendAfterPause() {
-			continue
+		if n == 0 && socket.IsTimeout(err) {
+			switch {
+			case r.conn.hasReadingEnded():
+				return 0, errReadingEnded
+			case r.conn.extendAfterPause():
+				continue
+			}
 		}
 		if n > 0 {
 			r.lastRead = pause.ReadTiming{DrainedAt: r.bufferEmptyAt, Started: started, Ended: ended}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -68,13 +68,13 @@
 	// quietSince is when the first quiet command since the last answer completed without an answer, zero for none.
 	quietSince time.Time
 
-	closeIfIdle           bool      // the reader closes the connection if it is still idle
-	draining              bool      // the reader closes the connection between commands
-	drainDeadline         time.Time // when draining: end of accepting commands, which cutoff may extend
-	rejectedWhileDraining int       // requests rejected after the cutoff
-	halfClosed            bool      // the sending side is closed, or about to be: nothing more is answered
-	gone                  bool      // nothing can be written any more
-	closeReason           string    // for the event log; the first one noted
+	closeIfIdle   bool      // the reader closes the connection if it is still idle
+	draining      bool      // the reader closes the connection between commands
+	drainDeadline time.Time // when draining: end of accepting commands, which cutoff may extend
+	readingEnded  bool      // nothing more is read from the socket; the read deadline stays in the past
+	halfClosed    bool      // the sending side is closed, or about to be: nothing more is answered
+	gone          bool      // nothing can be written any more
+	closeReason   string    // for the event log; the first one noted
 }
 
 // Slot holds the position of one command's answer in the order of its connection's answers.
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,6 +155,36 @@
 	testutil.Receive(t, "the end of the connection", served)
 }
 
+// TestEndReadingAnswersWhatWasRead guards against lost commands at the end of a drain: those that were read before
+// [Conn.EndReading] are answered, and the connection is reset if others are unread, so that its client knows of them.
+func TestEndReadingAnswersWhatWasRead(t *testing.T) {
+	c, client := connectedClient(t)
+	inCommand, proceed := make(chan bool, 1), make(chan bool, 1)
+	c.host.NewSession = func(c *Conn, _ byte) Session {
+		inCommand <- true
+		<-proceed
+		return upperEcho{c}
+	}
+	fmt.Fprint(client, "a\r\nb\r\nunfi")
+	testutil.WaitUntil(t, "the commands to arrive", func() bool { return socket.Readable(c.socket) })
+	served := make(chan bool, 1)
+	go func() {
+		c.Serve()
+		served <- true
+	}()
+	testutil.Receive(t, "the first command", inCommand)
+	c.Drain()
+	c.EndReading()
+	fmt.Fprint(client, "nished\r\nd\r\n")
+	proceed <- true
+	client.SetDeadline(time.Now().Add(testutil.Timeout))
+	got, err := io.ReadAll(client)
+	if string(got) != "A\r\nB\r\n" || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("received %q, %v, want two answers and a reset", got, err)
+	}
+	testutil.Receive(t, "the end of the connection", served)
+}
+
 // TestAnswerBeingWrittenIsNotIdle checks that a connection whose answer is being written is not closed as idle, even
 // if it had been idle for long before the command.
 func TestAnswerBeingWrittenIsNotIdle(t *testing.T) {
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -1,8 +1,11 @@
 package frontend
 
 import (
+	"errors"
 	"io"
 	"time"
+
+	"mulleinpier/internal/socket"
 )
 
 const (
@@ -15,6 +18,10 @@
 	// answer. A client that keeps sending is reset anyway, but after it was answered.
 	LingerTimeout = 300 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// deliveryTimeout bounds the wait for the delivery of the last answers before a reset, which is checked every
+	// deliveryInterval.
+	deliveryTimeout  = 20 * time.Millisecond
+	deliveryInterval = time.Millisecond
 	// drainGrace is how long a draining connection accepts further commands.
 	drainGrace = LingerTimeout / 3
 	// firstCommandGrace is how long after it was opened a draining connection waits for its first command. If the
@@ -44,9 +51,37 @@
 	c.drainBy(time.Now())
 }
 
+// longPast is a read deadline in the past, which ends a read immediately.
+var longPast = time.Unix(1, 0)
+
+// errReadingEnded is the error of reads after [Conn.EndReading].
+var errReadingEnded = errors.New("reading has ended")
+
+// EndReading makes a draining connection read nothing more from its socket: a client that never stops sending must not
+// hold up the drain. Commands that have been read are still answered. Closing the connection then resets it if anything
+// is unread, from which the client learns that it has to send what was not answered elsewhere.
+func (c *Conn) EndReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.halfClosed {
+		c.readingEnded = true
+		c.socket.SetReadDeadline(longPast)
+	}
+}
+
+// hasReadingEnded reports whether [Conn.EndReading] was called.
+func (c *Conn) hasReadingEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readingEnded
+}
+
 // drainBy starts a drain that accepts commands until the deadline. c.mu is held.
 func (c *Conn) drainBy(deadline time.Time) {
 	c.draining, c.drainDeadline = true, deadline
+	if c.readingEnded {
+		return
+	}
 	if c.inCommand && !c.halfClosed { // the rest of the current command must arrive before the cutoff
 		c.socket.SetReadDeadline(c.cutoff())
 	}
@@ -103,6 +138,20 @@
 	io.CopyN(io.Discard, c.In, lingerBytes)
 }
 
+// awaitDelivery waits until all commands that were read are answered and the client's machine has received the answers,
+// the latter within deliveryTimeout: a reset discards answers that are still on their way.
+func (c *Conn) awaitDelivery() {
+	c.mu.Lock()
+	c.noteReason("drain timeout")
+	c.inCommand = false
+	c.blockReader(c.allAnswered)
+	c.halfClosed = true
+	c.mu.Unlock()
+	for end := time.Now().Add(deliveryTimeout); time.Now().Before(end) && socket.Undelivered(c.socket) > 0; {
+		time.Sleep(deliveryInterval)
+	}
+}
+
 // allAnswered reports whether the answers to all commands that were read have been written. c.mu is held.
 func (c *Conn) allAnswered() bool { return len(c.slots) == 0 && c.writingSince.IsZero() }
 
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"errors"
 	"time"
 
 	"mulleinpier/internal/core"
@@ -50,6 +51,9 @@
 			return framingLost
 		case stop:
 			return framingLost
+		case errors.Is(err, errReadingEnded): // the rest of the command is unread
+			c.awaitDelivery()
+			return connectionEnded
 		case err != nil:
 			return connectionEnded
 		}
@@ -67,6 +71,9 @@
 		case lastCommandRead:
 			c.linger()
 			return false
+		case leaveUnread:
+			c.awaitDelivery()
+			return false
 		case closed:
 			return false
 		}
@@ -77,7 +84,7 @@
 			c.mu.Unlock()
 			return true
 		}
-		if !socket.IsTimeout(err) {
+		if !socket.IsTimeout(err) && !errors.Is(err, errReadingEnded) {
 			return false
 		}
 	}
@@ -89,21 +96,27 @@
 const (
 	keepReading     readDecision = iota
 	lastCommandRead              // read no more commands, and close the connection once all are answered
+	leaveUnread                  // the same, but what has arrived meanwhile stays unread, so that closing is a reset
 	closed                       // the connection has been closed
 )
 
 // prepareNextCommand decides, before the next command is read, whether the connection is closed, and otherwise sets
-// the read deadline. A command that has arrived but is unread is still read, unless the cutoff of a drain has passed
-// and enough commands have been rejected: the process may not have been scheduled for a while. Commands that are read
-// after the cutoff are rejected, as closing the connection would lose them.
+// the read deadline. A command that has arrived but is unread is still read, until [Conn.EndReading]: the process may
+// not have been scheduled for a while, or the client may have sent many commands at once. Commands that are read after
+// the cutoff of a drain are rejected, as closing the connection would lose them.
 func (c *Conn) prepareNextCommand() readDecision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inCommand, c.commandDeadline = false, time.Time{}
 	deadline := time.Time{}
 	switch {
+	case c.readingEnded:
+		if c.In.Buffered() == 0 {
+			return leaveUnread
+		}
+		return keepReading // the read deadline stays in the past
 	case c.pastCutoff():
-		if c.mayCloseAfterCutoff() {
+		if !c.hasCommand() { // otherwise the writer wakes the reader once everything is answered
 			c.noteReason("drain, late")
 			return lastCommandRead
 		}
@@ -126,12 +139,6 @@
 	return c.In.Buffered() > 0 || socket.Readable(c.socket) || !c.allAnswered()
 }
 
-// mayCloseAfterCutoff reports whether a connection that rejects commands has no unread or unanswered ones, or has
-// rejected maxPipelined of them. If not, the writer wakes the reader once everything is answered. c.mu is held.
-func (c *Conn) mayCloseAfterCutoff() bool {
-	return !c.hasCommand() || c.rejectedWhileDraining >= maxPipelined
-}
-
 // decideClose decides whether an idle or draining connection is closed now. c.mu is held.
 func (c *Conn) decideClose() readDecision {
 	switch {
@@ -155,6 +162,9 @@
 func (c *Conn) setCommandDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.readingEnded {
+		return
+	}
 	now := time.Now()
 	deadline := now.Add(commandTimeout)
 	if c.draining {
@@ -231,9 +241,6 @@
 	c.AddSlot(slot)
 	c.mu.Lock()
 	pastCutoff, gone := c.pastCutoff(), c.gone
-	if pastCutoff {
-		c.rejectedWhileDraining++
-	}
 	c.mu.Unlock()
 	switch {
 	case gone:
@@ -252,6 +259,6 @@
 // wakeReader makes a reader that waits for a command run prepareNextCommand again. c.mu is held.
 func (c *Conn) wakeReader() {
 	if !c.inCommand && !c.halfClosed {
-		c.socket.SetReadDeadline(time.Unix(1, 0)) // in the past
+		c.socket.SetReadDeadline(longPast)
 	}
 }
--- a/internal/proxy/binary_test.go
+++ b/internal/proxy/binary_test.go
@@ -82,6 +82,42 @@
 	waiting.expectEnd()
 }
 
+// TestWholeBinaryPipelineIsAnsweredInDrain guards against lost commands of binary clients, as
+// TestWholePipelineIsAnsweredInDrain does for clients that speak meta.
+func TestWholeBinaryPipelineIsAnsweredInDrain(t *testing.T) {
+	const commands = 500
+	release := make(chan struct{})
+	nodes, err := scriptednode.Start(scriptednode.Binary, 1,
+		func(int, scriptednode.ReceivedRequest) scriptednode.Reaction {
+			<-release
+			return scriptednode.Serve
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(nodes.Close)
+	address := fmt.Sprintf("%q", nodes.Address(0))
+	p := startProxy(t, address, fmt.Sprintf("[binary]\nnodes = [%s]\n", address))
+	c := p.dial()
+	var pipeline []byte
+	for i := range uint32(commands) {
+		pipeline = append(pipeline, getCommand(fmt.Sprint("k", i), i)...)
+	}
+	c.send(pipeline)
+	testutil.WaitUntil(t, "the first commands to be in flight", func() bool { _, n := p.server.Load(); return n > 0 })
+	idle := p.dial()
+	p.stop()
+	idle.expectEnd()                   // the drain has started
+	time.Sleep(frontend.LingerTimeout) // the connection accepts no more commands
+	close(release)
+	for i := range uint32(commands) {
+		if r, err := rawclient.ReadResponse(c.Reader); err != nil || r.Opaque != i {
+			t.Fatalf("command %d of %d got %+v, %v", i, commands, r, err)
+		}
+	}
+	c.expectEnd()
+}
+
 // TestBinaryListenerServesBinaryClients checks that a listener for binary clients only serves them and no meta clients,
 // and that the main listener then serves no binary clients.
 func TestBinaryListenerServesBinaryClients(t *testing.T) {
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -8,6 +8,7 @@
 	drainAcceptTime = 500 * time.Millisecond
 	// abortGrace is the time between aborting all requests and closing all connections, in which the responses to the
 	// aborted requests are written. A shortened drain also waits abortGrace between the last deadline and the abort.
+	// Commands are read, and rejected, for the first half of it.
 	abortGrace = 50 * time.Millisecond
 	// unarmedTimerDelay is the initial delay of a timer that is set later. It is longer than any drain.
 	unarmedTimerDelay = time.Hour
@@ -78,7 +79,7 @@
 
 // drainClients closes each client connection once no request is in flight on it, and waits until all are closed.
 // Requests that do not finish in time are aborted and answered with an error, and abortGrace later the remaining
-// connections are closed.
+// connections are closed. Clients that never stop sending are not read until then: they could hold up the drain.
 func (s *Server) drainClients() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -92,10 +93,14 @@
 	if s.drain.shortened {
 		wait = s.core.LongestRemaining() + abortGrace
 	}
-	closeTimer := time.AfterFunc(unarmedTimerDelay, s.closeClients) // reset when the requests are aborted
+	// These are reset when the requests are aborted.
+	endReadingTimer := time.AfterFunc(unarmedTimerDelay, s.endReading)
+	defer endReadingTimer.Stop()
+	closeTimer := time.AfterFunc(unarmedTimerDelay, s.closeClients)
 	defer closeTimer.Stop()
 	s.drain.abortTimer = time.AfterFunc(wait, func() {
 		s.core.AbortAll()
+		endReadingTimer.Reset(abortGrace / 2)
 		closeTimer.Reset(abortGrace)
 	})
 	defer s.drain.abortTimer.Stop()
@@ -104,6 +109,15 @@
 	}
 }
 
+// endReading makes all clients' connections read nothing more.
+func (s *Server) endReading() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		c.EndReading()
+	}
+}
+
 // closeClients closes all client connections, even those with requests in flight.
 func (s *Server) closeClients() {
 	s.mu.Lock()
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -1,10 +1,16 @@
 package proxy
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"mulleinpier/internal/fake/unresponsive"
 	"mulleinpier/internal/testutil"
@@ -66,6 +72,117 @@
 	}
 }
 
+// TestWholePipelineIsAnsweredInDrain guards against lost commands: a client has more commands on a connection than the
+// proxy takes at a time, and a drain begins. Each of them arrived before the connection is closed and gets an answer.
+func TestWholePipelineIsAnsweredInDrain(t *testing.T) {
+	const commands = 500
+	release := make(chan struct{})
+	node := startNode(t, func(c nodeCommand) {
+		<-release
+		c.serve()
+	})
+	h := startHarness(t, 256, node)
+	u := h.connect()
+	var pipeline strings.Builder
+	for i := range commands {
+		pipeline.WriteString(requestsByEffect["safe"](fmt.Sprint(i)))
+	}
+	u.send("%s", pipeline.String())
+	testutil.WaitUntil(t, "the first commands to be in flight", func() bool { return h.server.core.InFlight() > 0 })
+	h.stop()
+	h.waitDraining()
+	close(release)
+	for i := range commands {
+		switch got := u.line(); {
+		case strings.HasPrefix(got, "VA 2 O"):
+			u.expect("hi")
+		case !strings.HasPrefix(got, "SERVER_ERROR "):
+			t.Fatalf("command %d of %d got %q", i, commands, got)
+		}
+	}
+	u.expect("")
+	testutil.Receive(t, "the end of Serve", h.serveEnded())
+}
+
+// endlessClient sends commands without waiting for answers, until its connection ends.
+type endlessClient struct {
+	answers  int         // answers received
+	readErr  error       // how the connection ended for the reader, nil for a plain close
+	writeErr error       // the same for the writer
+	sentAt   []time.Time // when each batch of batchCommands was sent
+	done     chan bool   // receives a value after the end of the connection
+}
+
+// wasReset reports whether the connection ended with a reset. The kernel reports it to the first call that fails.
+func (e *endlessClient) wasReset() bool {
+	return errors.Is(e.readErr, syscall.ECONNRESET) || errors.Is(e.writeErr, syscall.ECONNRESET)
+}
+
+const batchCommands = 100
+
+func (h *harness) startEndlessClient() *endlessClient {
+	u := h.connect()
+	e := &endlessClient{done: make(chan bool, 1)}
+	go func() {
+		var sender sync.WaitGroup
+		sender.Go(func() { e.send(u.socket) })
+		lines := bufio.NewScanner(u.in)
+		for lines.Scan() {
+			if strings.HasPrefix(lines.Text(), "VA ") || strings.HasPrefix(lines.Text(), "SERVER_ERROR ") {
+				e.answers++
+			}
+		}
+		e.readErr = lines.Err()
+		u.socket.Close()
+		sender.Wait()
+		e.done <- true
+	}()
+	return e
+}
+
+func (e *endlessClient) send(socket net.Conn) {
+	for {
+		var batch strings.Builder
+		for i := range batchCommands {
+			batch.WriteString(requestsByEffect["safe"](fmt.Sprint(len(e.sentAt), "-", i)))
+		}
+		if _, e.writeErr = io.WriteString(socket, batch.String()); e.writeErr != nil {
+			return
+		}
+		e.sentAt = append(e.sentAt, time.Now())
+	}
+}
+
+// TestEndlessPipelineDoesNotHoldUpDrain guards against a drain without an end: a client sends commands without waiting
+// for answers and never stops. The drain ends in time. If the connection ends with a plain close, from which the client
+// can't learn that commands are unread, each that was sent 0.25 s before or earlier is answered.
+func TestEndlessPipelineDoesNotHoldUpDrain(t *testing.T) {
+	const longestDeadline = 300 * time.Millisecond
+	h := startHarness(t, 256, startNode(t, nodeCommand.serve))
+	h.server.mu.Lock()
+	h.server.longestDeadline = longestDeadline
+	h.server.mu.Unlock()
+	e := h.startEndlessClient()
+	testutil.WaitUntil(t, "the first commands to be in flight", func() bool { return h.server.core.InFlight() > 0 })
+	start := time.Now()
+	h.stop()
+	testutil.Receive(t, "the end of the connection", e.done)
+	ended := time.Now()
+	testutil.Receive(t, "the end of Serve", h.serveEnded())
+	if took, limit := time.Since(start), drainAcceptTime+longestDeadline+abortGrace+time.Second; took > limit {
+		t.Errorf("the drain took %v, want %v at most", took, limit)
+	}
+	old := 0
+	for _, at := range e.sentAt {
+		if ended.Sub(at) > 250*time.Millisecond {
+			old += batchCommands
+		}
+	}
+	if !e.wasReset() && e.answers < old {
+		t.Errorf("%d answers to %d commands that were sent long before a plain close", e.answers, old)
+	}
+}
+
 // TestDrainStartsWithAllPlacesTaken checks that a drain that starts while the accept loop waits for a free place ends
 // this wait. No place becomes free by itself, as all clients keep sending.
 func TestDrainStartsWithAllPlacesTaken(t *testing.T) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -54,6 +54,19 @@
 	return pending || err != nil
 }
 
+// Undelivered returns the number of bytes written to a connection that the peer's machine has not received yet, and 0
+// if the kernel does not tell.
+func Undelivered(c *net.TCPConn) (bytes int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) // 0 with an error
+	})
+	return bytes
+}
+
 // peek reads one byte of a connection without consuming it and without waiting. It returns EAGAIN if no byte is
 // available.
 func peek(c *net.TCPConn) (n int, err error) {
