A command written slowly in a drain has its full time, so those behind it are read

Cause: in a drain a command had until the cutoff to arrive, or 0.1 s if it began later. One that runs out of time stops the reader, and what follows on the connection is read and thrown away.

Change: a command has the same 2.5 s in a drain as otherwise, until the drain's end. Complete after the cutoff it is rejected, as is what follows. A client that stops in the middle of a command now holds its connection for as long.

--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -79,13 +79,9 @@
 // drainBy starts a drain that accepts commands until the deadline. c.mu is held.
 func (c *Conn) drainBy(deadline time.Time) {
 	c.draining, c.drainDeadline = true, deadline
-	if c.readingEnded {
-		return
-	}
-	if c.inCommand && !c.halfClosed { // the rest of the current command must arrive before the cutoff
-		c.socket.SetReadDeadline(c.cutoff())
+	if !c.readingEnded {
+		c.wakeReader()
 	}
-	c.wakeReader()
 }
 
 // RejectsCommands reports whether the connection is draining and commands that arrive now are rejected.
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -16,8 +16,6 @@
 	// commandTimeout bounds the time from the first byte of a command to its last. A command that never completes
 	// must not occupy capacity, and its client must be answered within 3 s.
 	commandTimeout = 2500 * time.Millisecond
-	// rejectedReadTimeout replaces commandTimeout for a command that will be rejected in a drain.
-	rejectedReadTimeout = LingerTimeout / 3
 )
 
 // readEnd is the reason why the reader stops.
@@ -157,31 +155,16 @@
 	return keepReading
 }
 
-// setCommandDeadline sets the deadline for reading the rest of a command that has begun. In a drain the deadline is
-// the cutoff at the latest, since a command accepted later could not be answered before the connection is closed.
+// setCommandDeadline sets the deadline for reading the rest of a command that has begun. It is the same in a drain,
+// also for a command that will be rejected: giving it up loses the commands that the client has sent behind it.
 func (c *Conn) setCommandDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readingEnded {
 		return
 	}
-	now := time.Now()
-	deadline := now.Add(commandTimeout)
-	if c.draining {
-		deadline = earlier(deadline, c.cutoff())
-		if c.pastCutoff() { // the command will be rejected, but must still be read
-			deadline = now.Add(rejectedReadTimeout)
-		}
-	}
-	c.commandDeadline = deadline
-	c.socket.SetReadDeadline(deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
+	c.commandDeadline = time.Now().Add(commandTimeout)
+	c.socket.SetReadDeadline(c.commandDeadline)
 }
 
 // AddSlot appends slot to the connection's answers, and returns it. It blocks while maxPipelined commands are in
--- a/internal/proxy/binary_test.go
+++ b/internal/proxy/binary_test.go
@@ -118,6 +118,39 @@
 	c.expectEnd()
 }
 
+// TestSlowBinaryCommandInDrainLosesNothing guards against lost commands of binary clients, as
+// TestSlowCommandInDrainLosesNothing does for clients that speak meta.
+func TestSlowBinaryCommandInDrainLosesNothing(t *testing.T) {
+	release := make(chan struct{})
+	nodes, err := scriptednode.Start(scriptednode.Binary, 1,
+		func(int, scriptednode.ReceivedRequest) scriptednode.Reaction {
+			<-release
+			return scriptednode.Serve
+		})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(nodes.Close)
+	address := fmt.Sprintf("%q", nodes.Address(0))
+	p := startProxy(t, address, fmt.Sprintf("[binary]\nnodes = [%s]\n", address))
+	c := p.dial()
+	slow := getCommand("slow", 2)
+	c.send(getCommand("first", 1), slow[:len(slow)/2])
+	testutil.WaitUntil(t, "the request to be in flight", func() bool { _, n := p.server.Load(); return n > 0 })
+	idle := p.dial()
+	p.stop()
+	idle.expectEnd()                   // the drain has started
+	time.Sleep(frontend.LingerTimeout) // the connection accepts no more commands
+	c.send(slow[len(slow)/2:], getCommand("behind", 3), emptyCommand(codec.Noop, 4))
+	close(release)
+	for opaque := uint32(1); opaque <= 4; opaque++ {
+		if r, err := rawclient.ReadResponse(c.Reader); err != nil || r.Opaque != opaque {
+			t.Fatalf("command %d got %+v, %v", opaque, r, err)
+		}
+	}
+	c.expectEnd()
+}
+
 // TestBinaryListenerServesBinaryClients checks that a listener for binary clients only serves them and no meta clients,
 // and that the main listener then serves no binary clients.
 func TestBinaryListenerServesBinaryClients(t *testing.T) {
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mulleinpier/internal/fake/unresponsive"
+	"mulleinpier/internal/frontend"
 	"mulleinpier/internal/testutil"
 )
 
@@ -104,6 +105,48 @@
 	testutil.Receive(t, "the end of Serve", h.serveEnded())
 }
 
+// TestSlowCommandInDrainLosesNothing guards against lost commands: a client writes a command slowly, across the cutoff
+// of a drain or after it, while an earlier request is in flight. The slow command and those behind it get an answer.
+func TestSlowCommandInDrainLosesNothing(t *testing.T) {
+	for name, isBegunBefore := range map[string]bool{"begun before the cutoff": true, "begun after the cutoff": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			h := startHarness(t, 256, startNode(t, func(c nodeCommand) {
+				<-release
+				c.serve()
+			}))
+			u := h.connect()
+			u.sendRead("first")
+			testutil.WaitUntil(t, "the request to be in flight", func() bool { return h.server.core.InFlight() > 0 })
+			slow := requestsByEffect["keyed"]("slow")
+			if isBegunBefore {
+				u.send("%s", slow[:len(slow)/2])
+			}
+			h.stop()
+			h.waitDraining()
+			if !isBegunBefore {
+				u.send("%s", slow[:len(slow)/2])
+			}
+			time.Sleep(frontend.LingerTimeout)
+			u.send("%s", slow[len(slow)/2:])
+			const behind = 3
+			for i := range behind {
+				u.send("%s", requestsByEffect["keyed"](fmt.Sprint("behind", i)))
+			}
+			close(release)
+			u.expectValue("first")
+			for i := range 1 + behind {
+				if got := u.line(); !strings.HasPrefix(got, "SERVER_ERROR busy ") {
+					t.Errorf("command %d got %q", i, got)
+				}
+			}
+			u.expect("")
+			testutil.Receive(t, "the end of Serve", h.serveEnded())
+		})
+	}
+}
+
 // endlessClient sends commands without waiting for answers, until its connection ends.
 type endlessClient struct {
 	answers  int         // answers received
