Reset the connection of an abandoned write at once, also when others wait on it

A write given up between its check and its write was written all the same. Change: upstream.Pool.Abandon closes the connection of an attempt with side effects, with the reset that discards what the kernel has not delivered; a batch with such an attempt is queued again without it; the write of a client that has left is given up also where the settings allow no cancelling.

--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -242,9 +242,13 @@
 	c.counts.abandoned++
 	c.recordAbandoned(req)
 	c.handle(policy.ClientLeft{ID: req.id})
-	for _, attempt := range req.attempts { // attempts that have not started leave their queues
-		if !attempt.ended && (attempt.deferred || c.pool.Withdraw(&attempt.Attempt)) {
+	for _, attempt := range req.attempts {
+		switch {
+		case attempt.ended:
+		case attempt.deferred || c.pool.Withdraw(&attempt.Attempt): // attempts that have not started leave their queues
 			c.endAttempt(req, attempt, policy.NotSent, nil)
+		case req.request.SideEffects: // it must not be delivered after a repeat by the client
+			c.cancelAttempt(req, attempt, policy.Cancelled)
 		}
 	}
 	c.removeIfDone(req)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -47,6 +47,9 @@
 		!slices.ContainsFunc(a.Previous, func(previous *Attempt) bool { return previous.conn == c.number })
 }
 
+// mustNotRun reports whether an attempt was abandoned that has side effects. Pool.mu is held.
+func (a *Attempt) mustNotRun() bool { return a.abandoned && a.Request.SideEffects }
+
 // Handler checks attempts before they are written and is notified of how they end. The package holds no lock while it
 // calls the handler.
 type Handler interface {
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -143,3 +143,60 @@
 		}
 	}
 }
+
+// TestAbandonedWriteResetsItsSharedConnection guards against a given-up write that is delivered late because others
+// still wait on its connection: the connection is reset at once, and the others end as lost.
+func TestAbandonedWriteResetsItsSharedConnection(t *testing.T) {
+	g := startGated(t, testLimits)
+	g.open()
+	write := sendWrite(t, g.Pool, "write", 2)
+	write.Request.SideEffects = true
+	node := g.nextConnection(t)
+	in := bufio.NewReader(node)
+	node.SetReadDeadline(time.Now().Add(testTimeout))
+	readLines(t, in, 2)
+	read := sendRead(t, g.Pool, "read")
+	readLines(t, in, 1)
+	g.Abandon(write)
+	for _, want := range []*Attempt{write, read} {
+		if got := g.next(t); got.attempt != want || got.result != ConnectionLost {
+			t.Errorf("%s ended with %d, want %s with %d",
+				got.attempt.Request.ID, got.result, want.Request.ID, ConnectionLost)
+		}
+	}
+	if _, err := io.Copy(io.Discard, in); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection to the node ended with %v", err)
+	}
+}
+
+// TestWriteAbandonedDuringCheckIsNotSent guards against a write that is given up after its check and written then.
+func TestWriteAbandonedDuringCheckIsNotSent(t *testing.T) {
+	g := startGated(t, testLimits)
+	write := sendWrite(t, g.Pool, "write", 2)
+	write.Request.SideEffects = true
+	g.nextCheck(t, "its check")
+	read := sendRead(t, g.Pool, "read")
+	g.Abandon(write)
+	g.open()
+	if got := g.next(t); got.attempt != write || got.result != NotWritten {
+		t.Errorf("%s ended with %d, want the write with %d", got.attempt.Request.ID, got.result, NotWritten)
+	}
+	node := g.nextConnection(t)
+	node.SetReadDeadline(time.Now().Add(testTimeout))
+	in := bufio.NewReader(node)
+	if line, err := in.ReadString('\n'); err != nil || requestID(line) != "read" {
+		t.Fatalf("the node received %q, %v", line, err)
+	}
+	serve("read", node)
+	g.expectServed(t, read)
+}
+
+// readLines reads lines that the node receives.
+func readLines(t *testing.T, in *bufio.Reader, lines int) {
+	t.Helper()
+	for range lines {
+		if line, err := in.ReadString('\n'); err != nil {
+			t.Fatalf("the node received %q, %v", line, err)
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,7 +10,8 @@
 //     everything that arrives on a connection is ignored. An answer that names no request ends an attempt that
 //     must not run twice only once it is certain that it is the answer to this attempt, see attribution.go.
 //  4. No new attempt waits behind an abandoned one: a connection with an abandoned attempt gets no new ones.
-//  5. No lock is held during network I/O or calls of the handler. Warnings about malformed answers are logged
+//  5. An abandoned attempt with side effects is not delivered any more: its connection is reset at once.
+//  6. No lock is held during network I/O or calls of the handler. Warnings about malformed answers are logged
 //     with the lock held, at most one per second.
 //
 // Concurrency: each dial runs in its own goroutine, and each connection has a reader and a writer goroutine;
@@ -219,6 +220,10 @@
 // answer is lost, the node hangs or its machine has failed. Therefore the connection gets no new attempts, and is
 // closed once it has no waiters. Under overload, when many attempts are abandoned, this costs the nodes extra
 // handshakes, which are a fraction of the abandoned work.
+//
+// If the attempt has side effects, the connection is reset at once, although others may wait on it: as long as it is
+// open, the kernel may still deliver the attempt, for example when a network partition ends, and by then the nodes may
+// have forgotten the key of a repeat that was executed in the meantime.
 func (p *Pool) Abandon(a *Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -231,10 +236,15 @@
 		return false
 	}
 	for _, c := range n.connections {
-		if slices.Contains(c.inFlight, a) {
+		if !slices.Contains(c.inFlight, a) {
+			continue
+		}
+		if a.Request.SideEffects {
+			c.close("attempt with side effects abandoned")
+		} else {
 			c.retire("attempt abandoned")
-			break
 		}
+		break
 	}
 	return false
 }
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -59,6 +59,39 @@
 		c.queued, c.writing = append(batch, c.queued...), false
 		return buffer
 	}
+	if slices.ContainsFunc(batch, (*Attempt).mustNotRun) {
+		c.requeueWithoutAbandoned(batch)
+	} else {
+		c.writeChecked(parts, batch, checkedAt)
+	}
+	if c.retired && !c.writeFailed && !c.inUse() {
+		c.close("no attempt waited for")
+	}
+	return buffer
+}
+
+// requeueWithoutAbandoned queues a batch again, except for the attempts that must not run because they were abandoned
+// since the check. Pool.mu is held, except while these attempts are reported.
+func (c *conn) requeueWithoutAbandoned(batch []*Attempt) {
+	var kept, dropped []*Attempt
+	for _, a := range batch {
+		if a.mustNotRun() {
+			dropped = append(dropped, a)
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	c.queued = append(kept, c.queued...)
+	c.pool.mu.Unlock()
+	for _, a := range dropped {
+		c.pool.handler.Ended(a, nil, NotWritten)
+	}
+	c.pool.mu.Lock()
+	c.writing = false
+}
+
+// writeChecked writes a batch that the handler has checked at checkedAt. Pool.mu is held, except during writes.
+func (c *conn) writeChecked(parts net.Buffers, batch []*Attempt, checkedAt time.Time) {
 	for _, a := range batch {
 		a.conn = c.number
 	}
@@ -68,10 +101,6 @@
 	if slices.ContainsFunc(batch, func(a *Attempt) bool { return a.abandoned }) {
 		c.retired = true // an attempt was abandoned while it was being written
 	}
-	if c.retired && !c.writeFailed && !c.inUse() {
-		c.close("no attempt waited for")
-	}
-	return buffer
 }
 
 // writeBatch writes a batch, and returns it without the attempts that were queued again: those of which no byte
