End a proxy's own repeat of a keyed write before its dedup window is over

Cause: MaySend bounds when a repeat is written; nothing ended one that was out when the window was over, until the deadline. Change: policy gives each repeat of a keyed request a timeout at the window's end, less 150 ms (or a quarter of the window) for a proxy that is held up; core's timer then abandons it, which resets its connection. The deadline told to the node is the same, so the node may drop it too. First attempts keep their time.

--- a/policy/safety.go
+++ b/policy/safety.go
@@ -79,7 +79,7 @@
 		if r.class.Idempotency == NotIdempotent {
 			return false
 		}
-		if b.now >= a.sentAt+r.class.DedupWindow-r.settings.EventInterval {
+		if b.now >= r.repeatEnd(a) {
 			return false
 		}
 		if !r.class.shareDedupScope(s, a.server) {
@@ -89,6 +89,41 @@
 	return true
 }
 
+// maxRepeatMargin limits how long before the end of the dedup window a repeat ends, so that the proxy ends it in time
+// even if it is held up for 0.15 s.
+const maxRepeatMargin = 150 * time.Millisecond
+
+// maxRepeatMarginShare limits the margin to a part of the window, for short windows.
+const maxRepeatMarginShare = 4
+
+// repeatEnd returns when repeats of an attempt must have ended because servers may forget the request's key soon after.
+func (r *request) repeatEnd(a *attempt) time.Duration {
+	window := r.class.DedupWindow
+	return a.sentAt + window - r.settings.EventInterval - min(maxRepeatMargin, window/maxRepeatMarginShare)
+}
+
+// repeatTimeout returns the timeout of an attempt that is sent now, or 0 if the request's deadline is early enough. A
+// repeat must end before servers forget the request's key: one that is still on its way, for example because of a
+// network partition, could arrive and be executed a second time later.
+func (b *Balancer) repeatTimeout(r *request) (timeout time.Duration) {
+	if r.class.Idempotency != IdempotentWithKey {
+		return 0
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.mayHaveRun {
+			continue
+		}
+		if left := r.repeatEnd(a) - b.now; timeout == 0 || left < timeout {
+			timeout = left
+		}
+	}
+	if b.now+timeout >= r.Deadline {
+		return 0
+	}
+	return timeout
+}
+
 // shareDedupScope reports whether two servers deduplicate the class's requests together.
 func (c *Class) shareDedupScope(s, other *server) bool {
 	switch c.DedupScope {
