Give up a watch that is silent from its start as early as one that falls silent later

Cause: the silence of 3 s counted from the first byte of the body; before it the time for a whole call counted (6 s), also when the header had come. A call that was accepted and never answered was waited for as long, as the service may queue calls. Change: every byte counts as a sign of life, also of the header (discovery.Client.Watch). A call without an answer gets a watch in parallel after 3 s, as it did after a change of the address alone, and keeps its place in the service's queue until one of the two is answered (core/watch.go).

--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -19,10 +19,10 @@
 	// agentAnswerTimeout is how long a local agent may take to answer a new watch before another is opened in
 	// parallel. A working agent answers immediately, and the proxy is assumed to know what the agent knows.
 	agentAnswerTimeout = 400 * time.Millisecond
-	// newSourceAnswerTimeout is the corresponding timeout after a change of the source's address. The new source may
-	// queue the call, but its list must take effect no later than 4 s after the change. More calls would flood the
-	// service, as all proxies change their source at the same time.
-	newSourceAnswerTimeout = 3 * time.Second
+	// serviceAnswerTimeout is the corresponding timeout for a service that all proxies call. It may queue the call, and
+	// more calls would flood it. But the list of a new source must take effect no later than 4 s after the change, and
+	// a drain no later than 6 s after the service could tell it.
+	serviceAnswerTimeout = 3 * time.Second
 	// agentRetryDelay is the mean delay before the watch of an agent is reopened if it ended without an answer, or
 	// within agentAnswerTimeout after it was opened. newSourceRetryDelay is the mean delay before the watch of a new
 	// source is reopened if it ended before the source has reported a list.
@@ -145,8 +145,8 @@
 	})
 }
 
-// subscribe opens one more watch. For an agent, and for the first watch of a new source, it sets the timer for a
-// parallel watch in case the source does not answer.
+// subscribe opens one more watch. For an agent, and for the first watch of a service, it sets the timer for a parallel
+// watch in case the source does not answer.
 func (s *subscriptions) subscribe() {
 	if len(s.open) >= maxSubscriptions {
 		s.cancelOldest()
@@ -161,8 +161,8 @@
 	switch {
 	case !s.listOnRequest:
 		s.retry.Reset(agentAnswerTimeout)
-	case s.awaitsNewSource && !hadCurrent:
-		s.retry.Reset(newSourceAnswerTimeout)
+	case !hadCurrent:
+		s.retry.Reset(serviceAnswerTimeout)
 	default:
 		s.retry.Stop()
 	}
@@ -204,11 +204,12 @@
 	}
 }
 
-// handleAnswer handles the first answer to a watch. Where lists are pushed, it cancels the other watches of the same
-// source. The watch of a previous source is still needed until this one reports a list.
+// handleAnswer handles the first answer to a watch. It cancels the other watches of the same source, unless this is a
+// new source. The watch of a previous source is still needed until this one reports a list.
 func (s *subscriptions) handleAnswer(sub *subscription) {
 	sub.answered = true
-	if s.listOnRequest || sub.call.source != s.newListCall().source {
+	isNewService := s.listOnRequest && s.awaitsNewSource
+	if isNewService || sub.call.source != s.newListCall().source {
 		return
 	}
 	s.retry.Stop()
@@ -233,8 +234,11 @@
 // calls over time.
 func (s *subscriptions) handleLoss(sub *subscription) {
 	s.open = slices.DeleteFunc(s.open, func(other *subscription) bool { return other == sub })
+	if s.hasCurrent() {
+		return
+	}
+	s.retry.Stop() // it was to open a watch in parallel to this one
 	switch {
-	case s.hasCurrent():
 	case !s.listOnRequest && sub.answered && time.Since(sub.openedAt) > agentAnswerTimeout:
 		s.subscribe()
 	case !s.listOnRequest:
--- a/internal/core/watch_test.go
+++ b/internal/core/watch_test.go
@@ -230,3 +230,53 @@
 	again.sendList(1, true, "draining")
 	c.expectServing(t, "the newest source to take effect", false)
 }
+
+// notifiedWithin is the time after which the proxy counts as notified of a change that a silent watch has missed, or
+// that a service which can be reached could have told.
+const notifiedWithin = 6 * time.Second
+
+// TestUnansweredWatchIsOpenedAgainInTime guards against a drain that is missed because the service accepts a watch and
+// never answers it, or falls silent right after the header: the proxy must know the drain in time.
+func TestUnansweredWatchIsOpenedAgainInTime(t *testing.T) {
+	for name, answer := range map[string]func(*sourceCall){
+		"never answered":    func(*sourceCall) {},
+		"part of a header":  func(c *sourceCall) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConn") },
+		"silent after head": (*sourceCall).sendHeader,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			source := startSource(t)
+			c := startCore(t, true, source.addr)
+			source.firstWatch(t, c, 1).Close()
+			silent := source.next(t, "a watch that falls silent")
+			silentSince := time.Now()
+			answer(silent)
+			next := source.next(t, "one more watch")
+			if took := time.Since(silentSince); took > notifiedWithin {
+				t.Errorf("opened again %v after the silence began, want at most %v", took, notifiedWithin)
+			}
+			next.sendHeader()
+			next.sendList(2, false, "draining")
+			c.expectServing(t, "the drain to take effect", false)
+			silent.waitClosed(t)
+		})
+	}
+}
+
+// TestServiceWithoutChangesIsNotRetried checks that a service that answers a watch but reports no change is not called
+// again, in parallel or otherwise.
+func TestServiceWithoutChangesIsNotRetried(t *testing.T) {
+	t.Parallel()
+	source := startSource(t)
+	c := startCore(t, true, source.addr)
+	source.firstWatch(t, c, 1).Close()
+	second := source.next(t, "a new watch")
+	second.sendHeader()
+	second.sendHeartbeats(t)
+	time.Sleep(serviceAnswerTimeout + tolerableSilence)
+	if n := len(source.calls); n > 0 {
+		t.Errorf("the service was called %d more times, want none", n)
+	}
+	second.sendList(2, false, "draining")
+	c.expectServing(t, "the drain to take effect", false)
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -65,18 +66,20 @@
 	return l, err
 }
 
-// Watch implements Source. Any received byte counts as a sign that the watch is alive.
+// Watch implements Source. Any received byte, also of the response's header, counts as a sign that the watch is alive.
 func (c *Client) Watch(ctx context.Context, from uint64, deliver func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(responseTimeout, func() { cancel(errors.New("no data received within the timeout")) })
 	defer silence.Stop()
+	alive := func() { silence.Reset(silenceTimeout) }
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: alive})
 	body, err := c.get(ctx, "?watch=1&from="+strconv.FormatUint(from, 10))
 	if err != nil {
 		return errors.Join(err, context.Cause(ctx))
 	}
 	defer body.Close()
-	alive := func() { silence.Reset(silenceTimeout) }
+	alive()
 	in := bufio.NewReaderSize(notifyingReader{body, alive}, watchBufferBytes)
 	text := make([]byte, 0, watchBufferBytes)
 	arrival := arrivalOf(ctx)
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -118,3 +118,21 @@
 		t.Errorf("a watch counts as silent after %v", silenceTimeout)
 	}
 }
+
+// TestWatchSilentFromItsHeaderOnEnds guards against a watch that falls silent before its first line and is given up
+// only after the time for a call: it must leave as much time for a drain as one that falls silent later. The longest
+// wait before the next call is 2.4 s.
+func TestWatchSilentFromItsHeaderOnEnds(t *testing.T) {
+	const countsAsNotified, longestWait = 6 * time.Second, 2400 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	c := NewClient(strings.TrimPrefix(server.URL, "http://"))
+	started := time.Now()
+	err := c.Watch(t.Context(), 7, func(List) {})
+	if took := time.Since(started); err == nil || took > countsAsNotified-longestWait {
+		t.Errorf("the watch ended after %v, want at most %v: %v", took, countsAsNotified-longestWait, err)
+	}
+}
