--- a/internal/consul/source_test.go
+++ b/internal/consul/source_test.go
@@ -106,3 +106,22 @@
 
 // noResponse is the error of a call that takes too long.
 const noResponse = "no response within the timeout"
+
+// TestSilentBlockingQueryLeavesTimeForDrain guards against a drain that is missed because a blocking query without an
+// answer is given up too late: its timeout must leave half a second for the delay before the next query, and half a
+// second for that query, of the 2 s after the wait within which a change must be known.
+func TestSilentBlockingQueryLeavesTimeForDrain(t *testing.T) {
+	const known, delayAndQuery = 2 * time.Second, time.Second
+	s := &source{SourceConfig: SourceConfig{WaitTime: 10 * time.Second}}
+	for range 100 {
+		query, timeout := s.watchQuery(7)
+		wait, err := time.ParseDuration(query.Get("wait"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		const rounding = 2 * time.Millisecond // wait is sent in milliseconds
+		if longest := wait + wait/16 + known - delayAndQuery + rounding; timeout > longest {
+			t.Fatalf("a wait of %v has a timeout of %v, want at most %v", wait, timeout, longest)
+		}
+	}
+}
