Remove the timers of requests that have ended

Seen: a profile of a proxy with 300 clients that send requests at full speed: over half of its heap are timers (5.7 of 9.6 MB; resident 80 MB with a limit of 32). Cause: each accepted request leaves two or more timers until its deadline, also when it is shed at once, so they grow with the rate of requests and not with those open. Change: setTimer drops the timers of ended requests when there are twice as many as the last time left (1,024 at least); policy.TimerRequest tells which request a token is for. The cost for each timer is constant.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,10 +84,13 @@
 
 	endpoints endpointState
 	timers    timers
-	overload  overloadState
-	counts    counts
-	pause     pauseState
-	takeover  TakeoverCoordinator // nil where keyed writes are not replicated
+	// timerCleanupAt is the number of timers at which those of ended requests are removed, if it is above
+	// minTimerCleanup.
+	timerCleanupAt int
+	overload       overloadState
+	counts         counts
+	pause          pauseState
+	takeover       TakeoverCoordinator // nil where keyed writes are not replicated
 }
 
 // rules are the settings that an arriving request is checked against. They are replaced as a whole, so that no
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"mulleinpier/internal/membership"
@@ -14,6 +16,8 @@
 	timerResolution = 2 * time.Millisecond
 	// noTimerWait is the wait if no timer is set; setting one ends the wait.
 	noTimerWait = time.Hour
+	// minTimerCleanup is the lowest number of timers at which those of ended requests are removed.
+	minTimerCleanup = 1024
 )
 
 // timerKind is the purpose of a timer.
@@ -37,11 +41,40 @@
 
 // setTimer adds a timer. c.mu is held.
 func (c *Core) setTimer(t timer) {
+	if len(c.timers) >= max(c.timerCleanupAt, minTimerCleanup) {
+		c.removeUnneededTimers()
+	}
 	if c.timers.push(t) {
 		signal(c.timerSet)
 	}
 }
 
+// removeUnneededTimers removes the timers of requests that have ended. Otherwise a client whose requests end at once
+// would fill the memory with timers, each of which lasts until the deadline of its request. It runs again when there
+// are twice as many timers as it has left, so its cost for each timer is constant. c.mu is held.
+func (c *Core) removeUnneededTimers() {
+	needed := make(timers, 0, len(c.timers)/2+1)
+	for _, t := range c.timers {
+		if id, ok := t.requestID(); !ok || c.requests[id] != nil {
+			needed = append(needed, t)
+		}
+	}
+	slices.SortFunc(needed, func(a, b timer) int { return cmp.Compare(a.at, b.at) }) // a sorted slice is a heap
+	c.timers = needed
+	c.timerCleanupAt = 2 * len(needed)
+}
+
+// requestID returns the id of the request that a timer is for. ok is false if it is for none.
+func (t *timer) requestID() (id uint64, ok bool) {
+	switch t.kind {
+	case policyTimer:
+		return policy.TimerRequest(t.id)
+	case requestTimer, attemptTimer:
+		return t.id, true
+	}
+	return 0, false
+}
+
 // runTimers fires timers as they are due, until ctx ends.
 func (c *Core) runTimers(ctx context.Context) {
 	alarm := time.NewTimer(noTimerWait)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -136,6 +136,12 @@
 	timerKindMask = 1<<timerKindBits - 1
 )
 
+// TimerRequest returns the ID of the request that the timer with a token is for. ok is false if it is for none. Such a
+// timer need not fire once its request has ended.
+func TimerRequest(token uint64) (id uint64, ok bool) {
+	return token >> timerKindBits, token&timerKindMask != timerSubscribe
+}
+
 func (b *Balancer) setTimer(kind int, id uint64, after time.Duration) {
 	b.emit(Action{Kind: SetTimer, Token: id<<timerKindBits | uint64(kind), After: after})
 }
