Bound what clients can make the process hold: waiting answers, small memories

Cause: an answer that waits for its client held its command: the id is a part of the line of up to 2 KiB, and the slot held the request with its value, which counts against no budget by then; 32 for each connection. Besides, a memory of 32 MB left 12.8 MB for what the runtime does not count, which is 13 MB, and the clients were bounded by descriptors alone. Change: the reply holds a copy of the id, and the slot drops the request when it has the answer; at least 16 MiB are left for what the runtime does not count (changes memories under 40 MB); a client counts as 128 KiB of memory (under 64 MB and 1,024 sockets there are fewer places, else as many).

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -26,9 +26,10 @@
 	// gcPercent makes garbage collections rare, which saves CPU while memory is plentiful. When memory is short, the
 	// memory limit triggers collections.
 	gcPercent = 400
-	// memoryLimitTenths is the share of the configured memory, in tenths, that the Go runtime may use. The rest is for
-	// memory that the runtime does not count.
+	// memoryLimitTenths is the share of the configured memory, in tenths, that the Go runtime may use. The rest, at least
+	// minUncountedBytes, is for memory that the runtime does not count, such as the pages of the program.
 	memoryLimitTenths = 6
+	minUncountedBytes = 16 << 20
 )
 
 // serve is the task that starts the proxy and runs it until it has drained. It reports exactly one of StartFailed and
@@ -72,7 +73,7 @@
 func limitRuntime(c *proxy.Config) {
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(c.MemoryBytes) / 10 * memoryLimitTenths)
+	debug.SetMemoryLimit(int64(min(c.MemoryBytes/10*memoryLimitTenths, c.MemoryBytes-minUncountedBytes)))
 }
 
 // newLogger returns a logger with the configured format, which also reports dropped log lines. Its level follows
--- a/internal/frontend/binary/requests.go
+++ b/internal/frontend/binary/requests.go
@@ -95,8 +95,7 @@
 // request's body budget.
 func (s *session) submit(in *request.Request, r *reply) {
 	in.ID = s.frontend.idPrefix + strconv.FormatUint(s.frontend.lastID.Add(1), 36)
-	s.conn.Submit(in, &r.Slot, r)
-	if r.InFlight == nil {
+	if !s.conn.Submit(in, &r.Slot, r) {
 		r.Release()
 	}
 }
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -77,11 +77,12 @@
 	closeReason   string    // for the event log; the first one noted
 }
 
-// Slot holds the position of one command's answer in the order of its connection's answers.
+// Slot holds the position of one command's answer in the order of its connection's answers. Once it has the answer it
+// holds nothing of the command, since answers may wait for long until the client reads them.
 type Slot struct {
-	InFlight *core.InFlightRequest // nil unless the core accepted the command's request; set by the reader
 	conn     *Conn
-	text     []byte // the answer, nil until the command is answered; guarded by conn.mu
+	inFlight *core.InFlightRequest // while the core has the command's request and it is unanswered; guarded by conn.mu
+	text     []byte                // the answer, nil until the command is answered; guarded by conn.mu
 }
 
 // New returns a connection to be served by [Conn.Serve]. waitedSince is the time, by the core's clock, since which it
@@ -127,8 +128,8 @@
 	c.recordDisconnected(len(c.slots))
 	var unanswered []*core.InFlightRequest
 	for _, slot := range c.slots {
-		if slot.InFlight != nil {
-			unanswered = append(unanswered, slot.InFlight)
+		if slot.inFlight != nil {
+			unanswered = append(unanswered, slot.inFlight)
 		}
 	}
 	c.host.Core.ClientDisconnected(unanswered)
--- a/internal/frontend/meta/meta.go
+++ b/internal/frontend/meta/meta.go
@@ -169,13 +169,14 @@
 		}
 		command.Value = body[:command.ValueLen]
 	}
-	r := &reply{host: s.host, id: command.ID, bodyLen: bodyLen}
+	// The clone keeps an answer that waits for its client from holding the command's whole line.
+	r := &reply{host: s.host, id: strings.Clone(command.ID), bodyLen: bodyLen}
 	command.HeaderRoom = meta.AnswerHeaderRoom(command.ID)
-	s.conn.Submit(&command.Request, &r.Slot, r)
-	if r.InFlight == nil {
+	accepted := s.conn.Submit(&command.Request, &r.Slot, r)
+	if !accepted {
 		r.Release()
 	}
-	if r.InFlight == nil && r.kind == request.Invalid {
+	if !accepted && r.kind == request.Invalid {
 		s.badCommands++
 	} else {
 		s.badCommands = 0
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -218,8 +218,8 @@
 
 // Submit gives a completely read request to the core and adds slot for its answer. After the cutoff of a drain the
 // request is rejected instead, since closing the connection would lose it. If the client is gone the request is
-// dropped. Sessions call Submit from the connection's reader.
-func (c *Conn) Submit(in *request.Request, slot *Slot, reply core.Reply) {
+// dropped. It reports whether the core has accepted the request. Sessions call Submit from the connection's reader.
+func (c *Conn) Submit(in *request.Request, slot *Slot, reply core.Reply) (accepted bool) {
 	in.Arrival = c.CommandArrival()
 	c.AddSlot(slot)
 	c.mu.Lock()
@@ -232,11 +232,18 @@
 			Client: c.Address(),
 			Reason: "client gone",
 		})
+		return false
 	case pastCutoff:
 		c.host.Core.Reject(in, reply)
-	default:
-		slot.InFlight = c.host.Core.Submit(in, reply)
+		return false
 	}
+	inFlight := c.host.Core.Submit(in, reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slot.text == nil {
+		slot.inFlight = inFlight
+	}
+	return inFlight != nil
 }
 
 // wakeReader makes a reader that waits for a command run prepareNextCommand again. c.mu is held.
--- a/internal/frontend/writer.go
+++ b/internal/frontend/writer.go
@@ -25,6 +25,7 @@
 	c := s.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s.inFlight = nil
 	if c.gone {
 		return
 	}
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -17,6 +17,9 @@
 	// bytesPerRequest is the memory assumed for each request in flight, which limits how many requests may be in
 	// flight.
 	bytesPerRequest = 16 << 10
+	// bytesPerClient is the memory assumed for each client connection, which limits how many there may be: its buffer
+	// and goroutines, and the small answers that wait for it.
+	bytesPerClient = 128 << 10
 	// budgetDivisor sets the budgets for the values of requests and of responses: each is 1/budgetDivisor of the
 	// memory.
 	budgetDivisor = 8
@@ -41,7 +44,8 @@
 	ConnectionShare      connlimit.Capacity
 }
 
-// AllocateResources divides the descriptors between clients and nodes, and the memory between requests and responses.
+// AllocateResources divides the descriptors between clients and nodes, and the memory between clients, requests and
+// responses.
 // It returns an error if the process has too little of a resource.
 func (c *Config) AllocateResources(limits ResourceLimits) error {
 	switch {
@@ -54,7 +58,7 @@
 	}
 	c.MaxInFlight = min(limits.MaxInFlight, c.MemoryBytes/bytesPerRequest)
 	nodeConnections := (c.MaxDescriptors - reservedDescriptors) / 2
-	c.MaxClients = c.MaxDescriptors - reservedDescriptors - nodeConnections
+	c.MaxClients = min(c.MaxDescriptors-reservedDescriptors-nodeConnections, c.MemoryBytes/bytesPerClient)
 	c.RequestBudgetBytes = c.MemoryBytes / budgetDivisor
 	c.ResponseBudgetBytes = c.MemoryBytes / budgetDivisor
 	longest := max(minLongestDeadline, longestDeadline(&c.Policy))
