--- a/cmd/mulleinpier/memory_test.go
+++ b/cmd/mulleinpier/memory_test.go
@@ -27,7 +27,8 @@
 // crowdClients are the ways in which the clients of a crowd use their connections, until these end.
 var crowdClients = map[string]func(id string, socket net.Conn){
 	"stops half way through a large write": func(id string, socket net.Conn) {
-		fmt.Fprintf(socket, "ms k %d O%s Pc=handover,k=%s\r\n%s", crowdValueBytes, id, id, make([]byte, crowdValueBytes/2))
+		half := make([]byte, crowdValueBytes/2)
+		fmt.Fprintf(socket, "ms k %d O%s Pc=handover,k=%s\r\n%s", crowdValueBytes, id, id, half)
 		io.Copy(io.Discard, socket)
 	},
 	"writes a head slowly": func(id string, socket net.Conn) {
@@ -42,7 +43,9 @@
 	"sends heads of many fields": func(id string, socket net.Conn) {
 		go io.Copy(io.Discard, socket)
 		fields := strings.Repeat(",ab=1", 360)
-		sendUntilEnd(socket, func(n int) string { return fmt.Sprintf("mg k%d v O%s-%d Pc=read%s\r\n", n%50, id, n, fields) })
+		sendUntilEnd(socket, func(n int) string {
+			return fmt.Sprintf("mg k%d v O%s-%d Pc=read%s\r\n", n%50, id, n, fields)
+		})
 	},
 	"reads no answers": func(id string, socket net.Conn) {
 		sendUntilEnd(socket, func(n int) string { return fmt.Sprintf("mg k%d v O%s-%d Pc=read\r\n", n%50, id, n) })
--- a/internal/consul/source.go
+++ b/internal/consul/source.go
@@ -28,9 +28,9 @@
 	pollInterval = 400 * time.Millisecond
 	// maxStaleness bounds the time since the server last heard of the leader.
 	maxStaleness = 10 * time.Second
-	// waitSlack is added to the timeout of a blocking query, besides the 1/16 of the wait that the agent may add. What a
-	// silent query misses must be known 2 s after the wait, which leaves 1 s for the delay before the next query and for
-	// that query.
+	// waitSlack is added to the timeout of a blocking query, besides the 1/16 of the wait that the agent may add. What
+	// a silent query misses must be known 2 s after the wait, which leaves 1 s for the delay before the next query and
+	// for that query.
 	waitSlack = time.Second
 	// fetchTimeout bounds a query that does not block.
 	fetchTimeout = 3 * time.Second
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -28,7 +28,9 @@
 	for i := range 20 {
 		submit(fmt.Sprint("open", i))
 	}
+	c.mu.Lock()
 	open := len(c.requests) // without those that were shed
+	c.mu.Unlock()
 	for i := range ended {
 		req := submit(fmt.Sprint("ended", i))
 		if req == nil {
@@ -36,6 +38,8 @@
 		}
 		c.ClientDisconnected([]*InFlightRequest{req})
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if n := len(c.timers); n > 2*minTimerCleanup {
 		t.Errorf("%d timers for %d open requests", n, open)
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -26,8 +26,8 @@
 	// gcPercent makes garbage collections rare, which saves CPU while memory is plentiful. When memory is short, the
 	// memory limit triggers collections.
 	gcPercent = 400
-	// memoryLimitTenths is the share of the configured memory, in tenths, that the Go runtime may use. The rest, at least
-	// minUncountedBytes, is for memory that the runtime does not count, such as the pages of the program.
+	// memoryLimitTenths is the share of the configured memory, in tenths, that the Go runtime may use. The rest, at
+	// least minUncountedBytes, is for memory that the runtime does not count, such as the pages of the program.
 	memoryLimitTenths = 6
 	minUncountedBytes = 16 << 20
 )
