Let other clients' data be read while one client sends commands at full speed

Cause: the flooding connection's reader and writer wake each other without a pause; the Go scheduler hands them its time slices and polls the network rarely. Change: a connection's reader pauses for 0.1 ms after each 64 commands, in which the scheduler polls the network.

--- a/cmd/mulleinpier/memory_test.go
+++ b/cmd/mulleinpier/memory_test.go
@@ -28,7 +28,7 @@
 var crowdClients = map[string]func(id string, socket net.Conn){
 	"stops half way through a large write": func(id string, socket net.Conn) {
 		half := make([]byte, crowdValueBytes/2)
-		fmt.Fprintf(socket, "ms k %d O%s Pc=handover,k=%s\r\n%s", crowdValueBytes, id, id, half)
+		fmt.Fprintf(socket, "ms k %d O%s Pc=write,k=%s\r\n%s", crowdValueBytes, id, id, half)
 		io.Copy(io.Discard, socket)
 	},
 	"writes a head slowly": func(id string, socket net.Conn) {
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -16,6 +16,11 @@
 	// commandTimeout bounds the time from the first byte of a command to its last. A command that never completes
 	// must not occupy capacity, and its client must be answered within 3 s.
 	commandTimeout = 2500 * time.Millisecond
+	// commandsPerTurn is the number of commands after which the reader pauses for turnPause. While a client sends small
+	// commands at full speed, its reader and writer wake each other, and the Go scheduler may run nothing else for a
+	// quarter of a second. A pause lets it look for data from other clients and from nodes.
+	commandsPerTurn = 64
+	turnPause       = 100 * time.Microsecond
 )
 
 // readEnd is the reason why the reader stops.
@@ -28,10 +33,13 @@
 
 // readCommands reads and executes commands until the connection ends or the session stops, and returns which.
 func (c *Conn) readCommands() readEnd {
-	for {
+	for count := 1; ; count++ {
 		if !c.awaitCommand() {
 			return connectionEnded
 		}
+		if count%commandsPerTurn == 0 {
+			time.Sleep(turnPause)
+		}
 		c.setCommandDeadline()
 		if c.session == nil {
 			first, err := c.In.Peek(1)
