--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -33,6 +33,8 @@
 		u.sendRead(fmt.Sprint(i))
 		u.expectValue(fmt.Sprint(i))
 	}
+	// A client has its response a moment before its connection counts as idle.
+	testutil.WaitUntil(t, "the latest client to be idle", h.latestIsIdle)
 	h.server.closeInactive(time.Now().Add(minIdleToEvict))
 	h.server.mu.Lock()
 	defer h.server.mu.Unlock()
@@ -47,6 +49,19 @@
 	}
 }
 
+// latestIsIdle reports whether the connection with the latest response is idle.
+func (h *harness) latestIsIdle() (idle bool) {
+	h.server.mu.Lock()
+	defer h.server.mu.Unlock()
+	var latest time.Time
+	for c := range h.server.clients {
+		if at, isIdle := c.IdleSince(); at.After(latest) {
+			latest, idle = at, isIdle
+		}
+	}
+	return idle
+}
+
 // TestBufferedResponsesAreBounded checks that values that accumulate behind a slow first response and exceed the
 // response budget become failures, and that all reserved bytes are released.
 func TestBufferedResponsesAreBounded(t *testing.T) {
