Read the requests of a slot under the connection's lock when it ends

Cause: since an answer clears the slot's request, and Conn.Serve read it without the lock at the connection's end. Change: it takes the lock. Measured: TestBurstsReleaseAllResources failed with the race detector, and passes twice.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -126,13 +126,19 @@
 	c.socket.Close()
 	writer.Wait()
 	c.recordDisconnected(len(c.slots))
-	var unanswered []*core.InFlightRequest
+	c.host.Core.ClientDisconnected(c.unanswered())
+}
+
+// unanswered returns the requests in flight that have not been answered.
+func (c *Conn) unanswered() (requests []*core.InFlightRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, slot := range c.slots {
 		if slot.inFlight != nil {
-			unanswered = append(unanswered, slot.inFlight)
+			requests = append(requests, slot.inFlight)
 		}
 	}
-	c.host.Core.ClientDisconnected(unanswered)
+	return requests
 }
 
 // Close closes the connection immediately, even if commands are in flight. The reason is for the event log.
