Do not run a request again that comes with its id after its client has left

An unsafe one that comes again is answered failed, which promises nothing; a keyed one is sent until the window of its first attempt ends, where all nodes drop repeats together. Idempotent requests, and those that never started, are sent as before.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -19,6 +19,7 @@
 	nodeName     string
 	dispatchedAt time.Duration // by Core.policyTime
 	ended        bool
+	mayHaveRun   bool // it has ended, and the node may have executed it
 	deferred     bool // the attempt is held back during the recovery from a pause
 }
 
@@ -90,7 +91,7 @@
 	if attempt.ended {
 		return
 	}
-	attempt.ended = true
+	attempt.ended, attempt.mayHaveRun = true, attempt.started && policy.MayHaveRun(result)
 	req.openAttempts--
 	c.counts.results[result]++
 	c.recordEnded(req, attempt, result)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -79,8 +79,9 @@
 
 	requests   map[uint64]*InFlightRequest
 	requestIDs map[string]struct{} // the ids that clients gave to the requests in flight
-	lastID     uint64              // the latest key in requests
-	aborted    bool                // AbortAll was called: new requests are rejected
+	recent     recentRequests
+	lastID     uint64 // the latest key in requests
+	aborted    bool   // AbortAll was called: new requests are rejected
 
 	endpoints endpointState
 	timers    timers
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -88,6 +88,11 @@
 		c.answerRejected(in, reply, "too old", c.balancer.RetryAfter(classIndex))
 		return nil
 	}
+	deadline, mayBeSent := c.repeatDeadline(in, class, deadline)
+	if !mayBeSent {
+		c.answerUnknown(in, reply)
+		return nil
+	}
 	req := c.register(in, reply, deadline)
 	if !c.requestClaim(req, class) {
 		c.handle(req.arrival(classIndex, tenant))
@@ -164,6 +169,13 @@
 	reply.Finish(&request.Answer{Kind: request.Busy, RetryAfter: retryAfter})
 }
 
+// answerUnknown answers a request that has come again and may have run. c.mu is held.
+func (c *Core) answerUnknown(in *request.Request, reply Reply) {
+	c.counts.failed++
+	c.recordRejected(in, reply, "id may have run")
+	reply.Finish(&request.Answer{Kind: request.Failed})
+}
+
 // Reject answers busy to a request that was received too late during a drain. The request is not sent to a node.
 func (c *Core) Reject(in *request.Request, reply Reply) {
 	c.mu.Lock()
@@ -272,6 +284,7 @@
 	if !req.finished || req.openAttempts != 0 || c.requests[req.id] != req {
 		return
 	}
+	c.rememberIfRun(req)
 	delete(c.requests, req.id)
 	delete(c.requestIDs, req.request.ID)
 	req.reply.Release()
--- a/policy/safety.go
+++ b/policy/safety.go
@@ -96,10 +96,15 @@
 // maxRepeatMarginShare limits the margin to a part of the window, for short windows.
 const maxRepeatMarginShare = 4
 
-// repeatEnd returns when repeats of an attempt must have ended because servers may forget the request's key soon after.
+// RepeatWindow returns the time from the send of an attempt within which repeats of it must have ended, because servers
+// may forget the request's key soon after. It is for classes that are IdempotentWithKey.
+func (c *Class) RepeatWindow() time.Duration {
+	return c.DedupWindow - min(maxRepeatMargin, c.DedupWindow/maxRepeatMarginShare)
+}
+
+// repeatEnd returns when repeats of an attempt must have ended.
 func (r *request) repeatEnd(a *attempt) time.Duration {
-	window := r.class.DedupWindow
-	return a.sentAt + window - r.settings.EventInterval - min(maxRepeatMargin, window/maxRepeatMarginShare)
+	return a.sentAt + r.class.RepeatWindow() - r.settings.EventInterval
 }
 
 // repeatTimeout returns the timeout of an attempt that is sent now, or 0 if the request's deadline is early enough. A
