--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"mulleinpier/internal/testutil"
 )
 
 // TestSilentClientsAreClosedToMakeRoom checks that clients that send nothing, or send one request and stay connected,
