Take a node out of service when another one has started at its address

Cause: nodes were known by name alone. A restart under the same name was recognized already (by its reported start). Change: of the listed nodes at one address only the one with the latest reported start serves; the other is published as gone until the later one is not listed there any more. Where starts are not reported or are equal, nothing changes. It was not played on processes.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,7 +18,8 @@
 //     stay unconfirmed for FailedConfirmTimeout; within that time a node is removed once its connections fail too.
 //  4. Hold-downs delay the return of a node, never its removal: a node that left and returned often is held down for
 //     a time that doubles up to MaxHoldDown. It is released early if no other node serves.
-//  5. A source that reports nothing changes nothing: its last list stays in force however old it is. Nodes that die
+//  5. A node is gone once a source lists another one at its address that has started later.
+//  6. A source that reports nothing changes nothing: its last list stays in force however old it is. Nodes that die
 //     meanwhile are detected by their connections.
 //
 // Invariants, each checked by a test that names its number:
@@ -135,13 +136,20 @@
 	actions  []Action  // returned for the event that is being handled
 	sources  []*source // in order of precedence, retired ones last
 	nodes    map[string]*node
+	owners   map[string]addressOwner // by address
+	// ownersChanged is set when a node takes the address of another one, which is then published again.
+	ownersChanged bool
 	// firstList is set while the first list of a source is handled: its nodes may have been running for a long time.
 	firstList bool
 }
 
 // New returns a Reconciler without any nodes.
 func New(settings Settings) *Reconciler {
-	r := &Reconciler{settings: settings, nodes: make(map[string]*node)}
+	r := &Reconciler{
+		settings: settings,
+		nodes:    make(map[string]*node),
+		owners:   make(map[string]addressOwner),
+	}
 	r.setSources(settings.Sources)
 	return r
 }
--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -41,12 +41,30 @@
 	return merged, worstSource
 }
 
+// mergeUnlessReplaced is like merge, but a node is gone if another one has taken its address.
+func (r *Reconciler) mergeUnlessReplaced(name string) (merged Node, from string) {
+	merged, from = r.merge(name)
+	if merged.Status == Gone {
+		return merged, from
+	}
+	if replacedBy := r.claimAddress(&merged); replacedBy != "" {
+		merged = Node{Name: name, Status: Gone, Reason: "its address was taken by " + replacedBy}
+	}
+	return merged, from
+}
+
 // publishAll publishes all nodes that have changed, then releases hold-downs if no node serves.
 func (r *Reconciler) publishAll() {
 	ordered := r.orderedNames()
+	r.ownersChanged = false
 	for _, name := range ordered {
 		r.publishNode(name, "")
 	}
+	if r.ownersChanged { // the previous owners may have been published before the new ones
+		for _, name := range ordered {
+			r.publishNode(name, "")
+		}
+	}
 	r.releaseHolds(ordered)
 	r.sweep()
 }
@@ -72,7 +90,7 @@
 
 // publishNode publishes a node if it has changed. reason is published if the sources report no reason.
 func (r *Reconciler) publishNode(name, reason string) {
-	merged, from := r.merge(name)
+	merged, from := r.mergeUnlessReplaced(name)
 	n := r.nodes[name]
 	if n == nil {
 		if merged.Status == Gone {
@@ -131,6 +149,7 @@
 
 // sweep deletes reports of nodes that left and that no source lists any more.
 func (r *Reconciler) sweep() {
+	r.sweepOwners()
 	for _, s := range r.sources {
 		for name, n := range s.nodes {
 			if n.Status == Gone && !r.isListed(name) {
--- a/internal/membership/restarts.go
+++ b/internal/membership/restarts.go
@@ -158,7 +158,7 @@
 	for _, name := range held {
 		n := r.nodes[name]
 		n.heldUntil = 0
-		merged, from := r.merge(name)
+		merged, from := r.mergeUnlessReplaced(name)
 		if merged.Status != Up {
 			continue
 		}
