Read and reject commands behind a full pipeline when its client's end may be hidden

Cause: with 32 commands in flight nothing more is read, and the end of the connection is behind what is unread, for the most part in the client's kernel, so no look at the socket shows it. Change: a reader that waits behind a full pipeline with 48 KiB or more unread reads on, and further commands are answered busy (never sent) until little is unread; 8,192 such answers of all connections together may wait. A client that pipelines more than 32 large values gets busy for the rest now, where it was held up before.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mulleinpier/internal/core"
@@ -18,8 +19,9 @@
 // Host is the state that the connections of a listener share.
 type Host struct {
 	Core         *core.Core
-	BodyBudget   *Budget // for the bodies of writes that are being read or are in flight
-	AnswerBudget *Budget // for answers that have not been written to their clients
+	BodyBudget   *Budget      // for the bodies of writes that are being read or are in flight
+	AnswerBudget *Budget      // for answers that have not been written to their clients
+	floodSlots   atomic.Int32 // rejected commands of full pipelines whose answers have not been written, see flood.go
 	// Stats returns the statistics of a kind, "" for the general ones. It returns nil for an unknown kind.
 	Stats func(kind string) []core.Stat
 	// NewSession creates the session of a connection. first is the first byte that the client sent.
@@ -62,6 +64,7 @@
 	commandDeadline time.Time // for reading the rest of that command; zero between commands
 	hasReceived     bool      // the first byte of a command has been received
 	readerBlocked   bool      // the reader waits for something other than the client
+	floodSeen       bool      // so much is unread that the end of the connection may be hidden behind it
 
 	lastAnswerAt time.Time
 	writingSince time.Time // start of the write that is under way, zero for none
@@ -81,6 +84,7 @@
 // holds nothing of the command, since answers may wait for long until the client reads them.
 type Slot struct {
 	conn     *Conn
+	flood    bool                  // counts against Host.floodSlots
 	inFlight *core.InFlightRequest // while the core has the command's request and it is unanswered; guarded by conn.mu
 	text     []byte                // the answer, nil until the command is answered; guarded by conn.mu
 }
@@ -125,6 +129,7 @@
 	c.mu.Unlock()
 	c.socket.Close()
 	writer.Wait()
+	c.releaseFloodSlots(c.slots)
 	c.recordDisconnected(len(c.slots))
 	c.host.Core.ClientDisconnected(c.unanswered())
 }
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -37,7 +37,7 @@
 		if !c.awaitCommand() {
 			return connectionEnded
 		}
-		if count%commandsPerTurn == 0 {
+		if count%commandsPerTurn == 0 && !c.rejectsFlood() {
 			time.Sleep(turnPause)
 		}
 		c.setCommandDeadline()
@@ -184,6 +184,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.slots) >= maxPipelined && !c.gone {
+		c.addFloodSlot(slot)
+	}
 	c.slots = append(c.slots, slot)
 	return slot
 }
@@ -201,8 +204,9 @@
 // this connection.
 func (c *Conn) waitForSlot() {
 	start := c.host.Core.Now()
+	c.CheckFlood()
 	c.mu.Lock()
-	c.blockReader(func() bool { return len(c.slots) < maxPipelined })
+	c.blockReader(func() bool { return len(c.slots) < maxPipelined || c.floodSeen })
 	c.mu.Unlock()
 	c.reader.noteUnread(start)
 }
@@ -225,13 +229,14 @@
 }
 
 // Submit gives a completely read request to the core and adds slot for its answer. After the cutoff of a drain the
-// request is rejected instead, since closing the connection would lose it. If the client is gone the request is
-// dropped. It reports whether the core has accepted the request. Sessions call Submit from the connection's reader.
+// request is rejected instead, since closing the connection would lose it, and so is one beyond a full pipeline. If the
+// client is gone the request is dropped. Submit reports whether the core has accepted the request. Sessions call it
+// from the connection's reader.
 func (c *Conn) Submit(in *request.Request, slot *Slot, reply core.Reply) (accepted bool) {
 	in.Arrival = c.CommandArrival()
 	c.AddSlot(slot)
 	c.mu.Lock()
-	pastCutoff, gone := c.pastCutoff(), c.gone
+	rejects, gone := c.pastCutoff() || slot.flood, c.gone
 	c.mu.Unlock()
 	switch {
 	case gone:
@@ -241,7 +246,7 @@
 			Reason: "client gone",
 		})
 		return false
-	case pastCutoff:
+	case rejects:
 		c.host.Core.Reject(in, reply)
 		return false
 	}
--- a/internal/frontend/writer.go
+++ b/internal/frontend/writer.go
@@ -122,6 +122,7 @@
 		} else if c.quietSince.IsZero() {
 			c.quietSince = time.Now()
 		}
+		c.releaseFloodSlots(c.slots[:1])
 		c.slots[0] = nil
 		c.slots = c.slots[1:]
 		taken = true
--- a/internal/proxy/sweep.go
+++ b/internal/proxy/sweep.go
@@ -32,7 +32,9 @@
 		case now := <-ticks.C:
 			s.core.CheckClocks()
 			for _, c := range s.closeInactive(now) {
-				c.Disconnected()
+				if !c.Disconnected() {
+					c.CheckFlood()
+				}
 			}
 		case <-samples.C:
 			s.sampleOverload()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -54,15 +54,22 @@
 	return pending || err != nil
 }
 
+// Unread returns the number of bytes that have arrived on a connection and are unread, and 0 if the kernel does not
+// tell.
+func Unread(c *net.TCPConn) (bytes int) { return queued(c, unix.SIOCINQ) }
+
 // Undelivered returns the number of bytes written to a connection that the peer's machine has not received yet, and 0
 // if the kernel does not tell.
-func Undelivered(c *net.TCPConn) (bytes int) {
+func Undelivered(c *net.TCPConn) (bytes int) { return queued(c, unix.SIOCOUTQ) }
+
+// queued returns the number of bytes in a queue of a connection that an ioctl request names, and 0 on an error.
+func queued(c *net.TCPConn, request uint) (bytes int) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
 	raw.Control(func(fd uintptr) {
-		bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) // 0 with an error
+		bytes, _ = unix.IoctlGetInt(int(fd), request) // 0 with an error
 	})
 	return bytes
 }
