End the rejections of a flood once nothing of it is unread

Seen by reading: after a flood the flag that makes the reader read on behind a full pipeline was cleared only by a further rejected command, so a later pipeline of over 32 commands on the same connection could be rejected although little was unread. Change: the flag is cleared before a command if nothing is unread, and while too many rejections wait.

--- a/internal/frontend/flood.go
+++ b/internal/frontend/flood.go
@@ -5,7 +5,7 @@
 // This file handles clients that send much more than their connection's pipeline takes. While the pipeline is full
 // nothing is read, and the end of the connection stays hidden behind what is unread, partly in the client's kernel. So
 // the requests would be sent on long after such a client has left. Its further commands are therefore read and
-// rejected until the pipeline is no longer full or little is unread.
+// rejected while the pipeline is full, until nothing is unread.
 
 const (
 	// maxUnread is the number of unread bytes behind a full pipeline from which on the end of the connection may be
@@ -30,8 +30,16 @@
 // addFloodSlot counts the slot of a command beyond a full pipeline, which is to be rejected. c.mu is held.
 func (c *Conn) addFloodSlot(slot *Slot) {
 	slot.flood = true
-	slots := c.host.floodSlots.Add(1)
-	c.floodSeen = slots < maxFloodSlots && c.In.Buffered()+socket.Unread(c.socket) > 0
+	if c.host.floodSlots.Add(1) >= maxFloodSlots {
+		c.floodSeen = false
+	}
+}
+
+// endFlood ends a flood once nothing is unread. c.mu is held.
+func (c *Conn) endFlood() {
+	if c.floodSeen && c.In.Buffered() == 0 && !socket.Readable(c.socket) {
+		c.floodSeen = false
+	}
 }
 
 // releaseFloodSlots returns slots whose answers are being written, or whose connection has ended, to Host.floodSlots.
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -114,6 +114,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inCommand, c.commandDeadline = false, time.Time{}
+	c.endFlood()
 	deadline := time.Time{}
 	switch {
 	case c.readingEnded:
