--- a/internal/frontend/flood.go
+++ b/internal/frontend/flood.go
@@ -15,8 +15,8 @@
 	// maxUnread is the number of unread bytes behind a full pipeline from which on the end of the connection may be
 	// hidden. Less than that and an end fit into the kernel's default receive buffer.
 	maxUnread = 48 << 10
-	// maxFloodSlots bounds the commands of all connections that are rejected beyond full pipelines and whose answers
-	// wait for those before them.
+	// maxFloodSlots bounds the commands of a host's connections that are rejected beyond full pipelines and whose
+	// answers wait for those before them.
 	maxFloodSlots = 8192
 	// floodWait is how long the reader must have waited. Commands that wait for no node fill the pipeline too, but only
 	// until their answers are written.
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -17,8 +17,8 @@
 	// must not occupy capacity, and its client must be answered within 3 s.
 	commandTimeout = 2500 * time.Millisecond
 	// commandsPerTurn is the number of commands after which the reader pauses for turnPause. While a client sends small
-	// commands at full speed, its reader and writer wake each other, and the Go scheduler may run nothing else for a
-	// quarter of a second. A pause lets it look for data from other clients and from nodes.
+	// commands at full speed, its reader and writer wake each other, and the Go scheduler rarely polls for data
+	// from other clients and from nodes. A pause lets it do so.
 	commandsPerTurn = 64
 	turnPause       = 100 * time.Microsecond
 )
