Do not begin a write whose attempt expired since its check

What callers saw: a keyed write took effect twice, 765 ms apart with a window of 600 ms, at two nodes that nothing had cut off.

Cause: MaySend, the deadlines and the window are checked before the batch is encoded and the pool's lock is taken. A proxy that is held up in between (SIGSTOP, a vCPU that the host takes away) wrote what it had checked before.

Change: the clock is read again right before the system call; an expired attempt of which no byte is written is queued and checked again, and a write that is half written at its deadline has its connection reset, since a node begins a command with its last byte. What is left is a stop between that reading and the system call.

--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"slices"
 	"time"
 
@@ -107,8 +108,9 @@
 // was written when a write timed out. Pool.mu is held, except during writes.
 func (c *conn) writeBatch(parts net.Buffers, batch []*Attempt, checkedAt time.Time) []*Attempt {
 	for written := 0; written < batchSize(batch); {
+		startBefore := startDeadline(batch, written)
 		c.pool.mu.Unlock()
-		n, err := c.writeParts(&parts)
+		n, err := c.writeParts(&parts, startBefore)
 		delay := time.Since(checkedAt)
 		if delay >= lateWriteThreshold && written == 0 && n > 0 {
 			c.pool.handler.WrittenLate(batch, delay)
@@ -120,8 +122,11 @@
 		if timedOut && !c.closed {
 			batch = c.requeueNotStarted(batch, written)
 			parts = firstBytes(parts, batchSize(batch)-written)
-			if c.retired && !c.hasWaiters() { // nobody waits for the remaining attempts
+			switch {
+			case c.retired && !c.hasWaiters(): // nobody waits for the remaining attempts
 				c.close("attempt abandoned while written")
+			case isExpired(startDeadline(batch, written)):
+				c.close("attempt expired while written")
 			}
 		}
 		c.incomplete = countIncomplete(batch, written)
@@ -134,13 +139,38 @@
 }
 
 // writeParts writes as much of parts as the node accepts within writeTimeout, and removes the written bytes from
-// parts.
-func (c *conn) writeParts(parts *net.Buffers) (int, error) {
+// parts. It writes nothing from startBefore on, and returns an expired timeout then: this process may have been held up
+// since the attempts were checked. Nothing but the system call follows this check.
+func (c *conn) writeParts(parts *net.Buffers, startBefore time.Time) (int, error) {
 	c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if isExpired(startBefore) {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := parts.WriteTo(c.socket)
 	return int(n), err
 }
 
+// isExpired reports whether a deadline has passed; the zero time is none.
+func isExpired(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
+
+// startDeadline returns the earliest deadline among the attempts of a batch of which no byte is among the first written
+// bytes, or that have side effects and are incomplete: a node begins a command when it has received its last byte. It
+// returns the zero time if there is no such attempt.
+func startDeadline(batch []*Attempt, written int) (earliest time.Time) {
+	start := 0
+	for _, a := range batch {
+		started := start < written
+		start = a.endOffset
+		if a.endOffset <= written || started && !a.Request.SideEffects {
+			continue
+		}
+		if earliest.IsZero() || a.Deadline.Before(earliest) {
+			earliest = a.Deadline
+		}
+	}
+	return earliest
+}
+
 // requeueNotStarted queues the attempts of a batch again of which no byte has been written, and returns the others.
 // written is the number of bytes of the batch that have been written. Pool.mu is held.
 func (c *conn) requeueNotStarted(batch []*Attempt, written int) (started []*Attempt) {
