Write a repeat of a keyed write only after its node has answered a no-op

Cause: a repeat was handed to the network without knowing that it delivers. From then on nothing but this process could take it back, by a reset 150 ms before the window ends; a process that does not run then (stopped, or its processor taken away by the host) resets nothing.

Without the answer the connection is closed and the attempt was never sent, so another node can be tried at once. Related paths: a keyed request that comes again with its id, and a write that is taken over from another proxy. Why this works: what was never written can't arrive late, whether or not the process runs.

--- a/internal/binary/node.go
+++ b/internal/binary/node.go
@@ -47,13 +47,29 @@
 // AppendTail appends what follows a request's value: nothing.
 func (NodeDialect) AppendTail(dst []byte, _ *request.Request) []byte { return dst }
 
-// AppendNoop appends a no-op. A node answers it after all commands before it. It is never needed,
-// since each answer names its request.
+// AppendNoop appends a no-op. A node answers it after all commands before it.
 func (NodeDialect) AppendNoop(dst []byte) []byte {
 	h := Header{Opcode: Noop}
 	return h.Append(dst, RequestMagic)
 }
 
+// ReadNoopAnswer reads the answer to a no-op while no request is in flight. It returns false if the node rejects it.
+func (NodeDialect) ReadNoopAnswer(in *bufio.Reader) (accepted bool, err error) {
+	text, err := in.Peek(HeaderLen)
+	if err != nil {
+		return false, err
+	}
+	h, err := ParseHeader(text, ResponseMagic)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrMalformedAnswer, err)
+	}
+	if h.Opcode != Noop || h.BodyLen > maxTextLen {
+		return false, fmt.Errorf("%w: opcode %#x, want a no-op", ErrMalformedAnswer, h.Opcode)
+	}
+	_, err = in.Discard(HeaderLen + h.BodyLen)
+	return h.Status == OK, err
+}
+
 // ReadAnswer reads the answer to one of the expected requests, and returns the index of that request. After an error
 // the start of the next answer is unknown, so the connection cannot be used any more.
 func (NodeDialect) ReadAnswer(
--- a/internal/binary/node_test.go
+++ b/internal/binary/node_test.go
@@ -45,3 +45,22 @@
 		}
 	})
 }
+
+// TestReadNoopAnswer checks what a node's answer says about a no-op.
+func TestReadNoopAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		text         []byte
+		accepted, ok bool
+	}{
+		{"accepted", (&Header{Opcode: Noop}).Append(nil, ResponseMagic), true, true},
+		{"rejected", AppendStatus(nil, &Header{Opcode: Noop}, Busy, 0), false, true},
+		{"another answer", (&Header{Opcode: Get}).Append(nil, ResponseMagic), false, false},
+		{"truncated", []byte{ResponseMagic, byte(Noop)}, false, false},
+	} {
+		accepted, err := NodeDialect{}.ReadNoopAnswer(bufio.NewReader(bytes.NewReader(test.text)))
+		if accepted != test.accepted || (err == nil) != test.ok {
+			t.Errorf("%s: %v, %v", test.name, accepted, err)
+		}
+	}
+}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -40,6 +40,8 @@
 			Request:  req.request,
 			Deadline: req.expiresAt,
 			Previous: req.attemptsAt(action.Server),
+
+			ConfirmPath: action.Repeat || req.mayHaveRunBefore,
 		},
 	}
 	attempt.HandlerState = attempt
--- a/internal/core/recent.go
+++ b/internal/core/recent.go
@@ -80,21 +80,21 @@
 	}
 }
 
-// repeatDeadline returns until when a request may be sent that has come again, limited to the deadline of its client.
-// ok is false if it may not be sent: it may have run, and nodes might not drop it as a duplicate. c.mu is held.
+// repeatDeadline returns until when a request may be sent that has come again, limited to the deadline of its client,
+// and whether it may have run. ok is false if it may not be sent: nodes might not drop it as a duplicate. c.mu is held.
 func (c *Core) repeatDeadline(
 	in *request.Request, class *policy.Class, deadline time.Duration,
-) (limited time.Duration, ok bool) {
+) (limited time.Duration, mayHaveRun, ok bool) {
 	if class.Idempotency == policy.Idempotent {
-		return deadline, true
+		return deadline, false, true
 	}
 	earlier, known := c.recent.find(in.ID, c.policyTime())
 	if !known {
-		return deadline, true
+		return deadline, false, true
 	}
 	if class.Idempotency == policy.NotIdempotent || class.DedupScope != policy.DedupScopeAll {
-		return 0, false
+		return 0, true, false
 	}
 	limited = min(deadline, earlier.firstSentAt+class.RepeatWindow())
-	return limited, limited > c.policyTime()
+	return limited, true, limited > c.policyTime()
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -35,6 +35,9 @@
 	finished     bool // the request was answered, or its client has disconnected
 	claim        claimState
 	sendBefore   time.Duration // with claimGranted: attempts must start before it, by Core.policyTime
+	// mayHaveRunBefore is set for a keyed request that may have been executed when it came the first time, or when
+	// another proxy sent it.
+	mayHaveRunBefore bool
 }
 
 // nothingStarted reports whether no byte of a request has been written to a node. Once the request is finished, no
@@ -88,12 +91,13 @@
 		c.answerRejected(in, reply, "too old", c.balancer.RetryAfter(classIndex))
 		return nil
 	}
-	deadline, mayBeSent := c.repeatDeadline(in, class, deadline)
+	deadline, mayHaveRun, mayBeSent := c.repeatDeadline(in, class, deadline)
 	if !mayBeSent {
 		c.answerUnknown(in, reply)
 		return nil
 	}
 	req := c.register(in, reply, deadline)
+	req.mayHaveRunBefore = mayHaveRun
 	if !c.requestClaim(req, class) {
 		c.handle(req.arrival(classIndex, tenant))
 	}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -154,6 +154,8 @@
 		expiresAt:  time.Now().Add(timeout),
 		claim:      claimGranted,
 		sendBefore: c.policyTime() + within,
+
+		mayHaveRunBefore: true,
 	}
 	c.requests[req.id] = req
 	c.requestIDs[in.ID] = struct{}{}
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +70,7 @@
 	c = coreWithWriteNode(t, coordinator, func(connection net.Conn, line string) {
 		id, isWrite := writeID(line)
 		if !isWrite {
+			fmt.Fprint(connection, "MN\r\n")
 			return
 		}
 		mu.Lock()
@@ -248,15 +250,19 @@
 // executed because a second answer to an earlier write arrives while its node executes it.
 func TestLateAnswerRejectsNoResumedWrite(t *testing.T) {
 	coordinator := &fakeCoordinator{}
+	var executing atomic.Bool // the resumed write
 	c := coreWithWriteNode(t, coordinator, func(connection net.Conn, line string) {
 		id, isWrite := writeID(line)
 		switch {
 		case isWrite && id == "resumed":
+			executing.Store(true)
 			fmt.Fprint(connection, "SERVER_ERROR busy\r\n") // the second answer to the first write
 		case isWrite:
 			storeWrite(connection, id)
 		case line == "mn":
-			storeWrite(connection, "resumed")
+			if executing.Load() {
+				storeWrite(connection, "resumed")
+			}
 			fmt.Fprint(connection, "MN\r\n")
 		}
 	})
--- a/internal/meta/node.go
+++ b/internal/meta/node.go
@@ -91,6 +91,30 @@
 // AppendNoop appends a no-op. A node answers it after all commands before it.
 func (NodeDialect) AppendNoop(dst []byte) []byte { return append(dst, noopCommand+lineEnd...) }
 
+// ReadNoopAnswer reads the answer to a no-op while no request is in flight. It returns false if the node rejects it.
+func (NodeDialect) ReadNoopAnswer(in *bufio.Reader) (accepted bool, err error) {
+	text, err := in.ReadSlice('\n')
+	if err != nil {
+		return false, err
+	}
+	text, ok := bytes.CutSuffix(text, []byte(lineEnd))
+	if !ok {
+		return false, ErrMalformedAnswer
+	}
+	line, err := ParseAnswer(text)
+	if err != nil {
+		return false, err
+	}
+	switch line.Kind {
+	case request.Noop:
+		return true, nil
+	case request.Busy, request.Failed:
+		return false, nil
+	default:
+		return false, ErrMalformedAnswer
+	}
+}
+
 // ReadAnswer reads the answer to one of the expected requests, and returns the index of that request: the one that the
 // answer names, or the first if it names none. After an error the start of the next answer is unknown, so the
 // connection cannot be used any more.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -59,6 +59,10 @@
 			return
 		}
 		words := strings.Fields(line)
+		if words[0] == "mn" {
+			fmt.Fprint(socket, "MN\r\n")
+			continue
+		}
 		if words[0] == "ms" {
 			var size int
 			fmt.Sscan(words[2], &size)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,6 +32,9 @@
 	// Previous are the earlier attempts of the request at the same node. An attempt with RunsAlone is not sent on their
 	// connections, where a second answer to one of them would be taken for the answer to it.
 	Previous []*Attempt
+	// ConfirmPath is set for an attempt that repeats one that may have been executed. It is written only on a
+	// connection that has just been confirmed to deliver, see pathcheck.go.
+	ConfirmPath bool
 
 	// Guarded by Pool.mu, except for endOffset, which only the connection's writer uses.
 	node      string // name of the node
@@ -77,6 +80,9 @@
 	AppendTail(dst []byte, r *request.Request) []byte
 	// AppendNoop appends a no-op. Nodes answer it after all commands before it.
 	AppendNoop(dst []byte) []byte
+	// ReadNoopAnswer reads the answer to a no-op while no request is in flight. It returns false if the node rejects
+	// it. Its errors are like those of ReadAnswer.
+	ReadNoopAnswer(in *bufio.Reader) (accepted bool, err error)
 	// ReadAnswer reads the next answer, which must be the answer to one of the expected requests, of which there is at
 	// least one, or to a no-op. It returns the index of the request that the answer names, and 0 for
 	// an answer that names none. After an error the position in the stream is undefined. Network errors are
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,7 @@
 	answers    int // answers read so far
 	noop       noopState
 	beforeNoop int // number of attempts at the start of inFlight that were written before the no-op
+	path       pathCheck
 
 	// Used by the reader only, without the lock.
 	hasServed    bool             // an answer other than busy has come
@@ -158,10 +159,11 @@
 	}
 }
 
-// requeue moves queued attempts to other connections, and returns those that can't be moved. Pool.mu is held.
+// requeue moves queued attempts to other connections, and returns those that can't be moved. A repeat whose path check
+// has failed is better sent to another node. Pool.mu is held.
 func (c *conn) requeue() (unsent []*Attempt) {
 	for _, a := range c.queued {
-		mayMove := !a.requeued && c.node.listed
+		mayMove := !a.requeued && c.node.listed && !(a.ConfirmPath && c.path.pending)
 		a.requeued = true
 		if !mayMove || !c.pool.enqueue(c.node, a) {
 			unsent = append(unsent, a)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,7 +11,9 @@
 //     must not run twice only once it is certain that it is the answer to this attempt, see attribution.go.
 //  4. No new attempt waits behind an abandoned one: a connection with an abandoned attempt gets no new ones.
 //  5. An abandoned attempt with side effects is not delivered any more: its connection is reset at once.
-//  6. No lock is held during network I/O or calls of the handler. Warnings about malformed answers are logged
+//  6. A repeat of an attempt that may have been executed is written only on a connection that has just been confirmed
+//     to deliver, see pathcheck.go.
+//  7. No lock is held during network I/O or calls of the handler. Warnings about malformed answers are logged
 //     with the lock held, at most one per second.
 //
 // Concurrency: each dial runs in its own goroutine, and each connection has a reader and a writer goroutine;
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -31,7 +31,7 @@
 	in := bufio.NewReaderSize(c.socket, readBufferSize)
 	err := c.readAnswers(in)
 	c.pool.mu.Lock()
-	if !c.closed && !c.writeFailed && isMalformed(err) {
+	if !c.closed && !c.writeFailed && isMalformed(err) && !c.isPathCheckFailure(err) {
 		c.malformed = true
 		c.recordMalformed(in, err)
 		c.pool.warnMalformed(c.node.Name, err)
@@ -58,6 +58,11 @@
 			return err
 		}
 		c.socket.SetReadDeadline(time.Now().Add(answerTimeout))
+		if checked, err := c.readPathCheck(in); err != nil {
+			return err
+		} else if checked {
+			continue
+		}
 		var err error
 		if expected, err = c.expectedRequests(expected[:0]); err != nil {
 			return err
@@ -175,6 +180,9 @@
 	if moreArrived && len(c.inFlight) == 0 && !c.writing {
 		c.retired = true
 	}
+	if len(c.inFlight) == 0 && len(c.queued) > 0 {
+		c.writerWake.Signal() // a path check waits until nothing is in flight
+	}
 	switch {
 	case c.retired && !c.writeFailed && !c.inUse():
 		c.close("retired")
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -27,9 +27,12 @@
 	var buffer []byte // reused between batches
 	c.pool.mu.Lock()
 	for c.waitQueued() {
-		if c.noop == noopWanted {
+		switch {
+		case c.noop == noopWanted:
 			c.writeNoop()
-		} else {
+		case c.needsPathCheck(c.queued[0]):
+			c.checkPath()
+		default:
 			buffer = c.writeQueued(buffer)
 		}
 	}
@@ -39,17 +42,34 @@
 // waitQueued waits until there is something to write, and returns false once the connection is closed. After a failed
 // write it only waits for the connection to be closed. Pool.mu is held, except while it waits.
 func (c *conn) waitQueued() bool {
-	for (len(c.queued) == 0 && c.noop != noopWanted || c.writeFailed) && !c.closed {
+	for !c.mayWrite() && !c.closed {
 		c.writerWake.Wait()
 	}
 	return !c.closed
 }
 
-// writeQueued lets the handler check all queued attempts, and writes those that it keeps. It returns the buffer
-// for reuse. Pool.mu is held, except during the check and the write.
+// mayWrite reports whether there is something that may be written now. A path check, and all that is queued behind it,
+// waits until nothing is in flight. Pool.mu is held.
+func (c *conn) mayWrite() bool {
+	switch {
+	case c.writeFailed || c.path.pending:
+		return false
+	case c.noop == noopWanted:
+		return true
+	case len(c.queued) == 0:
+		return false
+	}
+	return len(c.inFlight) == 0 || !c.needsPathCheck(c.queued[0])
+}
+
+// writeQueued lets the handler check the queued attempts before the first that needs a path check, and writes those
+// that it keeps. It returns the buffer for reuse. Pool.mu is held, except during the check and the write.
 func (c *conn) writeQueued(buffer []byte) []byte {
-	batch := c.queued
-	c.queued, c.writing, c.beingChecked = nil, true, len(batch)
+	batch, rest := c.queued, []*Attempt(nil)
+	if i := slices.IndexFunc(batch, c.needsPathCheck); i > 0 {
+		batch, rest = batch[:i:i], slices.Clone(batch[i:])
+	}
+	c.queued, c.writing, c.beingChecked = rest, true, len(batch)
 	c.pool.mu.Unlock()
 	checkedAt := time.Now()
 	batch = c.pool.handler.BeforeWrite(batch)
@@ -108,7 +128,7 @@
 // was written when a write timed out. Pool.mu is held, except during writes.
 func (c *conn) writeBatch(parts net.Buffers, batch []*Attempt, checkedAt time.Time) []*Attempt {
 	for written := 0; written < batchSize(batch); {
-		startBefore := startDeadline(batch, written)
+		startBefore := c.startDeadline(batch, written)
 		c.pool.mu.Unlock()
 		n, err := c.writeParts(&parts, startBefore)
 		delay := time.Since(checkedAt)
@@ -125,7 +145,7 @@
 			switch {
 			case c.retired && !c.hasWaiters(): // nobody waits for the remaining attempts
 				c.close("attempt abandoned while written")
-			case isExpired(startDeadline(batch, written)):
+			case isExpired(c.startDeadline(batch, written)):
 				c.close("attempt expired while written")
 			}
 		}
@@ -153,10 +173,10 @@
 // isExpired reports whether a deadline has passed; the zero time is none.
 func isExpired(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
 
-// startDeadline returns the earliest deadline among the attempts of a batch of which no byte is among the first written
-// bytes, or that have side effects and are incomplete: a node begins a command when it has received its last byte. It
-// returns the zero time if there is no such attempt.
-func startDeadline(batch []*Attempt, written int) (earliest time.Time) {
+// startDeadline returns the earliest time from which an attempt of a batch must not be written, among those of which no
+// byte is among the first written bytes, or that have side effects and are incomplete: a node begins a command when it
+// has received its last byte. It returns the zero time if there is no such attempt.
+func (c *conn) startDeadline(batch []*Attempt, written int) (earliest time.Time) {
 	start := 0
 	for _, a := range batch {
 		started := start < written
@@ -164,8 +184,12 @@
 		if a.endOffset <= written || started && !a.Request.SideEffects {
 			continue
 		}
-		if earliest.IsZero() || a.Deadline.Before(earliest) {
-			earliest = a.Deadline
+		before := a.Deadline
+		if a.ConfirmPath && c.path.validUntil().Before(before) {
+			before = c.path.validUntil()
+		}
+		if earliest.IsZero() || before.Before(earliest) {
+			earliest = before
 		}
 	}
 	return earliest
--- a/policy/api.go
+++ b/policy/api.go
@@ -174,7 +174,7 @@
 
 // The kinds of actions, with the fields that each uses.
 const (
-	Send           ActionKind = iota // ID, Server, After as timeout (0: none)
+	Send           ActionKind = iota // ID, Server, After as timeout (0: none), Repeat
 	Cancel                           // ID, Attempt
 	Reject                           // ID, After as Retry-After for the client
 	Fail                             // ID
@@ -194,4 +194,7 @@
 	Token   uint64
 	After   time.Duration
 	Reason  Reason // of Send, Reject and Fail
+	// Repeat marks a Send after an attempt that may have been executed, of a class that is IdempotentWithKey. It must
+	// reach its server before servers forget the request's key, or never.
+	Repeat bool
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -112,7 +112,7 @@
 
 func (b *Balancer) send(r *request, s *server, path servingPath, reason Reason) {
 	hedgeAt, slowAt := b.overdueTimes(r, s, path)
-	timeout := b.repeatTimeout(r)
+	timeout, repeat := b.repeatTimeout(r), r.isRepeat()
 	r.attempts = append(r.attempts, attempt{
 		server:     s,
 		sentAt:     b.now,
@@ -129,7 +129,7 @@
 	if b.capacityShare(s) < 1 {
 		s.slowStartTokens--
 	}
-	b.emit(Action{Kind: Send, ID: r.ID, Server: s.Server, After: timeout, Reason: reason})
+	b.emit(Action{Kind: Send, ID: r.ID, Server: s.Server, After: timeout, Reason: reason, Repeat: repeat})
 }
 
 func (b *Balancer) handleStreamStarted(e StreamStarted) {
--- a/policy/safety.go
+++ b/policy/safety.go
@@ -29,7 +29,7 @@
 	if r.class.Idempotency == Idempotent {
 		return true
 	}
-	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.mayHaveRun })
+	return !r.mayHaveRun()
 }
 
 // MaySend reports whether the first byte of an attempt may still be written at time now. Callers check it right before
@@ -129,6 +129,17 @@
 	return timeout
 }
 
+// mayHaveRun reports whether an attempt of the request may have been executed.
+func (r *request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.mayHaveRun })
+}
+
+// isRepeat reports whether an attempt that is sent now would repeat one that may have been executed, and that servers
+// must therefore drop as a duplicate.
+func (r *request) isRepeat() bool {
+	return r.class.Idempotency == IdempotentWithKey && r.mayHaveRun()
+}
+
 // shareDedupScope reports whether two servers deduplicate the class's requests together.
 func (c *Class) shareDedupScope(s, other *server) bool {
 	switch c.DedupScope {
