Send a repeat of a keyed write only while its node has time to execute it

What callers saw: a keyed write took effect twice, 641 to 653 ms apart with a window of 600 ms, where a node was held up with the repeat in its hands.

Cause: a repeat could be sent until 150 ms before the window ends, which allows for the proxy and not for the node's queue, work and stalls. What has been delivered can't be taken back.

Change: repeatEnd less three times the server's expected response time (slowHitMultiple) is the last moment of a repeat, when it is decided and again before the write.

--- a/policy/safety.go
+++ b/policy/safety.go
@@ -79,7 +79,7 @@
 		if r.class.Idempotency == NotIdempotent {
 			return false
 		}
-		if b.now >= r.repeatEnd(a) {
+		if b.now+b.executionReserve(s) >= r.repeatEnd(a) {
 			return false
 		}
 		if !r.class.shareDedupScope(s, a.server) {
@@ -107,6 +107,12 @@
 	return a.sentAt + r.class.RepeatWindow() - r.settings.EventInterval
 }
 
+// executionReserve returns the time before repeatEnd from which no repeat is written to a server. A repeat that has
+// been delivered cannot be taken back, and the server executes it some time later.
+func (b *Balancer) executionReserve(s *server) time.Duration {
+	return time.Duration(slowHitMultiple * b.expectedHitTime(s) * float64(time.Second))
+}
+
 // repeatTimeout returns the timeout of an attempt that is sent now, or 0 if the request's deadline is early enough. A
 // repeat must end before servers forget the request's key: one that is still on its way, for example because of a
 // network partition, could arrive and be executed a second time later.
