Check the claim of a replicated write once more right before its write

Cause: a claim lets attempts start until sendBefore, after which another proxy may resume the write. That limit was checked in startAttempt alone, so a proxy that was held up after it wrote all the same, until the request's deadline.

Change: startAttempt passes the limit on as Attempt.StartBefore, and the last check before the system call takes the earlier of it and the deadline.

Result: TestClaimLimitsLastCheckBeforeWrite failed before (StartBefore unset), "start before" of TestAttemptThatExpiresDuringCheckIsNotWritten covers the writer; packages core and upstream pass with -race. Not played on processes.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -222,6 +222,9 @@
 	if req.expiresAt.Before(sent.Deadline) { // the machine has slept since the dispatch
 		sent.Deadline = req.expiresAt
 	}
+	if req.claim == claimGranted {
+		sent.StartBefore = req.expiresAt.Add(req.sendBefore - req.deadline)
+	}
 	attempt.started = true
 	c.recordStarted(req, attempt)
 	return true
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// TestClaimLimitsLastCheckBeforeWrite guards against a write that is written after its claim has expired, because the
+// process was held up after the check of the claim: another proxy may have resumed it by then.
+func TestClaimLimitsLastCheckBeforeWrite(t *testing.T) {
+	const within = 10 * time.Second // shorter than the deadline of the class
+	coordinator := &fakeCoordinator{}
+	c, _ := coreWithCoordinator(t, coordinator)
+	reply := newRecordedReply()
+	req := c.Submit(keyedWrite("sent"), reply)
+	before := time.Now()
+	c.ClaimDecided(coordinator.claims[0], takeover.Proceed, within, "")
+	after := time.Now()
+	testutil.Receive(t, "an answer", reply.answers)
+	const rounding = time.Millisecond
+	startBefore := req.attempts[0].StartBefore
+	if startBefore.Before(before.Add(within-rounding)) || startBefore.After(after.Add(within+rounding)) {
+		t.Errorf("it may start until %v after the verdict, want %v", startBefore.Sub(after), within)
+	}
+}
+
 // TestWriteWithoutCapacityForItsClaim checks what happens to a write if there is no capacity for its claim: it is
 // rejected if a replica is required, and sent without a claim otherwise.
 func TestWriteWithoutCapacityForItsClaim(t *testing.T) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,6 +29,9 @@
 	Request      *request.Request // must not be changed after Pool.Send
 	Deadline     time.Time        // when the proxy stops waiting for the answer
 	HandlerState any              // for the handler; not used by this package
+	// StartBefore is the time from which the attempt is not written any more, if it is before Deadline. The zero time
+	// stands for Deadline. The handler may change it in BeforeWrite.
+	StartBefore time.Time
 	// Previous are the earlier attempts of the request at the same node. An attempt with RunsAlone is not sent on their
 	// connections, where a second answer to one of them would be taken for the answer to it.
 	Previous []*Attempt
--- a/internal/upstream/expired_test.go
+++ b/internal/upstream/expired_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"mulleinpier/internal/meta"
-	"mulleinpier/internal/testutil"
 )
 
 // checkTime is how long the tests of this file hold up the check of an attempt at least.
@@ -29,25 +28,33 @@
 // TestAttemptThatExpiresDuringCheckIsNotWritten guards against a process that is held up between the check of an
 // attempt and its write, and then writes a repeat of a keyed write that nodes execute a second time.
 func TestAttemptThatExpiresDuringCheckIsNotWritten(t *testing.T) {
+	t.Run("deadline", func(t *testing.T) {
+		expireDuringCheck(t, writeAttempt(t, "late", 2, time.Now().Add(checkTime)))
+	})
+	t.Run("start before", func(t *testing.T) {
+		a := writeAttempt(t, "late", 2, time.Now().Add(testTimeout))
+		a.StartBefore = time.Now().Add(checkTime)
+		expireDuringCheck(t, a)
+	})
+}
+
+// expireDuringCheck sends an attempt that expires within checkTime, and holds up its check for longer.
+func expireDuringCheck(t *testing.T, late *Attempt) {
+	t.Helper()
 	g := startGated(t, testLimits)
-	g.keep = func(a *Attempt) bool { return time.Now().Before(a.Deadline) }
 	opening := sendRead(t, g.Pool, "opening") // opens the connection
 	g.nextCheck(t, "the check of the first attempt")
 	g.proceed <- struct{}{}
 	node := g.nextConnection(t)
 	in := bufio.NewReader(node)
-	if _, err := in.ReadString('\n'); err != nil {
-		t.Fatal(err)
-	}
+	expectLine(t, in, "opening")
 	serve("opening", node)
 	g.expectServed(t, opening)
-	late := writeAttempt(t, "late", 2, time.Now().Add(checkTime))
-	g.keep = nil // the check that is held up has read the clock before
 	if !g.Send("n", late) {
 		t.Fatal("no connection")
 	}
-	g.nextCheck(t, "the check of the write")
-	testutil.WaitUntil(t, "its deadline", func() bool { return time.Now().After(late.Deadline) })
+	g.nextCheck(t, "the check of the write, which reads the clock now")
+	time.Sleep(2 * checkTime)
 	g.proceed <- struct{}{}
 	g.nextCheck(t, "another check of the write")
 	g.keep = func(*Attempt) bool { return false }
@@ -55,7 +62,6 @@
 	if got := g.next(t); got.attempt != late || got.result != NotWritten {
 		t.Errorf("the write ended with result %d, want NotWritten", got.result)
 	}
-	g.open()
 	node.SetReadDeadline(time.Now().Add(checkTime))
 	if rest, err := io.ReadAll(in); len(rest) > 0 {
 		t.Errorf("the node received %q, %v", rest, err)
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -185,6 +185,9 @@
 			continue
 		}
 		before := a.Deadline
+		if !a.StartBefore.IsZero() && a.StartBefore.Before(before) {
+			before = a.StartBefore
+		}
 		if a.ConfirmPath && c.path.validUntil().Before(before) {
 			before = c.path.validUntil()
 		}
