Write the attempts behind a repeat that is withdrawn before its path check

What callers saw: nothing yet; found by reading pathcheck.go again. Requests behind a repeat would have waited until another one came or theirs expired.

Cause: a repeat that waits for a path check until nothing is in flight holds up the queue behind it. When it is withdrawn or abandoned, it left the queue without waking the connection's writer.

Change: Pool.dequeue wakes the writer.

--- a/internal/upstream/pathcheck_test.go
+++ b/internal/upstream/pathcheck_test.go
@@ -130,6 +130,28 @@
 	g.expectServed(t, behind)
 }
 
+// TestWithdrawnRepeatHoldsUpNobody guards against attempts that wait forever behind a repeat that has waited for a path
+// check and was withdrawn.
+func TestWithdrawnRepeatHoldsUpNobody(t *testing.T) {
+	g := startGated(t, testLimits)
+	g.open()
+	sendRead(t, g.Pool, "unanswered")
+	node := g.nextConnection(t)
+	in := bufio.NewReader(node)
+	expectLine(t, in, "unanswered")
+	repeat := repeatOf(t, "repeat")
+	if !g.Send("n", repeat) {
+		t.Fatal("no connection")
+	}
+	sendRead(t, g.Pool, "behind")
+	time.Sleep(checkTime) // the writer waits again by then
+	if !g.Withdraw(repeat) {
+		t.Fatal("the repeat was not withdrawn")
+	}
+	node.SetReadDeadline(time.Now().Add(testTimeout))
+	expectLine(t, in, "behind")
+}
+
 // TestPathCheckExpires guards against a process that is held up between the answer to the no-op and the write of a
 // repeat: the network may have ceased to deliver since.
 func TestPathCheckExpires(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -273,6 +273,7 @@
 	for _, c := range n.connections {
 		if i := slices.Index(c.queued, a); i >= 0 {
 			c.queued = slices.Delete(c.queued, i, i+1)
+			c.writerWake.Signal() // attempts that waited behind it for a path check may be written now
 			return true
 		}
 	}
