Reject times in the platform's settings that no duration holds

What callers saw: a class with HardLimit 1e300 prevented the start on x86-64, with the words "negative duration", and was taken on arm64 as 292 years.

Cause: a float was converted to a time.Duration with no look at its range. What Go's conversion gives then depends on the machine.

Change: times of the settings are read by a type of their own, which takes up to 1e12 ms in magnitude; the error names field, value and range. The two times that proxy/platform.go reads itself have the same range.

No run on x86-64.

--- a/internal/proxy/platform.go
+++ b/internal/proxy/platform.go
@@ -25,6 +25,7 @@
 	// Defaults in milliseconds for time-outs that are missing or zero in the settings.
 	defaultConnectTimeoutMillis = 1000.0
 	defaultIdleTimeoutMillis    = 10000.0
+	maxMillis                   = 1e12 // larger times do not fit into a time.Duration
 )
 
 // platformFile is the platform's configuration file, in JSON.
@@ -135,6 +136,11 @@
 		return ResourceLimits{}, errors.New(
 			"settings: Limits has a negative ConnectTimeout, ConnIdle, StreamsPerConn or MostHeld")
 	}
+	if l.ConnectTimeoutMillis > maxMillis || l.IdleTimeoutMillis > maxMillis {
+		return ResourceLimits{}, fmt.Errorf(
+			"settings: Limits has a ConnectTimeout of %g ms and a ConnIdle of %g ms, the range is up to %g ms",
+			l.ConnectTimeoutMillis, l.IdleTimeoutMillis, float64(maxMillis))
+	}
 	millis := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 	return ResourceLimits{
 		ConnectTimeout:       millis(cmp.Or(l.ConnectTimeoutMillis, defaultConnectTimeoutMillis)),
--- a/internal/proxy/platform_test.go
+++ b/internal/proxy/platform_test.go
@@ -192,6 +192,8 @@
 	},
 	"negative attempts":  setLimit("MaxAttempts", -1),
 	"negative time-out":  setLimit("ConnectTimeout", -1),
+	"infinite time-out":  setLimit("ConnectTimeout", 1e300),
+	"infinite idle time": setLimit("ConnIdle", 1e300),
 	"negative streams":   setLimit("StreamsPerConn", -1),
 	"half a connection":  setLimit("StreamsPerConn", 0.5),
 	"limits are no list": func(s map[string]any) { s["Limits"] = []any{} },
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -90,10 +92,31 @@
 // duration parses a number of milliseconds.
 func (f *fields) duration(field string) time.Duration { return milliseconds(f.number(field)) }
 
+// milliseconds converts a number of at most maxNumber in magnitude. What the conversion of a larger one gives depends
+// on the machine.
 func milliseconds(ms float64) time.Duration {
 	return time.Duration(math.Round(ms * float64(time.Millisecond)))
 }
 
+// wireMillis is a time in the settings, in milliseconds there, of at most maxNumber in magnitude.
+type wireMillis time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler. Package json adds the name of the field to its error.
+func (m *wireMillis) UnmarshalJSON(text []byte) error {
+	var ms float64
+	if err := json.Unmarshal(text, &ms); err != nil {
+		return err
+	}
+	if math.Abs(ms) > maxNumber {
+		return &json.UnmarshalTypeError{
+			Value: fmt.Sprintf("number %s (the range is up to %g ms)", text, float64(maxNumber)),
+			Type:  reflect.TypeFor[time.Duration](),
+		}
+	}
+	*m = wireMillis(milliseconds(ms))
+	return nil
+}
+
 // unsigned parses an unsigned integer that fits into bits; an absent value is 0.
 func (f *fields) unsigned(field string, bits int) uint64 {
 	value := f.text(field)
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"mulleinpier/policy"
 )
@@ -14,7 +15,7 @@
 	Zone            int             `json:"MyZone"`
 	Zones           []string        `json:"Dcs"`
 	MachineKinds    []string        `json:"Skus"`
-	EventInterval   float64         `json:"Quantum"`
+	EventInterval   wireMillis      `json:"Quantum"`
 	OverQuotaFactor *float64        `json:"OverShareWorth"`
 	EndpointMode    string          `json:"RegistryMode"`
 	WeightKind      string          `json:"WeightKind"`
@@ -37,15 +38,15 @@
 }
 
 type wireClass struct {
-	Name             string  `json:"Name"`
-	Idempotency      string  `json:"Effect"`
-	DedupScope       string  `json:"DedupScope"`
-	LatencyObjective float64 `json:"Aim"`
-	Deadline         float64 `json:"HardLimit"`
-	DedupWindow      float64 `json:"Window"`
-	PriorityWeight   float64 `json:"Importance"`
-	LateWeightShare  float64 `json:"LateShare"`
-	Streamed         bool    `json:"Streamed"`
+	Name             string     `json:"Name"`
+	Idempotency      string     `json:"Effect"`
+	DedupScope       string     `json:"DedupScope"`
+	LatencyObjective wireMillis `json:"Aim"`
+	Deadline         wireMillis `json:"HardLimit"`
+	DedupWindow      wireMillis `json:"Window"`
+	PriorityWeight   float64    `json:"Importance"`
+	LateWeightShare  float64    `json:"LateShare"`
+	Streamed         bool       `json:"Streamed"`
 }
 
 type wireTenant struct {
@@ -54,12 +55,12 @@
 }
 
 type wireLimits struct {
-	MaxAttempts       int     `json:"MaxAttempts"`
-	AllowHedging      bool    `json:"MayDuplicate"`
-	AllowCancel       bool    `json:"Cancel"`
-	AllowHealthChecks bool    `json:"Probes"`
-	SendRetryAfter    bool    `json:"RetryAfter"`
-	MaxRetryAfter     float64 `json:"MaxRetryAfter"`
+	MaxAttempts       int        `json:"MaxAttempts"`
+	AllowHedging      bool       `json:"MayDuplicate"`
+	AllowCancel       bool       `json:"Cancel"`
+	AllowHealthChecks bool       `json:"Probes"`
+	SendRetryAfter    bool       `json:"RetryAfter"`
+	MaxRetryAfter     wireMillis `json:"MaxRetryAfter"`
 }
 
 type wireCosts struct {
@@ -70,13 +71,13 @@
 }
 
 type wireRules struct {
-	ResponseGrace    float64 `json:"AnswerSlack"`
-	MaxPollInterval  float64 `json:"MustAskIn"`
-	DrainGrace       float64 `json:"StopSendingWithin"`
-	SlowStartShare   float64 `json:"StartCapacity"`
-	SlowStartWindow  float64 `json:"RampTime"`
-	OverloadMultiple float64 `json:"TipMultiple"`
-	OverloadWindow   float64 `json:"Fall"`
+	ResponseGrace    wireMillis `json:"AnswerSlack"`
+	MaxPollInterval  wireMillis `json:"MustAskIn"`
+	DrainGrace       wireMillis `json:"StopSendingWithin"`
+	SlowStartShare   float64    `json:"StartCapacity"`
+	SlowStartWindow  wireMillis `json:"RampTime"`
+	OverloadMultiple float64    `json:"TipMultiple"`
+	OverloadWindow   wireMillis `json:"Fall"`
 }
 
 var (
@@ -121,7 +122,7 @@
 		Limits:             in.Limits.limits(),
 		Rules:              in.Rules.rules(),
 		Costs:              in.Costs.costs(),
-		EventInterval:      milliseconds(in.EventInterval),
+		EventInterval:      time.Duration(in.EventInterval),
 	}
 	if in.OverQuotaFactor != nil {
 		s.OverQuotaFactor = *in.OverQuotaFactor
@@ -157,20 +158,20 @@
 		limits.MaxAttempts = 1
 	}
 	if in.SendRetryAfter {
-		limits.MaxRetryAfter = milliseconds(in.MaxRetryAfter)
+		limits.MaxRetryAfter = time.Duration(in.MaxRetryAfter)
 	}
 	return limits
 }
 
 func (in *wireRules) rules() policy.Rules {
 	return policy.Rules{
-		ResponseGrace:    milliseconds(in.ResponseGrace),
-		MaxPollInterval:  milliseconds(in.MaxPollInterval),
-		DrainGrace:       milliseconds(in.DrainGrace),
+		ResponseGrace:    time.Duration(in.ResponseGrace),
+		MaxPollInterval:  time.Duration(in.MaxPollInterval),
+		DrainGrace:       time.Duration(in.DrainGrace),
 		SlowStartShare:   in.SlowStartShare,
-		SlowStartWindow:  milliseconds(in.SlowStartWindow),
+		SlowStartWindow:  time.Duration(in.SlowStartWindow),
 		OverloadMultiple: in.OverloadMultiple,
-		OverloadWindow:   milliseconds(in.OverloadWindow),
+		OverloadWindow:   time.Duration(in.OverloadWindow),
 	}
 }
 
@@ -187,9 +188,9 @@
 func (in *wireClass) class(index int) (policy.Class, error) {
 	class := policy.Class{
 		Name:             in.Name,
-		DedupWindow:      milliseconds(in.DedupWindow),
-		LatencyObjective: milliseconds(in.LatencyObjective),
-		Deadline:         milliseconds(in.Deadline),
+		DedupWindow:      time.Duration(in.DedupWindow),
+		LatencyObjective: time.Duration(in.LatencyObjective),
+		Deadline:         time.Duration(in.Deadline),
 		PriorityWeight:   in.PriorityWeight,
 		LateWeightShare:  in.LateWeightShare,
 		Streamed:         in.Streamed,
