Decide once what a connection's writer does next, so no no-op crosses answers

What callers saw: nothing yet; found by reading the change again. A path check written with attempts in flight takes their answer for its own and ends the connection: reads are retried, writes may end as unknown.

Cause: whether a repeat needs a path check was asked twice, in mayWrite and in runWriter, each with a reading of the clock. If the path's confirmation ran out in between (a proxy held up there), the writer went on with attempts in flight to a no-op that has to have the connection to itself.

Change: nextStep decides once, under the lock, and the writer does that.

Result: TestNextStepOfWriter has the rule for each state.

--- a/internal/upstream/pathcheck_test.go
+++ b/internal/upstream/pathcheck_test.go
@@ -130,6 +130,37 @@
 	g.expectServed(t, behind)
 }
 
+// TestNextStepOfWriter guards against a no-op that is written with attempts in flight, whose answers would be taken for
+// its answer and end the connection.
+func TestNextStepOfWriter(t *testing.T) {
+	read, repeat := &Attempt{}, &Attempt{ConfirmPath: true}
+	now := time.Now()
+	confirmed := pathCheck{confirmedAt: now.Add(time.Hour)}
+	expired := pathCheck{confirmedAt: now.Add(-time.Hour)}
+	for _, test := range []struct {
+		name string
+		conn *conn
+		want writerStep
+	}{
+		{"nothing queued", &conn{}, waitForWork},
+		{"a read", &conn{queued: []*Attempt{read}, inFlight: []*Attempt{read}}, writeAttempts},
+		{"a repeat", &conn{queued: []*Attempt{repeat}}, checkPath},
+		{"a repeat, path confirmed", &conn{queued: []*Attempt{repeat}, path: confirmed}, writeAttempts},
+		{"a repeat, in flight", &conn{queued: []*Attempt{repeat, read}, inFlight: []*Attempt{read}}, waitForWork},
+		{"a repeat, in flight, expired", &conn{
+			queued: []*Attempt{repeat}, inFlight: []*Attempt{read}, path: expired,
+		}, waitForWork},
+		{"a check is pending", &conn{queued: []*Attempt{read}, path: pathCheck{pending: true}}, waitForWork},
+		{"an answer is unconfirmed", &conn{queued: []*Attempt{repeat}, noop: noopWanted}, confirmAnswer},
+		{"writes have failed", &conn{queued: []*Attempt{read}, writeFailed: true}, waitForWork},
+		{"closed", &conn{queued: []*Attempt{read}, writeFailed: true, closed: true}, endWriter},
+	} {
+		if got := test.conn.nextStep(); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
 // TestWithdrawnRepeatHoldsUpNobody guards against attempts that wait forever behind a repeat that has waited for a path
 // check and was withdrawn.
 func TestWithdrawnRepeatHoldsUpNobody(t *testing.T) {
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -22,44 +22,56 @@
 	lateWriteThreshold = 300 * time.Millisecond
 )
 
+// writerStep is what a connection's writer does next.
+type writerStep uint8
+
+const (
+	waitForWork   writerStep = iota // there is nothing that may be written now
+	confirmAnswer                   // write the no-op that confirms an answer
+	checkPath                       // write the no-op of a path check
+	writeAttempts                   // write queued attempts
+	endWriter                       // the connection is closed
+)
+
 // runWriter writes the queued attempts, all that are queued at a time in one batch, until the connection is closed.
 func (c *conn) runWriter() {
 	var buffer []byte // reused between batches
 	c.pool.mu.Lock()
-	for c.waitQueued() {
-		switch {
-		case c.noop == noopWanted:
+	for {
+		switch c.nextStep() {
+		case waitForWork:
+			c.writerWake.Wait()
+		case confirmAnswer:
 			c.writeNoop()
-		case c.needsPathCheck(c.queued[0]):
+		case checkPath:
 			c.checkPath()
-		default:
+		case writeAttempts:
 			buffer = c.writeQueued(buffer)
+		case endWriter:
+			c.endAttempts()
+			return
 		}
 	}
-	c.endAttempts()
-}
-
-// waitQueued waits until there is something to write, and returns false once the connection is closed. After a failed
-// write it only waits for the connection to be closed. Pool.mu is held, except while it waits.
-func (c *conn) waitQueued() bool {
-	for !c.mayWrite() && !c.closed {
-		c.writerWake.Wait()
-	}
-	return !c.closed
 }
 
-// mayWrite reports whether there is something that may be written now. A path check, and all that is queued behind it,
-// waits until nothing is in flight. Pool.mu is held.
-func (c *conn) mayWrite() bool {
+// nextStep returns what the writer does next. A path check, and all that is queued behind it, waits until nothing is in
+// flight. After a failed write the writer only waits for the connection to be closed. Pool.mu is held.
+func (c *conn) nextStep() writerStep {
 	switch {
+	case c.closed:
+		return endWriter
 	case c.writeFailed || c.path.pending:
-		return false
+		return waitForWork
 	case c.noop == noopWanted:
-		return true
+		return confirmAnswer
 	case len(c.queued) == 0:
-		return false
+		return waitForWork
+	case !c.needsPathCheck(c.queued[0]):
+		return writeAttempts
+	case len(c.inFlight) == 0:
+		return checkPath
 	}
-	return len(c.inFlight) == 0 || !c.needsPathCheck(c.queued[0])
+	return waitForWork
 }
 
 // writeQueued lets the handler check the queued attempts before the first that needs a path check, and writes those
