Test of half-written attempts: count its deadline from the check, as load delays it

Core ends such an attempt (MaySend).

Change: the handler sets the deadline at each check, so the write is always half written when it expires; what is checked is the same.

--- a/internal/upstream/expired_test.go
+++ b/internal/upstream/expired_test.go
@@ -72,9 +72,13 @@
 // deadline: the node begins it when they arrive.
 func TestWriteThatExpiresHalfWrittenIsReset(t *testing.T) {
 	g := startGated(t, testLimits)
+	g.keep = func(a *Attempt) bool { // it must be partly written by then; if not, it is checked again
+		a.Deadline = time.Now().Add(3 * writeTimeout)
+		return true
+	}
 	g.open()
 	const moreThanSocketsHold = 32 << 20
-	large := writeAttempt(t, "large", moreThanSocketsHold, time.Now().Add(3*writeTimeout))
+	large := writeAttempt(t, "large", moreThanSocketsHold, time.Now().Add(testTimeout))
 	if !g.Send("n", large) {
 		t.Fatal("no connection")
 	}
